thin path: a request from caller to upstream on real processes

Cause: nothing was there. Change: base, declarations, platform, configuration, ownership, peer, http and host libraries, both binaries, stand-ins and demo.

--- /dev/null
+++ b/src/include/burdockpulley/store.h
@@ -0,0 +1,115 @@
+#ifndef BURDOCKPULLEY_STORE_H
+#define BURDOCKPULLEY_STORE_H
+
+#include "burdockpulley/types.h"
+
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace burdockpulley {
+
+/// Version of the platform's store. Each write makes a higher one.
+using StoreVersion = Strong<struct StoreVersionTag, std::int64_t>;
+/// A lease in the platform's store; zero is no lease.
+using StoreLease = Strong<struct StoreLeaseTag, std::int64_t>;
+
+/// Why a call to the platform's store has no answer.
+enum class StoreError {
+  Unreachable,  ///< Not sent: a write has certainly not taken effect.
+  Unknown,      ///< Sent, no answer: a write may have taken effect.
+  BadAnswer,    ///< Answered with something that can not be read.
+  LeaseExpired, ///< The lease is not there any more.
+};
+
+/// Name of an error as it stands in logs.
+/// Thread safety: safe.
+const char *toString(StoreError Error);
+
+/// One key with its value.
+struct StoreEntry {
+  std::string m_key;
+  std::string m_value;
+  StoreVersion m_modified; ///< Version of the write that put the value there.
+};
+
+/// Answer to a range read.
+struct StoreRange {
+  std::vector<StoreEntry> m_entries;
+  StoreVersion m_version; ///< Version of the whole store when it was read.
+};
+
+/// What to read: the keys that start with a prefix, or one key.
+struct StoreQuery {
+  std::string m_key;
+  bool m_prefix = false;
+  /// Only entries written at this version or later.
+  StoreVersion m_modifiedSince;
+};
+
+/// Condition on a key: it was last written by this version. Zero means that
+/// the key does not exist.
+struct StoreCondition {
+  std::string m_key;
+  StoreVersion m_modified;
+};
+
+/// A key to write or, without a value, to delete.
+struct StoreWrite {
+  std::string m_key;
+  std::string m_value;
+  bool m_delete = false;
+  StoreLease m_lease;
+};
+
+/// Writes that happen all together, if every condition holds, or not at all.
+struct StoreTransaction {
+  std::vector<StoreCondition> m_conditions;
+  std::vector<StoreWrite> m_writes;
+};
+
+/// Answer to a transaction.
+struct StoreCommit {
+  bool m_applied = false;
+  StoreVersion m_version;
+};
+
+/// Answer of the store, or why there is none.
+template <class Answer> using StoreReply = std::variant<Answer, StoreError>;
+
+/// Called once for each call to the store, on the loop's thread.
+template <class Answer>
+using StoreCallback = std::function<void(const StoreReply<Answer> &)>;
+
+/// The platform's key-value service, the one place where something is kept.
+///
+/// Calls return at once; the callback runs later on the loop's thread, with
+/// StoreError::Unknown at the latest when the call's time is over. Calls may
+/// be answered in any order.
+///
+/// Thread safety: none; all calls come from the loop's thread.
+class Store {
+public:
+  virtual ~Store() = default;
+
+  /// Reads entries in key order.
+  virtual void read(const StoreQuery &Query,
+                    StoreCallback<StoreRange> Done) = 0;
+
+  /// Compare-and-swap of one or more keys.
+  /// Precondition: \p Change has at least one write.
+  virtual void commit(const StoreTransaction &Change,
+                      StoreCallback<StoreCommit> Done) = 0;
+
+  /// Makes a lease; its keys are deleted when it is not kept alive.
+  virtual void grantLease(Duration TimeToLive,
+                          StoreCallback<StoreLease> Done) = 0;
+
+  /// Renews a lease. StoreError::LeaseExpired when it is gone.
+  virtual void keepAlive(StoreLease Lease, StoreCallback<StoreLease> Done) = 0;
+};
+
+} // namespace burdockpulley
+
+#endif
--- /dev/null
+++ b/src/libhost/clock.h
@@ -0,0 +1,36 @@
+#ifndef BURDOCKPULLEY_LIBHOST_CLOCK_H
+#define BURDOCKPULLEY_LIBHOST_CLOCK_H
+
+#include "burdockpulley/types.h"
+
+#include <functional>
+#include <memory>
+
+struct event;
+struct event_base;
+
+namespace burdockpulley {
+
+/// Reads the steady clock. Only adapters call it; code that decides takes the
+/// time as an argument.
+Instant steadyNow();
+
+/// Calls a function at a fixed interval on the loop's thread.
+/// Thread safety: none.
+class RepeatingTimer {
+public:
+  /// Precondition: \p Base outlives the timer.
+  RepeatingTimer(event_base *Base, Duration Interval,
+                 std::function<void(Instant Now)> Tick);
+  ~RepeatingTimer();
+  RepeatingTimer(const RepeatingTimer &) = delete;
+  RepeatingTimer &operator=(const RepeatingTimer &) = delete;
+
+private:
+  std::function<void(Instant)> m_tick;
+  event *m_event;
+};
+
+} // namespace burdockpulley
+
+#endif
--- /dev/null
+++ b/src/libhost/entry_host.cpp
@@ -0,0 +1,153 @@
+#include "burdockpulley/entry_host.h"
+
+#include "burdockpulley/etcd_store.h"
+#include "burdockpulley/event_log.h"
+#include "front_driver.h"
+#include "keeper_driver.h"
+#include "ownership_driver.h"
+#include "peer_types.h"
+#include "store_follower.h"
+
+#include <event2/event.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace burdockpulley {
+
+namespace {
+
+constexpr Duration StoreTimeout{1'000'000};
+constexpr Duration StopCheckInterval{50'000};
+constexpr std::uint64_t MaxBodyBytes = std::uint64_t(256) << 20;
+
+wire::Hello greeting(const HostSettings &Settings) {
+  wire::Hello Hello;
+  Hello.version = PeerProtocolVersion;
+  Hello.host = Settings.m_host.value();
+  Hello.domain = Settings.m_domain.value();
+  return Hello;
+}
+
+HostState initialState(const HostSettings &Settings) {
+  HostState State;
+  State.m_settings = Settings;
+  return State;
+}
+
+} // namespace
+
+class EntryHost::Impl : public PeerNetwork::Handler {
+public:
+  Impl(event_base *Base, const HostSettings &Settings)
+      : m_base(Base), m_state(initialState(Settings)),
+        m_store(Base, Settings.m_platform, StoreTimeout),
+        m_peers(Base, greeting(Settings), *this), m_pool(Base),
+        m_keeper(m_state, m_pool), m_front(Base, m_state, m_peers, m_keeper),
+        m_ownership(Base, m_store, m_state, m_pool),
+        m_follower(Base, m_store, m_state, [this] { onTablesChanged(); }),
+        m_server(Base, [this](HttpRequest &&Request, auto Responder) {
+          onRequest(std::move(Request), std::move(Responder));
+        }) {
+    m_server.limitBody(MaxBodyBytes);
+  }
+
+  bool start() {
+    const HostSettings &Settings = m_state.m_settings;
+    std::uint16_t CallerPort = m_server.listen(Settings.m_listen);
+    std::uint16_t PeerPort = m_peers.listen(Settings.m_peerListen);
+    if (CallerPort == 0 || PeerPort == 0) {
+      logEvent(Severity::Error, "address-in-use",
+               {{"listen", toString(Settings.m_listen)},
+                {"peerListen", toString(Settings.m_peerListen)}});
+      return false;
+    }
+    writePorts(CallerPort, PeerPort);
+    logEvent(Severity::Info, "started",
+             {{"port", CallerPort}, {"peerPort", PeerPort}});
+    return true;
+  }
+
+  void stop() {
+    if (m_stopping)
+      return;
+    m_stopping = true;
+    m_server.stopListening();
+    m_stopTimer = std::make_unique<RepeatingTimer>(
+        m_base, StopCheckInterval, [this](Instant) {
+          if (m_front.inFlight() == 0)
+            event_base_loopexit(m_base, nullptr);
+        });
+  }
+
+  void onMessage(const HostId &From, wire::Message &&Message) override {
+    if (Message.__isset.forwardRequest)
+      m_keeper.serve(std::move(Message.forwardRequest),
+                     [this, From](wire::ForwardReply &&Reply) {
+                       wire::Message Answer;
+                       Answer.__set_forwardReply(std::move(Reply));
+                       m_peers.send(From, Answer);
+                     });
+    else if (Message.__isset.forwardReply)
+      m_front.onReply(std::move(Message.forwardReply));
+  }
+
+  void onPeerLost(const HostId &Peer) override { m_front.onPeerLost(Peer); }
+
+private:
+  void onTablesChanged() {
+    std::map<HostId, Endpoint> Peers;
+    for (const FailureDomain &Domain : m_state.declared().m_domains)
+      for (const FailureDomain::Host &Host : Domain.m_hosts)
+        if (Host.m_name != m_state.m_settings.m_host)
+          Peers[Host.m_name] = Host.m_peerAddress;
+    m_peers.setPeers(std::move(Peers));
+    m_ownership.wake();
+  }
+
+  void onRequest(HttpRequest &&Request,
+                 std::shared_ptr<HttpResponder> Responder) {
+    if (Request.m_target == "/healthz")
+      return Responder->send(HttpResponse{200, {}, "ok\n"});
+    if (Request.m_target == "/readyz") {
+      bool Ready = !m_stopping && m_state.m_set->m_root.m_revision.value() > 0;
+      return Responder->send(HttpResponse{
+          Ready ? 200 : 503, {}, Ready ? "ready\n" : "not ready\n"});
+    }
+    m_front.onRequest(std::move(Request), std::move(Responder), steadyNow());
+  }
+
+  void writePorts(std::uint16_t CallerPort, std::uint16_t PeerPort) {
+    const std::string &Path = m_state.m_settings.m_portFile;
+    if (Path.empty())
+      return;
+    // Renamed into place, so that a reader never sees half a file.
+    std::string Draft = Path + ".draft";
+    std::ofstream(Draft) << CallerPort << " " << PeerPort << "\n";
+    std::rename(Draft.c_str(), Path.c_str());
+  }
+
+  event_base *m_base;
+  HostState m_state;
+  EtcdStore m_store;
+  PeerNetwork m_peers;
+  UpstreamPool m_pool;
+  KeeperDriver m_keeper;
+  FrontDriver m_front;
+  OwnershipDriver m_ownership;
+  StoreFollower m_follower;
+  HttpServer m_server;
+  bool m_stopping = false;
+  std::unique_ptr<RepeatingTimer> m_stopTimer;
+};
+
+EntryHost::EntryHost(event_base *Base, const HostSettings &Settings)
+    : m_impl(std::make_unique<Impl>(Base, Settings)) {}
+
+EntryHost::~EntryHost() = default;
+
+bool EntryHost::start() { return m_impl->start(); }
+
+void EntryHost::stop() { m_impl->stop(); }
+
+} // namespace burdockpulley
--- /dev/null
+++ b/src/libhost/host_state.h
@@ -0,0 +1,34 @@
+#ifndef BURDOCKPULLEY_LIBHOST_HOST_STATE_H
+#define BURDOCKPULLEY_LIBHOST_HOST_STATE_H
+
+#include "burdockpulley/configuration.h"
+#include "burdockpulley/ownership.h"
+#include "burdockpulley/settings.h"
+
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace burdockpulley {
+
+/// The tables that the systems of one host share.
+/// Thread safety: none.
+struct HostState {
+  HostSettings m_settings;
+  std::shared_ptr<const PublishedSet> m_set =
+      std::make_shared<const PublishedSet>();
+  OwnershipTable m_ownership;
+  std::set<HostId> m_lostHosts; ///< Hosts that do not answer.
+
+  const Declarations &declared() const { return m_set->m_declarations; }
+
+  /// Hosts of a failure domain that are not known to be lost.
+  std::vector<HostId> liveHosts(const DomainId &Domain) const;
+
+  /// The host that keeps an upstream; empty when its domain has none.
+  HostId keeperOf(const Upstream &Which) const;
+};
+
+} // namespace burdockpulley
+
+#endif
--- /dev/null
+++ b/src/libhost/settings.cpp
@@ -0,0 +1,109 @@
+#include "burdockpulley/settings.h"
+
+#include <cxxopts.hpp>
+
+#include <cstdlib>
+
+namespace burdockpulley {
+
+namespace {
+
+/// Takes values from flags or the environment and collects the faults.
+class SettingsReader {
+public:
+  SettingsReader(const cxxopts::ParseResult &Flags,
+                 std::vector<std::string> &Faults)
+      : m_flags(Flags), m_faults(Faults) {}
+
+  std::string text(const std::string &Name, bool Required) {
+    if (m_flags.count(Name))
+      return m_flags[Name].as<std::string>();
+    const char *Value = std::getenv(variable(Name).c_str());
+    if (Value)
+      return Value;
+    if (Required)
+      m_faults.push_back("--" + Name + " (or " + variable(Name) +
+                         ") is missing");
+    return "";
+  }
+
+  Endpoint endpoint(const std::string &Name) {
+    Endpoint Where;
+    std::string Text = text(Name, true);
+    if (!Text.empty() && !parseEndpoint(Text, Where))
+      m_faults.push_back("--" + Name + " is " + Text +
+                         "; write IP-ADDRESS:PORT");
+    return Where;
+  }
+
+private:
+  static std::string variable(const std::string &Name) {
+    std::string Variable = "BURDOCKPULLEY_";
+    for (char Letter : Name)
+      Variable += Letter == '-' ? '_' : static_cast<char>(std::toupper(Letter));
+    return Variable;
+  }
+
+  const cxxopts::ParseResult &m_flags;
+  std::vector<std::string> &m_faults;
+};
+
+cxxopts::Options describeFlags() {
+  cxxopts::Options Options(
+      "burdockpulleyd",
+      "Entry host of burdockpulley. Each flag can be given as an environment "
+      "variable too:\n--peer-listen is BURDOCKPULLEY_PEER_LISTEN.");
+  Options.add_options()("host", "name of this host in the declarations",
+                        cxxopts::value<std::string>())(
+      "failure-domain", "failure domain of this host",
+      cxxopts::value<std::string>())("listen", "address for callers, IP:PORT",
+                                     cxxopts::value<std::string>())(
+      "peer-listen", "address for the other hosts, IP:PORT",
+      cxxopts::value<std::string>())("platform",
+                                     "address of the platform's store, IP:PORT",
+                                     cxxopts::value<std::string>())(
+      "port-file", "file that gets the bound ports",
+      cxxopts::value<std::string>())(
+      "print-settings", "print the settings and end")("help",
+                                                      "print this and end");
+  return Options;
+}
+
+} // namespace
+
+SettingsOutcome readSettings(int Count, char **Arguments) {
+  SettingsOutcome Outcome;
+  cxxopts::Options Options = describeFlags();
+  try {
+    cxxopts::ParseResult Flags = Options.parse(Count, Arguments);
+    if (Flags.count("help")) {
+      Outcome.m_help = Options.help();
+      return Outcome;
+    }
+    SettingsReader Reader(Flags, Outcome.m_faults);
+    HostSettings &Settings = Outcome.m_settings;
+    Settings.m_host = HostId(Reader.text("host", true));
+    Settings.m_domain = DomainId(Reader.text("failure-domain", true));
+    Settings.m_listen = Reader.endpoint("listen");
+    Settings.m_peerListen = Reader.endpoint("peer-listen");
+    Settings.m_platform = Reader.endpoint("platform");
+    Settings.m_portFile = Reader.text("port-file", false);
+    Outcome.m_print = Flags.count("print-settings") != 0;
+    for (const std::string &Extra : Flags.unmatched())
+      Outcome.m_faults.push_back("unknown argument " + Extra);
+  } catch (const cxxopts::exceptions::exception &Problem) {
+    Outcome.m_faults.push_back(Problem.what());
+  }
+  return Outcome;
+}
+
+std::string toString(const HostSettings &Settings) {
+  return "host=" + Settings.m_host.value() +
+         "\nfailure-domain=" + Settings.m_domain.value() +
+         "\nlisten=" + toString(Settings.m_listen) +
+         "\npeer-listen=" + toString(Settings.m_peerListen) +
+         "\nplatform=" + toString(Settings.m_platform) +
+         "\nport-file=" + Settings.m_portFile + "\n";
+}
+
+} // namespace burdockpulley
--- /dev/null
+++ b/src/libhttp/http_server.cpp
@@ -0,0 +1,113 @@
+#include "evhttp_glue.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+namespace burdockpulley {
+
+namespace {
+
+constexpr int IdleTimeoutSeconds = 60;
+constexpr std::size_t MaxHeaderBytes = 64 * 1024;
+
+const char *methodName(evhttp_cmd_type Method) {
+  switch (Method) {
+  case EVHTTP_REQ_GET:
+    return "GET";
+  case EVHTTP_REQ_POST:
+    return "POST";
+  case EVHTTP_REQ_HEAD:
+    return "HEAD";
+  case EVHTTP_REQ_PUT:
+    return "PUT";
+  case EVHTTP_REQ_DELETE:
+    return "DELETE";
+  case EVHTTP_REQ_OPTIONS:
+    return "OPTIONS";
+  case EVHTTP_REQ_PATCH:
+    return "PATCH";
+  default:
+    return "";
+  }
+}
+
+std::uint16_t boundPort(evhttp_bound_socket *Socket) {
+  sockaddr_in Address{};
+  socklen_t Size = sizeof(Address);
+  int Descriptor = evhttp_bound_socket_get_fd(Socket);
+  getsockname(Descriptor, reinterpret_cast<sockaddr *>(&Address), &Size);
+  return ntohs(Address.sin_port);
+}
+
+} // namespace
+
+HttpResponder::HttpResponder(evhttp_request *Request) : m_request(Request) {
+  evhttp_request_own(Request);
+}
+
+HttpResponder::~HttpResponder() {
+  if (m_request)
+    send(HttpResponse{500, {}, ""});
+}
+
+void HttpResponder::send(const HttpResponse &Response) {
+  evhttp_request *Request = m_request;
+  m_request = nullptr;
+  if (!Request)
+    return;
+  if (!evhttp_request_get_connection(Request)) {
+    evhttp_request_free(Request);
+    return;
+  }
+  // An owned request is given back so that evhttp frees it once it is sent.
+  Request->flags &= ~EVHTTP_USER_OWNED;
+  detail::writeHeaders(evhttp_request_get_output_headers(Request),
+                       Response.m_headers);
+  evbuffer *Body = evhttp_request_get_output_buffer(Request);
+  evbuffer_add(Body, Response.m_body.data(), Response.m_body.size());
+  evhttp_send_reply(Request, Response.m_status, nullptr, nullptr);
+}
+
+HttpServer::HttpServer(event_base *Base, Handler Handle)
+    : m_handle(std::move(Handle)), m_server(evhttp_new(Base)) {
+  evhttp_set_allowed_methods(
+      m_server, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
+                    EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH |
+                    EVHTTP_REQ_OPTIONS);
+  evhttp_set_timeout(m_server, IdleTimeoutSeconds);
+  evhttp_set_max_headers_size(m_server, MaxHeaderBytes);
+  evhttp_set_default_content_type(m_server, nullptr);
+  evhttp_set_gencb(m_server, onRequest, this);
+}
+
+HttpServer::~HttpServer() { evhttp_free(m_server); }
+
+std::uint16_t HttpServer::listen(const Endpoint &Where) {
+  m_socket = evhttp_bind_socket_with_handle(m_server, Where.m_address.c_str(),
+                                            Where.m_port);
+  return m_socket ? boundPort(m_socket) : 0;
+}
+
+void HttpServer::limitBody(std::uint64_t Bytes) {
+  evhttp_set_max_body_size(m_server, static_cast<ev_ssize_t>(Bytes));
+}
+
+void HttpServer::stopListening() {
+  if (m_socket)
+    evhttp_del_accept_socket(m_server, m_socket);
+  m_socket = nullptr;
+}
+
+void HttpServer::onRequest(evhttp_request *Request, void *Self) {
+  auto *Server = static_cast<HttpServer *>(Self);
+  HttpRequest Message;
+  Message.m_method = methodName(evhttp_request_get_command(Request));
+  Message.m_target = evhttp_request_get_uri(Request);
+  Message.m_headers =
+      detail::readHeaders(evhttp_request_get_input_headers(Request));
+  Message.m_body = detail::drain(evhttp_request_get_input_buffer(Request));
+  Server->m_handle(std::move(Message),
+                   std::make_shared<HttpResponder>(Request));
+}
+
+} // namespace burdockpulley
--- /dev/null
+++ b/src/libownership/ownership_table.cpp
@@ -0,0 +1,115 @@
+#include "burdockpulley/ownership.h"
+
+#include "burdockpulley/configuration.h"
+#include "burdockpulley/hashing.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace burdockpulley {
+
+using nlohmann::json;
+
+std::string ownershipKey(const ServiceId &Service, std::uint32_t Chunk) {
+  return OwnershipPrefix + Service.value() + "/" + std::to_string(Chunk);
+}
+
+bool parseOwnershipKey(std::string_view Key, ServiceId &Service,
+                       std::uint32_t &Chunk) {
+  std::string_view Prefix = OwnershipPrefix;
+  if (!Key.starts_with(Prefix))
+    return false;
+  std::string_view Rest = Key.substr(Prefix.size());
+  std::size_t Slash = Rest.rfind('/');
+  if (Slash == Rest.npos)
+    return false;
+  const char *End = Rest.data() + Rest.size();
+  auto [Stop, Error] = std::from_chars(Rest.data() + Slash + 1, End, Chunk);
+  if (Error != std::errc() || Stop != End)
+    return false;
+  Service = ServiceId(std::string(Rest.substr(0, Slash)));
+  return true;
+}
+
+std::string encodeChunk(const OwnershipChunk &Chunk) {
+  std::map<UpstreamId, std::size_t> Numbers;
+  json Names = json::array();
+  json Owners = json::array();
+  json Tokens = json::array();
+  for (const PartitionRow &Row : Chunk.m_rows) {
+    auto [Number, Fresh] = Numbers.emplace(Row.m_owner, Numbers.size());
+    if (Fresh)
+      Names.push_back(Row.m_owner.value());
+    Owners.push_back(Number->second);
+    Tokens.push_back(Row.m_token.value());
+  }
+  return json{{"upstreams", Names}, {"owners", Owners}, {"tokens", Tokens}}
+      .dump();
+}
+
+bool decodeChunk(std::string_view Text, OwnershipChunk &Chunk) {
+  json Object = json::parse(Text, nullptr, false);
+  if (!Object.is_object())
+    return false;
+  try {
+    auto Names = Object.at("upstreams").get<std::vector<std::string>>();
+    auto Owners = Object.at("owners").get<std::vector<std::size_t>>();
+    auto Tokens = Object.at("tokens").get<std::vector<std::uint64_t>>();
+    if (Owners.size() != Tokens.size())
+      return false;
+    Chunk.m_rows.clear();
+    for (std::size_t I = 0; I < Owners.size(); ++I)
+      Chunk.m_rows.push_back(
+          {UpstreamId(Names.at(Owners[I])), FencingToken(Tokens[I])});
+  } catch (const std::exception &) {
+    return false;
+  }
+  return true;
+}
+
+bool OwnershipTable::apply(const StoreEntry &Entry) {
+  ServiceId Service;
+  std::uint32_t Number = 0;
+  if (!parseOwnershipKey(Entry.m_key, Service, Number))
+    return false;
+  OwnershipChunk Fresh;
+  Fresh.m_version = Entry.m_modified;
+  if (!decodeChunk(Entry.m_value, Fresh))
+    return false;
+  std::vector<OwnershipChunk> &Chunks = m_services[Service];
+  if (Chunks.size() <= Number)
+    Chunks.resize(Number + 1);
+  if (Chunks[Number].m_version >= Fresh.m_version)
+    return false;
+  Chunks[Number] = std::move(Fresh);
+  return true;
+}
+
+const PartitionRow *OwnershipTable::find(const ServiceId &Service,
+                                         PartitionIndex Partition) const {
+  std::span<const OwnershipChunk> Chunks = chunks(Service);
+  std::uint32_t Number = Partition.value() / PartitionsPerChunk;
+  if (Number >= Chunks.size())
+    return nullptr;
+  const std::vector<PartitionRow> &Rows = Chunks[Number].m_rows;
+  std::uint32_t Offset = Partition.value() % PartitionsPerChunk;
+  if (Offset >= Rows.size())
+    return nullptr;
+  return &Rows[Offset];
+}
+
+std::span<const OwnershipChunk>
+OwnershipTable::chunks(const ServiceId &Service) const {
+  auto Found = m_services.find(Service);
+  if (Found == m_services.end())
+    return {};
+  return Found->second;
+}
+
+PartitionIndex partitionOf(std::string_view Key, std::uint32_t Partitions) {
+  return PartitionIndex(
+      static_cast<std::uint32_t>(stableHash(Key) % Partitions));
+}
+
+} // namespace burdockpulley
--- /dev/null
+++ b/src/libownership/ownership_test.cpp
@@ -0,0 +1,60 @@
+#include "burdockpulley/ownership.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace burdockpulley;
+
+namespace {
+
+Declarations threeServers() {
+  Declarations Set;
+  Service Herd;
+  Herd.m_name = ServiceId("herd");
+  Herd.m_keySource = KeySource::Header;
+  Herd.m_partitions = PartitionsPerChunk + 4;
+  Set.m_services.push_back(Herd);
+  for (const char *Name : {"h1", "h2", "h3"}) {
+    Upstream Row;
+    Row.m_name = UpstreamId(Name);
+    Row.m_service = Herd.m_name;
+    Row.m_slots = Name[1] == '3' ? 2 : 1;
+    Set.m_upstreams.push_back(Row);
+  }
+  return Set;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(first_owners_share_by_slots_and_are_given_once) {
+  Declarations Set = threeServers();
+  OwnershipTable Table;
+  auto Plan = planFirstOwners(Set, Table);
+  BOOST_REQUIRE(Plan.size() == 2u);
+  std::int64_t Version = 5;
+  for (const StoreTransaction &Change : Plan)
+    BOOST_TEST(
+        Table.apply({Change.m_writes[0].m_key, Change.m_writes[0].m_value,
+                     StoreVersion(++Version)}));
+  std::map<std::string, int> Counts;
+  for (std::uint32_t I = 0; I < Set.m_services[0].m_partitions; ++I) {
+    const PartitionRow *Row = Table.find(ServiceId("herd"), PartitionIndex(I));
+    BOOST_REQUIRE(Row);
+    BOOST_TEST(Row->m_token.value() == 1u);
+    ++Counts[Row->m_owner.value()];
+  }
+  BOOST_TEST(Counts["h1"] == 1025);
+  BOOST_TEST(Counts["h3"] == 2050);
+  BOOST_TEST(planFirstOwners(Set, Table).empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_older_entry_never_replaces_a_newer_one) {
+  OwnershipTable Table;
+  OwnershipChunk Chunk;
+  Chunk.m_rows = {{UpstreamId("new"), FencingToken(2)}};
+  std::string Key = ownershipKey(ServiceId("s"), 0);
+  BOOST_TEST(Table.apply({Key, encodeChunk(Chunk), StoreVersion(9)}));
+  Chunk.m_rows = {{UpstreamId("old"), FencingToken(1)}};
+  BOOST_TEST(!Table.apply({Key, encodeChunk(Chunk), StoreVersion(8)}));
+  BOOST_TEST(Table.find(ServiceId("s"), PartitionIndex(0))->m_owner.value() ==
+             "new");
+}
--- /dev/null
+++ b/src/libplatform/store.cpp
@@ -0,0 +1,19 @@
+#include "burdockpulley/store.h"
+
+namespace burdockpulley {
+
+const char *toString(StoreError Error) {
+  switch (Error) {
+  case StoreError::Unreachable:
+    return "unreachable";
+  case StoreError::Unknown:
+    return "unknown";
+  case StoreError::BadAnswer:
+    return "bad-answer";
+  case StoreError::LeaseExpired:
+    return "lease-expired";
+  }
+  return "unknown";
+}
+
+} // namespace burdockpulley
--- /dev/null
+++ b/src/libtestkit/deployment.cpp
@@ -0,0 +1,177 @@
+#include "burdockpulley/configuration.h"
+#include "burdockpulley/etcd_store.h"
+#include "burdockpulley/http.h"
+#include "burdockpulley/testkit.h"
+
+#include <event2/event.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+namespace burdockpulley {
+
+namespace {
+
+const std::string Loopback = "127.0.0.1";
+
+std::vector<std::uint16_t> readPorts(const std::string &Path,
+                                     std::size_t Count) {
+  std::vector<std::uint16_t> Ports;
+  bool Found = waitUntil([&] {
+    std::ifstream Input(Path);
+    Ports.clear();
+    for (std::uint16_t Port = 0; Input >> Port;)
+      Ports.push_back(Port);
+    return Ports.size() == Count;
+  });
+  if (!Found)
+    throw std::runtime_error("no ports in " + Path);
+  std::filesystem::remove(Path);
+  return Ports;
+}
+
+} // namespace
+
+HttpResponse callOnce(const Endpoint &Where, HttpRequest Request,
+                      Duration Timeout) {
+  event_base *Base = event_base_new();
+  HttpResponse Answer;
+  Answer.m_status = 0;
+  {
+    HttpClient Client(Base, Where, 1);
+    Request.m_headers.push_back({"Connection", "close"});
+    Client.call(std::move(Request), Timeout,
+                [&](HttpError Error, HttpResponse &&Response) {
+                  if (Error == HttpError::None)
+                    Answer = std::move(Response);
+                  event_base_loopbreak(Base);
+                });
+    event_base_dispatch(Base);
+  }
+  event_base_free(Base);
+  return Answer;
+}
+
+Deployment::Deployment() {
+  std::string Pattern =
+      std::filesystem::temp_directory_path() / "burdockpulley-XXXXXX";
+  if (!mkdtemp(Pattern.data()))
+    throw std::runtime_error("can not make " + Pattern);
+  m_folder = Pattern;
+}
+
+Deployment::~Deployment() {
+  m_hosts.clear();
+  m_upstreams.clear();
+  m_store.reset();
+  std::error_code Ignored;
+  if (!std::getenv("BURDOCKPULLEY_KEEP_LOGS"))
+    std::filesystem::remove_all(m_folder, Ignored);
+}
+
+std::string Deployment::file(const std::string &Name) const {
+  return m_folder + "/" + Name;
+}
+
+void Deployment::startStore() {
+  m_store = std::make_unique<ChildProcess>(
+      "burdockpulley-store-standin",
+      std::vector<std::string>{"--port", std::to_string(m_storeAddress.m_port),
+                               "--port-file", file("store.port")},
+      file("store.log"));
+  m_storeAddress = {Loopback, readPorts(file("store.port"), 1)[0]};
+}
+
+Deployment::HostRow &Deployment::startHost(const std::string &Name,
+                                           const std::string &Domain) {
+  HostRow &Row = m_hosts[Name];
+  Row.m_process.reset();
+  Row.m_name = HostId(Name);
+  Row.m_domain = DomainId(Domain);
+  Row.m_callers.m_address = Loopback;
+  Row.m_peers.m_address = Loopback;
+  std::string PortFile = file(Name + ".port");
+  Row.m_process = std::make_unique<ChildProcess>(
+      "burdockpulleyd",
+      std::vector<std::string>{
+          "--host", Name, "--failure-domain", Domain, "--listen",
+          toString(Row.m_callers), "--peer-listen", toString(Row.m_peers),
+          "--platform", toString(m_storeAddress), "--port-file", PortFile},
+      file(Name + ".log"));
+  std::vector<std::uint16_t> Ports = readPorts(PortFile, 2);
+  Row.m_callers.m_port = Ports[0];
+  Row.m_peers.m_port = Ports[1];
+  return Row;
+}
+
+Deployment::UpstreamRow &
+Deployment::startUpstream(const Upstream &Declared, bool Keyed,
+                          std::vector<std::string> MoreArguments) {
+  const std::string &Name = Declared.m_name.value();
+  UpstreamRow &Row = m_upstreams[Name];
+  std::uint16_t Port = Row.m_declared.m_address.m_port;
+  Row.m_process.reset();
+  Row.m_declared = Declared;
+  Row.m_runLog = file(Name + ".runs");
+  Row.m_arguments = {"--name",      Name,
+                     "--port",      std::to_string(Port),
+                     "--slots",     std::to_string(Declared.m_slots),
+                     "--run-log",   Row.m_runLog,
+                     "--port-file", file(Name + ".port")};
+  if (Keyed)
+    Row.m_arguments.push_back("--keyed");
+  Row.m_arguments.insert(Row.m_arguments.end(), MoreArguments.begin(),
+                         MoreArguments.end());
+  Row.m_process = std::make_unique<ChildProcess>(
+      "burdockpulley-upstream-standin", Row.m_arguments, file(Name + ".log"));
+  Row.m_declared.m_address = {Loopback, readPorts(file(Name + ".port"), 1)[0]};
+  return Row;
+}
+
+bool Deployment::publish(Declarations Set) {
+  for (FailureDomain &Domain : Set.m_domains) {
+    Domain.m_hosts.clear();
+    for (const auto &[Name, Row] : m_hosts)
+      if (Row.m_domain == Domain.m_name)
+        Domain.m_hosts.push_back({Row.m_name, Row.m_peers});
+  }
+  Set.m_upstreams.clear();
+  for (const auto &[Name, Row] : m_upstreams)
+    Set.m_upstreams.push_back(Row.m_declared);
+  std::string Path = file("set.yaml");
+  // The canonical form is a list of objects; a file holds one a document.
+  std::ofstream(file("set.json")) << encodeDeclarations(Set);
+  event_base *Base = event_base_new();
+  bool Accepted = false;
+  {
+    EtcdStore Store(Base, m_storeAddress, std::chrono::seconds(5));
+    SetReader Reader(Store);
+    Publisher Writer(Store);
+    Reader.readCurrent([&](const SetReader::Result &Current) {
+      if (std::holds_alternative<StoreError>(Current)) {
+        event_base_loopbreak(Base);
+        return;
+      }
+      Writer.publish(Set, *std::get<0>(Current), "test",
+                     [&](const Publisher::Result &Result) {
+                       Accepted = std::holds_alternative<Revision>(Result);
+                       event_base_loopbreak(Base);
+                     });
+    });
+    event_base_dispatch(Base);
+  }
+  event_base_free(Base);
+  return Accepted && waitUntil([this] { return ready(); });
+}
+
+bool Deployment::ready() {
+  return std::all_of(m_hosts.begin(), m_hosts.end(), [](const auto &Entry) {
+    return callOnce(Entry.second.m_callers, {"GET", "/readyz", {}, ""})
+               .m_status == 200;
+  });
+}
+
+} // namespace burdockpulley
--- /dev/null
+++ b/src/standins/store_standin.cpp
@@ -0,0 +1,35 @@
+// Stand-in for the platform's store: the etcd version 3 JSON protocol over a
+// map in memory. For tests only.
+#include "burdockpulley/etcd_store.h"
+#include "burdockpulley/http.h"
+#include "burdockpulley/store_state.h"
+#include "standin.h"
+
+#include <cxxopts.hpp>
+#include <event2/event.h>
+
+using namespace burdockpulley;
+
+int main(int Count, char **Arguments) {
+  cxxopts::Options Options("burdockpulley-store-standin");
+  Options.add_options()("port", "port on 127.0.0.1; 0 takes a free one",
+                        cxxopts::value<std::uint16_t>()->default_value("0"))(
+      "port-file", "file that gets the bound port",
+      cxxopts::value<std::string>()->default_value(""));
+  cxxopts::ParseResult Flags = Options.parse(Count, Arguments);
+  event_base *Base = event_base_new();
+  StoreState State;
+  HttpServer Server(Base, [&](HttpRequest &&Request, auto Responder) {
+    HttpResponse Response;
+    Response.m_status = answerEtcdCall(State, Request.m_target, Request.m_body,
+                                       standinNow(), Response.m_body);
+    Responder->send(Response);
+  });
+  std::uint16_t Port =
+      Server.listen({"127.0.0.1", Flags["port"].as<std::uint16_t>()});
+  if (Port == 0)
+    return 1;
+  writePortFile(Flags["port-file"].as<std::string>(), Port);
+  event_base_dispatch(Base);
+  return 0;
+}
