ownership: rows that move

A row names the upstream that it moves to, so that the old owner can be revoked before the new one is granted. intendMoves() writes planned moves as intents, one compare-and-swap a chunk; planFirstOwners() leaves out upstreams that do not answer. Chunks without moves read as before.

--- a/src/include/burdockpulley/ownership.h
+++ b/src/include/burdockpulley/ownership.h
@@ -5,6 +5,7 @@
 #include "burdockpulley/store.h"
 
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -15,10 +16,15 @@
 /// Partitions whose rows stand together in one value of the store.
 constexpr std::uint32_t PartitionsPerChunk = 4096;
 
-/// Who owns a partition, and since which token.
+/// Who owns a partition, and since which token. A row with a target is moving:
+/// its owner is being revoked, and then the target becomes the owner under the
+/// next token.
 struct PartitionRow {
   UpstreamId m_owner; ///< Empty while nobody owns it.
   FencingToken m_token;
+  UpstreamId m_target; ///< Empty while the row is stable.
+
+  bool moving() const { return !m_target.value().empty(); }
 
   friend bool operator==(const PartitionRow &, const PartitionRow &) = default;
 };
@@ -71,10 +77,26 @@
                            std::span<const HostId> LiveHosts);
 
 /// Gives partitions without an owner to upstreams in service, in proportion to
-/// their slots. Returns the transactions that write them.
+/// their slots. Upstreams that do not answer get none. Returns the transactions
+/// that write them.
+/// Thread safety: safe.
+std::vector<StoreTransaction>
+planFirstOwners(const Declarations &Declared, const OwnershipTable &Table,
+                const std::set<UpstreamId> &Down = {});
+
+/// A move that placement asks for.
+struct PlannedMove {
+  ServiceId m_service;
+  PartitionIndex m_partition;
+  UpstreamId m_from;
+  UpstreamId m_to;
+};
+
+/// The transactions that write moves as intents, one a chunk. A move whose row
+/// has another owner by now, or is moving already, is left out.
 /// Thread safety: safe.
-std::vector<StoreTransaction> planFirstOwners(const Declarations &Declared,
-                                              const OwnershipTable &Table);
+std::vector<StoreTransaction> intendMoves(std::span<const PlannedMove> Moves,
+                                          const OwnershipTable &Table);
 
 } // namespace burdockpulley
 
--- a/src/libownership/ownership_table.cpp
+++ b/src/libownership/ownership_table.cpp
@@ -37,14 +37,24 @@
   json Names = json::array();
   json Owners = json::array();
   json Tokens = json::array();
-  for (const PartitionRow &Row : Chunk.m_rows) {
-    auto [Number, Fresh] = Numbers.emplace(Row.m_owner, Numbers.size());
+  json Moves = json::array();
+  auto NumberOf = [&](const UpstreamId &Name) {
+    auto [Number, Fresh] = Numbers.emplace(Name, Numbers.size());
     if (Fresh)
-      Names.push_back(Row.m_owner.value());
-    Owners.push_back(Number->second);
+      Names.push_back(Name.value());
+    return Number->second;
+  };
+  for (std::size_t I = 0; I < Chunk.m_rows.size(); ++I) {
+    const PartitionRow &Row = Chunk.m_rows[I];
+    Owners.push_back(NumberOf(Row.m_owner));
     Tokens.push_back(Row.m_token.value());
+    if (Row.moving())
+      Moves.push_back({I, NumberOf(Row.m_target)});
   }
-  return json{{"upstreams", Names}, {"owners", Owners}, {"tokens", Tokens}}
+  return json{{"upstreams", Names},
+              {"owners", Owners},
+              {"tokens", Tokens},
+              {"moves", Moves}}
       .dump();
 }
 
@@ -61,7 +71,12 @@
     Chunk.m_rows.clear();
     for (std::size_t I = 0; I < Owners.size(); ++I)
       Chunk.m_rows.push_back(
-          {UpstreamId(Names.at(Owners[I])), FencingToken(Tokens[I])});
+          {UpstreamId(Names.at(Owners[I])), FencingToken(Tokens[I]), {}});
+    for (const json &Move : Object.value("moves", json::array())) {
+      auto Target = Move.at(1).get<std::size_t>();
+      Chunk.m_rows.at(Move.at(0).get<std::size_t>()).m_target =
+          UpstreamId(Names.at(Target));
+    }
   } catch (const std::exception &) {
     return false;
   }
--- a/src/libownership/ownership_test.cpp
+++ b/src/libownership/ownership_test.cpp
@@ -50,11 +50,31 @@
 BOOST_AUTO_TEST_CASE(an_older_entry_never_replaces_a_newer_one) {
   OwnershipTable Table;
   OwnershipChunk Chunk;
-  Chunk.m_rows = {{UpstreamId("new"), FencingToken(2)}};
+  Chunk.m_rows = {{UpstreamId("new"), FencingToken(2), {}}};
   std::string Key = ownershipKey(ServiceId("s"), 0);
   BOOST_TEST(Table.apply({Key, encodeChunk(Chunk), StoreVersion(9)}));
-  Chunk.m_rows = {{UpstreamId("old"), FencingToken(1)}};
+  Chunk.m_rows = {{UpstreamId("old"), FencingToken(1), {}}};
   BOOST_TEST(!Table.apply({Key, encodeChunk(Chunk), StoreVersion(8)}));
   BOOST_TEST(Table.find(ServiceId("s"), PartitionIndex(0))->m_owner.value() ==
              "new");
 }
+
+BOOST_AUTO_TEST_CASE(a_move_is_written_as_an_intent_once) {
+  OwnershipChunk Chunk;
+  Chunk.m_rows = {{UpstreamId("a"), FencingToken(3), {}},
+                  {UpstreamId("b"), FencingToken(1), UpstreamId("a")}};
+  OwnershipTable Table;
+  std::string Key = ownershipKey(ServiceId("s"), 0);
+  BOOST_REQUIRE(Table.apply({Key, encodeChunk(Chunk), StoreVersion(9)}));
+  std::vector<PlannedMove> Moves = {
+      {ServiceId("s"), PartitionIndex(0), UpstreamId("a"), UpstreamId("b")},
+      {ServiceId("s"), PartitionIndex(0), UpstreamId("a"), UpstreamId("c")},
+      {ServiceId("s"), PartitionIndex(1), UpstreamId("b"), UpstreamId("c")}};
+  auto Plan = intendMoves(Moves, Table);
+  BOOST_REQUIRE(Plan.size() == 1u);
+  BOOST_TEST(Plan[0].m_conditions[0].m_modified.value() == 9);
+  OwnershipChunk Written;
+  BOOST_REQUIRE(decodeChunk(Plan[0].m_writes[0].m_value, Written));
+  Chunk.m_rows[0].m_target = UpstreamId("b");
+  BOOST_TEST((Written.m_rows == Chunk.m_rows));
+}
--- a/src/libownership/placement.cpp
+++ b/src/libownership/placement.cpp
@@ -19,10 +19,12 @@
 
 std::vector<Candidate> candidatesOf(const Declarations &Declared,
                                     const Service &Target,
-                                    const OwnershipTable &Table) {
+                                    const OwnershipTable &Table,
+                                    const std::set<UpstreamId> &Down) {
   std::vector<Candidate> Candidates;
   for (const Upstream &Server : Declared.m_upstreams)
-    if (Server.m_service == Target.m_name && !Declared.outOfService(Server))
+    if (Server.m_service == Target.m_name && !Declared.outOfService(Server) &&
+        !Down.count(Server.m_name))
       Candidates.push_back({&Server});
   for (const OwnershipChunk &Chunk : Table.chunks(Target.m_name))
     for (const PartitionRow &Row : Chunk.m_rows)
@@ -52,9 +54,10 @@
 }
 
 void planService(const Service &Target, const Declarations &Declared,
-                 const OwnershipTable &Table,
+                 const OwnershipTable &Table, const std::set<UpstreamId> &Down,
                  std::vector<StoreTransaction> &Plan) {
-  std::vector<Candidate> Candidates = candidatesOf(Declared, Target, Table);
+  std::vector<Candidate> Candidates =
+      candidatesOf(Declared, Target, Table, Down);
   if (Candidates.empty())
     return;
   std::span<const OwnershipChunk> Chunks = Table.chunks(Target.m_name);
@@ -92,12 +95,13 @@
   return Best;
 }
 
-std::vector<StoreTransaction> planFirstOwners(const Declarations &Declared,
-                                              const OwnershipTable &Table) {
+std::vector<StoreTransaction>
+planFirstOwners(const Declarations &Declared, const OwnershipTable &Table,
+                const std::set<UpstreamId> &Down) {
   std::vector<StoreTransaction> Plan;
   for (const Service &Target : Declared.m_services)
     if (Target.keyed())
-      planService(Target, Declared, Table, Plan);
+      planService(Target, Declared, Table, Down, Plan);
   return Plan;
 }
 
