burdockpulley: commands for the whole life of a configuration

A publisher whose answer is lost now deletes its chunks on condition that the root has not moved; the switch depends on the first chunk, so after that it can not take effect any more. Before, an answer lost before the effect was always reported as not known. The test a_write_that_was_given_up_on_never_takes_effect commits the late write afterwards; without the condition on the chunk it applies.

--- a/src/burdockpulley/main.cpp
+++ b/src/burdockpulley/main.cpp
@@ -1,138 +1,163 @@
-#include "burdockpulley/configuration.h"
-#include "burdockpulley/etcd_store.h"
-#include "burdockpulley/event_log.h"
+#include "command.h"
 
-#include <boost/leaf/handle_errors.hpp>
 #include <cxxopts.hpp>
-#include <event2/event.h>
 
 #include <csignal>
 #include <cstdio>
-#include <optional>
+#include <cstdlib>
 
 using namespace burdockpulley;
-namespace leaf = boost::leaf;
 
 namespace {
 
-constexpr Duration StoreTimeout{5'000'000};
-
-enum ExitCode { Good = 0, Faulty = 1, Usage = 2, Conflict = 3, NoStore = 4 };
-
-std::optional<Declarations> readSet(const std::string &Path) {
-  return leaf::try_handle_all(
-      [&]() -> leaf::result<std::optional<Declarations>> {
-        BOOST_LEAF_AUTO(Sources, loadSources(Path));
-        BOOST_LEAF_AUTO(Set, readDeclarations(Sources));
-        return std::optional<Declarations>(std::move(Set));
-      },
-      [](const DeclarationFaults &Faults) -> std::optional<Declarations> {
-        for (const DeclarationFault &Fault : Faults.m_faults)
-          std::fprintf(stderr, "%s\n", toString(Fault).c_str());
-        return std::nullopt;
-      },
-      []() -> std::optional<Declarations> { return std::nullopt; });
+const Command Commands[] = {
+    {"check", "PATH", "check declarations, without the store",
+     "PATH is a file or a directory of *.yaml files. Every fault is printed "
+     "with file,\nline, object, field, what is wrong and what would be right.",
+     1, false, false, runCheck},
+    {"diff", "PATH", "compare declarations with what is in force",
+     "Exit code 0: no difference; 7: differences; 1: faulty, or refused "
+     "because keys\nwould change owners all at once (see --force).",
+     1, false, true, runDiff},
+    {"publish", "PATH", "check declarations and bring them into force",
+     "One compare-and-swap: of two operators who race, one gets a conflict "
+     "(exit code\n3) that says what changed meanwhile. Maintenance orders in "
+     "force are kept unless\nthe files have one for the same target. --base "
+     "REVISION publishes only over that\nrevision. A lost answer is settled "
+     "before the command ends.",
+     1, false, true, runPublish},
+    {"get", "[KIND[/NAME]]", "print the objects in force",
+     "The text form is YAML that publish reads.", 1, true, true, runGet},
+    {"drain", "UPSTREAM", "give an upstream no new work",
+     "Publishes a Maintenance order. What is in flight ends by itself.", 1,
+     false, true, runDrain},
+    {"undrain", "UPSTREAM", "take the order of drain back", "", 1, false, true,
+     runUndrain},
+    {"domain", "out|in NAME", "take a failure domain out or bring it back",
+     "Publishes or removes a Maintenance order. The last failure domain can "
+     "not be\ntaken out.",
+     2, false, true, runDomain},
+    {"history", "", "list the revisions, oldest first", "", 0, false, true,
+     runHistory},
+    {"rollback", "REVISION", "publish the set of an earlier revision again",
+     "It becomes a new, higher revision, maintenance orders included.", 1,
+     false, true, runRollback},
+    {"owner", "SERVICE KEY", "say which upstream owns a key", "", 2, false,
+     true, runOwner},
+};
+
+constexpr const char *ExitCodeHelp =
+    "Exit codes: 0 done, 1 faulty or refused declarations, 2 wrong command "
+    "line,\n3 conflict, 4 store not reached, 5 outcome not known, 6 not "
+    "found,\n7 diff found differences. With 3 and 4 nothing has changed.\n";
+
+std::string environment(const char *Name, const char *Default) {
+  const char *Value = std::getenv(Name);
+  return Value ? Value : Default;
 }
 
-int check(const std::string &Path) {
-  std::optional<Declarations> Set = readSet(Path);
-  if (!Set)
-    return Faulty;
-  std::printf("ok: %zu services, %zu upstreams, %zu failure domains\n",
-              Set->m_services.size(), Set->m_upstreams.size(),
-              Set->m_domains.size());
-  return Good;
+cxxopts::Options describeFlags() {
+  cxxopts::Options Options("burdockpulley",
+                           "Operators' command line of burdockpulley.");
+  Options.add_options()(
+      "platform", "address of the platform's store (BURDOCKPULLEY_PLATFORM)",
+      cxxopts::value<std::string>(),
+      "IP:PORT")("output", "text or json",
+                 cxxopts::value<std::string>()->default_value("text"),
+                 "FORM")("author", "name in the history (BURDOCKPULLEY_AUTHOR)",
+                         cxxopts::value<std::string>(),
+                         "NAME")("base", "publish only over this revision",
+                                 cxxopts::value<std::uint64_t>(), "REVISION")(
+      "force", "publish although keys change owners all at once")(
+      "help", "print this, or what a command does");
+  Options.add_options("hidden")("command", "", cxxopts::value<std::string>())(
+      "arguments", "", cxxopts::value<std::vector<std::string>>());
+  Options.parse_positional({"command", "arguments"});
+  Options.custom_help("COMMAND [OPTION...]");
+  Options.positional_help("");
+  return Options;
 }
 
-int report(const Publisher::Result &Result) {
-  if (const auto *Number = std::get_if<Revision>(&Result)) {
-    std::printf("accepted as revision %llu\n",
-                static_cast<unsigned long long>(Number->value()));
-    return Good;
-  }
-  switch (std::get<PublishError>(Result)) {
-  case PublishError::Conflict:
-    std::fprintf(stderr, "conflict: someone else published meanwhile; nothing "
-                         "of yours is in force\n");
-    return Conflict;
-  case PublishError::Unreachable:
-    std::fprintf(stderr, "the store was not reached; nothing has changed\n");
-    break;
-  case PublishError::Unsettled:
-    std::fprintf(stderr, "the outcome is not known; look at the current "
-                         "revision before you publish again\n");
-    break;
+void printHelp(const cxxopts::Options &Options) {
+  std::fputs(Options.help({""}).c_str(), stdout);
+  std::fputs("\nCommands (--help after one says more):\n", stdout);
+  for (const Command &Each : Commands) {
+    std::string Usage = std::string(Each.m_name) + " " + Each.m_arguments;
+    std::printf("  %-20s %s\n", Usage.c_str(), Each.m_summary);
   }
-  return NoStore;
+  std::printf("\n%s", ExitCodeHelp);
 }
 
-int publish(const std::string &Path, const Endpoint &Platform) {
-  std::optional<Declarations> Set = readSet(Path);
-  if (!Set)
-    return Faulty;
-  event_base *Base = event_base_new();
-  int Code = NoStore;
-  {
-    EtcdStore Store(Base, Platform, StoreTimeout);
-    SetReader Reader(Store);
-    Publisher Writer(Store);
-    Reader.readCurrent([&](const SetReader::Result &Current) {
-      if (std::holds_alternative<StoreError>(Current)) {
-        std::fprintf(stderr, "the store can not be read\n");
-        event_base_loopbreak(Base);
-        return;
-      }
-      Writer.publish(*Set, *std::get<0>(Current), "operator",
-                     [&](const Publisher::Result &Result) {
-                       Code = report(Result);
-                       event_base_loopbreak(Base);
-                     });
-    });
-    event_base_dispatch(Base);
-  }
-  event_base_free(Base);
-  return Code;
+void printHelp(const Command &Which) {
+  std::printf("burdockpulley %s %s: %s\n%s%s\n%s", Which.m_name,
+              Which.m_arguments, Which.m_summary, Which.m_details,
+              *Which.m_details ? "\n" : "", ExitCodeHelp);
+}
+
+int usage(const std::string &Problem) {
+  std::fprintf(stderr, "burdockpulley: %s; see --help\n", Problem.c_str());
+  return static_cast<int>(ExitCode::Usage);
+}
+
+const Command *findCommand(const std::string &Name) {
+  for (const Command &Each : Commands)
+    if (Name == Each.m_name)
+      return &Each;
+  return nullptr;
+}
+
+CommandLine readLine(const cxxopts::ParseResult &Flags) {
+  CommandLine Line;
+  if (Flags.count("arguments"))
+    Line.m_arguments = Flags["arguments"].as<std::vector<std::string>>();
+  Line.m_json = Flags["output"].as<std::string>() == "json";
+  Line.m_force = Flags.count("force") != 0;
+  if (Flags.count("base"))
+    Line.m_base = Revision(Flags["base"].as<std::uint64_t>());
+  Line.m_author = Flags.count("author")
+                      ? Flags["author"].as<std::string>()
+                      : environment("BURDOCKPULLEY_AUTHOR", "operator");
+  return Line;
 }
 
-int dispatch(const cxxopts::ParseResult &Flags) {
-  auto Command = Flags["command"].as<std::string>();
-  auto Path = Flags["path"].as<std::string>();
-  if (Command == "check")
-    return check(Path);
-  Endpoint Platform;
-  if (!parseEndpoint(Flags["platform"].as<std::string>(), Platform)) {
-    std::fprintf(stderr, "--platform: write IP-ADDRESS:PORT\n");
-    return Usage;
+int dispatch(const cxxopts::ParseResult &Flags,
+             const cxxopts::Options &Options) {
+  std::string Name =
+      Flags.count("command") ? Flags["command"].as<std::string>() : "";
+  const Command *Which = findCommand(Name);
+  if (Flags.count("help")) {
+    Which ? printHelp(*Which) : printHelp(Options);
+    return static_cast<int>(ExitCode::Good);
   }
-  if (Command == "publish")
-    return publish(Path, Platform);
-  std::fprintf(stderr, "unknown command %s\n", Command.c_str());
-  return Usage;
+  if (!Which)
+    return usage(Name.empty() ? "no command" : "no command " + Name);
+  CommandLine Line = readLine(Flags);
+  std::size_t Given = Line.m_arguments.size();
+  bool Fits =
+      Given == Which->m_argumentCount ||
+      (Which->m_optionalArgument && Given + 1 == Which->m_argumentCount);
+  if (!Fits)
+    return usage(Name + " takes: " + Which->m_arguments);
+  std::string Output = Flags["output"].as<std::string>();
+  if (Output != "text" && Output != "json")
+    return usage("--output is " + Output + "; write text or json");
+  std::string Platform = Flags.count("platform")
+                             ? Flags["platform"].as<std::string>()
+                             : environment("BURDOCKPULLEY_PLATFORM", "");
+  if (Which->m_needsStore && !parseEndpoint(Platform, Line.m_platform))
+    return usage("--platform is " + (Platform.empty() ? "missing" : Platform) +
+                 "; write IP-ADDRESS:PORT");
+  return static_cast<int>(Which->m_run(Line));
 }
 
 } // namespace
 
 int main(int Count, char **Arguments) {
   std::signal(SIGPIPE, SIG_IGN);
-  cxxopts::Options Options("burdockpulley", "Operators' command line.");
-  Options.add_options()("command", "check or publish",
-                        cxxopts::value<std::string>()->default_value(""))(
-      "path", "file or directory of declarations",
-      cxxopts::value<std::string>()->default_value(""))(
-      "platform", "address of the platform's store, IP:PORT",
-      cxxopts::value<std::string>()->default_value(""))("help",
-                                                        "print this and end");
-  Options.parse_positional({"command", "path"});
-  Options.positional_help("COMMAND PATH");
+  cxxopts::Options Options = describeFlags();
   try {
-    cxxopts::ParseResult Flags = Options.parse(Count, Arguments);
-    if (Flags.count("help")) {
-      std::fputs(Options.help().c_str(), stdout);
-      return Good;
-    }
-    return dispatch(Flags);
+    return dispatch(Options.parse(Count, Arguments), Options);
   } catch (const cxxopts::exceptions::exception &Problem) {
-    std::fprintf(stderr, "burdockpulley: %s\n", Problem.what());
-    return Usage;
+    return usage(Problem.what());
   }
 }
--- a/src/include/burdockpulley/configuration.h
+++ b/src/include/burdockpulley/configuration.h
@@ -40,6 +40,9 @@
 /// Key of one chunk of a publication. Thread safety: safe.
 std::string chunkKey(const std::string &Publication, std::uint32_t Chunk);
 
+/// Key of one revision in the history. Thread safety: safe.
+std::string historyKey(Revision Number);
+
 /// A published set with its revision. It never changes.
 struct PublishedSet {
   ConfigRoot m_root;
@@ -51,7 +54,7 @@
 /// Why a set was not published.
 enum class PublishError {
   Conflict,    ///< Someone else published meanwhile; nothing was changed.
-  Unreachable, ///< The store was not reached; nothing was changed.
+  Unreachable, ///< The store did not take it; nothing was changed, nor will be.
   Unsettled,   ///< The outcome could not be read back; look before retrying.
 };
 
@@ -62,6 +65,8 @@
 public:
   using Result = std::variant<std::shared_ptr<const PublishedSet>, StoreError>;
   using Callback = std::function<void(const Result &)>;
+  using HistoryResult = std::variant<std::vector<ConfigRoot>, StoreError>;
+  using HistoryCallback = std::function<void(const HistoryResult &)>;
 
   /// Precondition: \p Source outlives the reader and its calls.
   explicit SetReader(Store &Source) : m_store(Source) {}
@@ -73,6 +78,13 @@
   /// Reads the set of a root that has been read before.
   void readSet(const ConfigRoot &Root, StoreVersion RootVersion, Callback Done);
 
+  /// Reads the roots of all revisions that have been in force, oldest first.
+  void readHistory(HistoryCallback Done);
+
+  /// Reads the set of a revision that was in force once; null when there was
+  /// none of that number.
+  void readRevision(Revision Number, Callback Done);
+
 private:
   Store &m_store;
 };
@@ -85,13 +97,20 @@
   using Result = std::variant<Revision, PublishError>;
   using Callback = std::function<void(const Result &)>;
 
+  /// Runs a function after a time, on the loop's thread.
+  using Delay = std::function<void(Duration, std::function<void()>)>;
+
+  /// Without a \p Later, calls that failed are repeated at once.
   /// Precondition: \p Target outlives the publisher and its calls.
-  explicit Publisher(Store &Target) : m_store(Target) {}
+  explicit Publisher(Store &Target, Delay Later = {})
+      : m_store(Target), m_later(std::move(Later)) {}
 
   /// Publishes \p Set as the revision after \p Base. The chunks are written
-  /// first; the root is switched only if it is still at \p Base. When the
-  /// answer of the switch is lost, the outcome is settled by reading back the
-  /// publication's id.
+  /// first; the root is switched only if it is still at \p Base and the first
+  /// chunk still stands. When the answer of the switch is lost, the chunks are
+  /// deleted on condition that the root is still at \p Base: if that applies,
+  /// the switch can not take effect any more; if not, the history says whose
+  /// revision it was.
   void publish(const Declarations &Set, const PublishedSet &Base,
                const std::string &Author, Callback Done);
 
@@ -100,8 +119,11 @@
   void writeChunks(std::shared_ptr<Attempt> Publication);
   void switchRoot(std::shared_ptr<Attempt> Publication);
   void settle(std::shared_ptr<Attempt> Publication, int TriesLeft);
+  void readOutcome(std::shared_ptr<Attempt> Publication, int TriesLeft);
+  void repeat(std::shared_ptr<Attempt> Publication, int TriesLeft);
 
   Store &m_store;
+  Delay m_later;
 };
 
 } // namespace burdockpulley
--- a/src/libconfiguration/config_root.cpp
+++ b/src/libconfiguration/config_root.cpp
@@ -35,4 +35,11 @@
   return ArchivePrefix + Publication + "/" + Number;
 }
 
+std::string historyKey(Revision Number) {
+  char Text[24];
+  snprintf(Text, sizeof(Text), "%012llu",
+           static_cast<unsigned long long>(Number.value()));
+  return std::string(HistoryPrefix) + Text;
+}
+
 } // namespace burdockpulley
--- a/src/libconfiguration/publisher.cpp
+++ b/src/libconfiguration/publisher.cpp
@@ -6,20 +6,15 @@
 namespace {
 
 constexpr std::size_t MaxChunkBytes = 512 * 1024;
-constexpr int SettleTries = 5;
-
-std::string historyKey(Revision Number) {
-  char Text[24];
-  snprintf(Text, sizeof(Text), "%012llu",
-           static_cast<unsigned long long>(Number.value()));
-  return std::string(HistoryPrefix) + Text;
-}
+constexpr int SettleTries = 20;
+constexpr Duration SettlePause{500'000};
 
 } // namespace
 
 struct Publisher::Attempt {
   ConfigRoot m_root;
   StoreVersion m_base;
+  StoreVersion m_firstChunk; ///< Version of the write of the first chunk.
   std::string m_text;
   std::uint32_t m_written = 0;
   Callback m_done;
@@ -50,20 +45,24 @@
   Write.m_key = chunkKey(Publication->m_root.m_publication, Chunk);
   Write.m_value =
       Publication->m_text.substr(Chunk * MaxChunkBytes, MaxChunkBytes);
-  m_store.commit({{}, {Write}},
-                 [this, Publication](const StoreReply<StoreCommit> &Reply) {
-                   // No host reads a chunk before the root names it.
-                   if (std::holds_alternative<StoreError>(Reply))
-                     return Publication->m_done(PublishError::Unreachable);
-                   ++Publication->m_written;
-                   writeChunks(Publication);
-                 });
+  m_store.commit(
+      {{}, {Write}}, [this, Publication](const StoreReply<StoreCommit> &Reply) {
+        // No host reads a chunk before the root names it.
+        if (std::holds_alternative<StoreError>(Reply))
+          return Publication->m_done(PublishError::Unreachable);
+        if (Publication->m_written == 0)
+          Publication->m_firstChunk = std::get<StoreCommit>(Reply).m_version;
+        ++Publication->m_written;
+        writeChunks(Publication);
+      });
 }
 
 void Publisher::switchRoot(std::shared_ptr<Attempt> Publication) {
   std::string Value = encodeRoot(Publication->m_root);
   StoreTransaction Change{
-      {{ConfigRootKey, Publication->m_base}},
+      {{ConfigRootKey, Publication->m_base},
+       {chunkKey(Publication->m_root.m_publication, 0),
+        Publication->m_firstChunk}},
       {{ConfigRootKey, Value, false, {}},
        {historyKey(Publication->m_root.m_revision), Value, false, {}}}};
   m_store.commit(Change,
@@ -82,26 +81,48 @@
 void Publisher::settle(std::shared_ptr<Attempt> Publication, int TriesLeft) {
   if (TriesLeft == 0)
     return Publication->m_done(PublishError::Unsettled);
-  // The history entry of the revision is written together with the root, and
+  StoreTransaction Fence{{{ConfigRootKey, Publication->m_base}}, {}};
+  for (std::uint32_t I = 0; I < Publication->m_root.m_chunks; ++I)
+    Fence.m_writes.push_back(
+        {chunkKey(Publication->m_root.m_publication, I), "", true, {}});
+  m_store.commit(Fence, [this, Publication,
+                         TriesLeft](const StoreReply<StoreCommit> &Reply) {
+    const auto *Commit = std::get_if<StoreCommit>(&Reply);
+    if (!Commit)
+      return repeat(Publication, TriesLeft);
+    if (Commit->m_applied)
+      return Publication->m_done(PublishError::Unreachable);
+    readOutcome(Publication, TriesLeft);
+  });
+}
+
+void Publisher::readOutcome(std::shared_ptr<Attempt> Publication,
+                            int TriesLeft) {
+  // The history entry of a revision is written together with the root, and
   // stays when a later revision replaces the root.
   m_store.read(
       {historyKey(Publication->m_root.m_revision), false, {}},
       [this, Publication, TriesLeft](const StoreReply<StoreRange> &Reply) {
         const auto *Range = std::get_if<StoreRange>(&Reply);
         if (!Range)
-          return settle(Publication, TriesLeft - 1);
+          return repeat(Publication, TriesLeft);
         ConfigRoot Found;
         bool Ours = !Range->m_entries.empty() &&
                     decodeRoot(Range->m_entries.front().m_value, Found) &&
                     Found.m_publication == Publication->m_root.m_publication;
         if (Ours)
           return Publication->m_done(Publication->m_root.m_revision);
-        if (!Range->m_entries.empty())
-          return Publication->m_done(PublishError::Conflict);
-        // A write that is still under way may yet take effect, so its absence
-        // settles nothing.
-        Publication->m_done(PublishError::Unsettled);
+        Publication->m_done(PublishError::Conflict);
       });
 }
 
+void Publisher::repeat(std::shared_ptr<Attempt> Publication, int TriesLeft) {
+  auto Again = [this, Publication, TriesLeft] {
+    settle(Publication, TriesLeft - 1);
+  };
+  if (m_later)
+    return m_later(SettlePause, Again);
+  Again();
+}
+
 } // namespace burdockpulley
--- a/src/libconfiguration/set_reader.cpp
+++ b/src/libconfiguration/set_reader.cpp
@@ -49,4 +49,33 @@
                });
 }
 
+void SetReader::readHistory(HistoryCallback Done) {
+  m_store.read(
+      {HistoryPrefix, true, {}}, [Done](const StoreReply<StoreRange> &Reply) {
+        if (const auto *Error = std::get_if<StoreError>(&Reply))
+          return Done(*Error);
+        std::vector<ConfigRoot> Roots;
+        ConfigRoot Root;
+        for (const StoreEntry &Entry : std::get<StoreRange>(Reply).m_entries)
+          if (decodeRoot(Entry.m_value, Root))
+            Roots.push_back(Root);
+        Done(Roots);
+      });
+}
+
+void SetReader::readRevision(Revision Number, Callback Done) {
+  m_store.read({historyKey(Number), false, {}},
+               [this, Done](const StoreReply<StoreRange> &Reply) {
+                 if (const auto *Error = std::get_if<StoreError>(&Reply))
+                   return Done(*Error);
+                 const auto &Range = std::get<StoreRange>(Reply);
+                 if (Range.m_entries.empty())
+                   return Done(std::shared_ptr<const PublishedSet>());
+                 ConfigRoot Root;
+                 if (!decodeRoot(Range.m_entries.front().m_value, Root))
+                   return Done(StoreError::BadAnswer);
+                 readSet(Root, Range.m_entries.front().m_modified, Done);
+               });
+}
+
 } // namespace burdockpulley
