faults: a proxy that breaks connections, and what must hold then

Answers that break off, stall or are reset were not tested against real processes. burdockpulley-fault-proxy delays, cuts, refuses, resets, half-closes and truncates its links on order; Deployment puts it before an upstream, a host's peer address, or the store of a failure domain. The store stand-in counts its calls.

Cases: an answer cut within header or body, half-closed, reset or stalled is told as unknown and ran once; a refused connection is not-run; keyed requests go on for 5 s while the store is cut off.

Shown to fail: with an interrupted exchange told as not-run, the truncation and reset cases fail; with grants renewed only on table changes, the case of the store fails.

--- a/src/include/burdockpulley/testkit.h
+++ b/src/include/burdockpulley/testkit.h
@@ -17,7 +17,8 @@
 /// Thread safety: none.
 class ChildProcess {
 public:
-  /// Starts a program of the build; its output goes to \p LogFile.
+  /// Starts a program of the build, or the one at an absolute path; its output
+  /// goes to \p LogFile.
   ChildProcess(const std::string &Program, std::vector<std::string> Arguments,
                const std::string &LogFile);
   ~ChildProcess();
@@ -30,6 +31,8 @@
   /// True while it has not ended.
   bool running();
 
+  pid_t pid() const { return m_pid; }
+
   /// Waits for its end and returns its exit code, or minus the signal.
   int wait();
 
@@ -54,6 +57,7 @@
     DomainId m_domain;
     Endpoint m_callers;
     Endpoint m_peers;
+    Endpoint m_peersProxy; ///< What the set declares; port 0 declares m_peers.
     std::unique_ptr<ChildProcess> m_process;
   };
 
@@ -61,6 +65,13 @@
     Upstream m_declared;
     std::vector<std::string> m_arguments;
     std::string m_runLog;
+    Endpoint m_proxy; ///< What the set declares; port 0 declares its own.
+    std::unique_ptr<ChildProcess> m_process;
+  };
+
+  struct ProxyRow {
+    Endpoint m_listen;
+    Endpoint m_control;
     std::unique_ptr<ChildProcess> m_process;
   };
 
@@ -78,6 +89,21 @@
   UpstreamRow &startUpstream(const Upstream &Declared, bool Keyed,
                              std::vector<std::string> MoreArguments = {});
 
+  /// Starts a fault proxy before \p Target.
+  ProxyRow &startProxy(const std::string &Name, const Endpoint &Target);
+
+  /// Puts a fault proxy between the hosts and an upstream, before the peer
+  /// address of a host, or between the store and the hosts of a failure domain
+  /// that are started later. Call them before publish().
+  /// Precondition: the upstream, the host or the store has been started.
+  ProxyRow &proxyUpstream(const std::string &Upstream);
+  ProxyRow &proxyPeers(const std::string &Host);
+  ProxyRow &proxyStore(const std::string &Domain);
+
+  /// Replaces the faults of a proxy by those of a JSON object; "{}" ends all.
+  /// False when the proxy does not take them.
+  bool setFaults(const ProxyRow &Proxy, const std::string &Faults);
+
   /// Publishes the set with the addresses of what has been started; waits
   /// until it is in force and every partition has an owner that answers.
   /// False when it is refused or that does not come about.
@@ -88,8 +114,10 @@
 
   std::map<std::string, HostRow> m_hosts;
   std::map<std::string, UpstreamRow> m_upstreams;
+  std::map<std::string, ProxyRow> m_proxies;
   std::unique_ptr<ChildProcess> m_store;
   Endpoint m_storeAddress;
+  std::map<std::string, Endpoint> m_storeOfDomain; ///< Where it is proxied.
   std::string m_folder;
 
 private:
--- a/src/libtestkit/child_process.cpp
+++ b/src/libtestkit/child_process.cpp
@@ -19,7 +19,9 @@
 ChildProcess::ChildProcess(const std::string &Program,
                            std::vector<std::string> Arguments,
                            const std::string &LogFile) {
-  std::string Path = std::string(BURDOCKPULLEY_BIN_DIR "/") + Program;
+  std::string Path = Program.starts_with('/')
+                         ? Program
+                         : std::string(BURDOCKPULLEY_BIN_DIR "/") + Program;
   std::vector<char *> Words{Path.data()};
   for (std::string &Argument : Arguments)
     Words.push_back(Argument.data());
--- a/src/libtestkit/deployment.cpp
+++ b/src/libtestkit/deployment.cpp
@@ -66,6 +66,7 @@
 Deployment::~Deployment() {
   m_hosts.clear();
   m_upstreams.clear();
+  m_proxies.clear();
   m_store.reset();
   std::error_code Ignored;
   if (!std::getenv("BURDOCKPULLEY_KEEP_LOGS"))
@@ -94,12 +95,15 @@
   Row.m_callers.m_address = Loopback;
   Row.m_peers.m_address = Loopback;
   std::string PortFile = file(Name + ".port");
+  auto Proxied = m_storeOfDomain.find(Domain);
+  const Endpoint &Store =
+      Proxied == m_storeOfDomain.end() ? m_storeAddress : Proxied->second;
   Row.m_process = std::make_unique<ChildProcess>(
       "burdockpulleyd",
       std::vector<std::string>{
           "--host", Name, "--failure-domain", Domain, "--listen",
           toString(Row.m_callers), "--peer-listen", toString(Row.m_peers),
-          "--platform", toString(m_storeAddress), "--port-file", PortFile},
+          "--platform", toString(Store), "--port-file", PortFile},
       file(Name + ".log"));
   std::vector<std::uint16_t> Ports = readPorts(PortFile, 2);
   Row.m_callers.m_port = Ports[0];
@@ -131,16 +135,61 @@
   return Row;
 }
 
+Deployment::ProxyRow &Deployment::startProxy(const std::string &Name,
+                                             const Endpoint &Target) {
+  ProxyRow &Row = m_proxies[Name];
+  std::string PortFile = file("proxy-" + Name + ".port");
+  Row.m_process = std::make_unique<ChildProcess>(
+      "burdockpulley-fault-proxy",
+      std::vector<std::string>{"--target", toString(Target), "--port-file",
+                               PortFile},
+      file("proxy-" + Name + ".log"));
+  std::vector<std::uint16_t> Ports = readPorts(PortFile, 2);
+  Row.m_listen = {Loopback, Ports[0]};
+  Row.m_control = {Loopback, Ports[1]};
+  return Row;
+}
+
+Deployment::ProxyRow &Deployment::proxyUpstream(const std::string &Upstream) {
+  UpstreamRow &Row = m_upstreams.at(Upstream);
+  ProxyRow &Proxy = startProxy(Upstream, Row.m_declared.m_address);
+  Row.m_proxy = Proxy.m_listen;
+  return Proxy;
+}
+
+Deployment::ProxyRow &Deployment::proxyPeers(const std::string &Host) {
+  HostRow &Row = m_hosts.at(Host);
+  ProxyRow &Proxy = startProxy(Host, Row.m_peers);
+  Row.m_peersProxy = Proxy.m_listen;
+  return Proxy;
+}
+
+Deployment::ProxyRow &Deployment::proxyStore(const std::string &Domain) {
+  ProxyRow &Proxy = startProxy("store-" + Domain, m_storeAddress);
+  m_storeOfDomain[Domain] = Proxy.m_listen;
+  return Proxy;
+}
+
+bool Deployment::setFaults(const ProxyRow &Proxy, const std::string &Faults) {
+  return callOnce(Proxy.m_control, {"POST", "/faults", {}, Faults}).m_status ==
+         200;
+}
+
 bool Deployment::publish(Declarations Set) {
   for (FailureDomain &Domain : Set.m_domains) {
     Domain.m_hosts.clear();
     for (const auto &[Name, Row] : m_hosts)
       if (Row.m_domain == Domain.m_name)
-        Domain.m_hosts.push_back({Row.m_name, Row.m_peers});
+        Domain.m_hosts.push_back({Row.m_name, Row.m_peersProxy.m_port
+                                                  ? Row.m_peersProxy
+                                                  : Row.m_peers});
   }
   Set.m_upstreams.clear();
-  for (const auto &[Name, Row] : m_upstreams)
+  for (const auto &[Name, Row] : m_upstreams) {
     Set.m_upstreams.push_back(Row.m_declared);
+    if (Row.m_proxy.m_port)
+      Set.m_upstreams.back().m_address = Row.m_proxy;
+  }
   std::string Path = file("set.yaml");
   // The canonical form is a list of objects; a file holds one a document.
   std::ofstream(file("set.json")) << encodeDeclarations(Set);
--- a/src/standins/standin.h
+++ b/src/standins/standin.h
@@ -5,6 +5,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <initializer_list>
 #include <string>
 
 namespace burdockpulley {
@@ -14,12 +15,16 @@
   return Instant(std::chrono::duration_cast<Duration>(SinceBoot));
 }
 
-/// Writes the bound port where the starter of the process looks for it.
-inline void writePortFile(const std::string &Path, std::uint16_t Port) {
+/// Writes the bound ports where the starter of the process looks for them.
+inline void writePortFile(const std::string &Path,
+                          std::initializer_list<std::uint16_t> Ports) {
   if (Path.empty())
     return;
   std::string Draft = Path + ".draft";
-  std::ofstream(Draft) << Port << "\n";
+  std::ofstream Output(Draft);
+  for (std::uint16_t Port : Ports)
+    Output << Port << "\n";
+  Output.close();
   std::rename(Draft.c_str(), Path.c_str());
 }
 
--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -19,8 +19,12 @@
   cxxopts::ParseResult Flags = Options.parse(Count, Arguments);
   event_base *Base = event_base_new();
   StoreState State;
+  std::uint64_t Calls = 0;
   HttpServer Server(Base, [&](HttpRequest &&Request, auto Responder) {
     HttpResponse Response;
+    if (Request.m_target == "/standin/calls")
+      return Responder->send({200, {}, std::to_string(Calls)});
+    ++Calls;
     Response.m_status = answerEtcdCall(State, Request.m_target, Request.m_body,
                                        standinNow(), Response.m_body);
     Responder->send(Response);
@@ -29,7 +33,7 @@
       Server.listen({"127.0.0.1", Flags["port"].as<std::uint16_t>()});
   if (Port == 0)
     return 1;
-  writePortFile(Flags["port-file"].as<std::string>(), Port);
+  writePortFile(Flags["port-file"].as<std::string>(), {Port});
   event_base_dispatch(Base);
   return 0;
 }
--- a/src/standins/upstream_standin.cpp
+++ b/src/standins/upstream_standin.cpp
@@ -165,7 +165,7 @@
       Server.listen({"127.0.0.1", Given["port"].as<std::uint16_t>()});
   if (Port == 0)
     return 1;
-  writePortFile(Given["port-file"].as<std::string>(), Port);
+  writePortFile(Given["port-file"].as<std::string>(), {Port});
   event_base_dispatch(Base);
   return 0;
 }
--- /dev/null
+++ b/testsuite/faults/faults_test.cpp
@@ -0,0 +1,166 @@
+// Connections that break, stall or end early, between real processes.
+#include "burdockpulley/hashing.h"
+#include "burdockpulley/http.h"
+#include "burdockpulley/testkit.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+
+using namespace burdockpulley;
+
+namespace {
+
+constexpr int KeyCount = 16;
+constexpr std::size_t BodyBytes = 4000;
+/// Longer than several leases of grants.
+constexpr auto CutLength = std::chrono::seconds(5);
+
+Declarations twoServices() {
+  Declarations Set;
+  Set.m_tenants = {{TenantId("censo"), sha256Hex("secret")}};
+  Set.m_domains = {{DomainId("curico"), "cl", {}},
+                   {DomainId("talca"), "cl", {}}};
+  Service Fee;
+  Fee.m_name = ServiceId("fee");
+  Fee.m_tenant = TenantId("censo");
+  Service Herd = Fee;
+  Herd.m_name = ServiceId("herd");
+  Herd.m_keySource = KeySource::PathSegment;
+  Herd.m_keySegment = 1;
+  Herd.m_keyName = "1";
+  Herd.m_partitions = 64;
+  Herd.m_idempotentMethods = {"GET"};
+  Set.m_services = {Fee, Herd};
+  Set.m_routes = {{"fees", TenantId("censo"), "/fees", ServiceId("fee")},
+                  {"herds", TenantId("censo"), "/herds", ServiceId("herd")}};
+  return Set;
+}
+
+Upstream upstream(const std::string &Name, const std::string &Service,
+                  const std::string &Domain) {
+  Upstream Row;
+  Row.m_name = UpstreamId(Name);
+  Row.m_service = ServiceId(Service);
+  Row.m_domain = DomainId(Domain);
+  Row.m_slots = 4;
+  return Row;
+}
+
+HttpResponse send(const Endpoint &Where, const std::string &Method,
+                  const std::string &Target, const std::string &Body) {
+  return callOnce(Where,
+                  {Method, Target, {{"Authorization", "Bearer secret"}}, Body});
+}
+
+bool everyKeyServed(const Endpoint &Where) {
+  for (int Key = 0; Key < KeyCount; ++Key)
+    if (send(Where, "GET", "/herds/" + std::to_string(Key), "").m_status != 200)
+      return false;
+  return true;
+}
+
+int lines(const std::string &Path) {
+  std::ifstream Input(Path);
+  int Count = 0;
+  for (std::string Line; std::getline(Input, Line);)
+    ++Count;
+  return Count;
+}
+
+/// One upstream behind a proxy, one host, and a large answer to ask for.
+struct BrokenAnswers {
+  BrokenAnswers() {
+    m_system.startStore();
+    m_system.startUpstream(upstream("fee-1", "fee", "talca"), false);
+    m_system.startUpstream(upstream("herd-1", "herd", "talca"), true);
+    m_proxy = &m_system.proxyUpstream("fee-1");
+    m_system.startHost("talca-1", "talca");
+    m_system.startHost("curico-1", "curico");
+    BOOST_REQUIRE(m_system.publish(twoServices()));
+    m_ready = waitUntil([this] { return pay().m_status == 200; });
+    BOOST_REQUIRE(m_ready);
+  }
+
+  HttpResponse pay() {
+    return send(m_system.m_hosts.at("talca-1").m_callers, "POST", "/fees",
+                std::string(BodyBytes, 'x'));
+  }
+
+  int runs() { return lines(m_system.m_upstreams.at("fee-1").m_runLog); }
+
+  /// A payment whose answer breaks off ran once, and its caller hears so much.
+  void checkOneUnknownRun(const std::string &Faults) {
+    int Before = runs();
+    BOOST_REQUIRE(m_system.setFaults(*m_proxy, Faults));
+    HttpResponse Answer = pay();
+    BOOST_TEST(Answer.m_status >= 500);
+    BOOST_TEST(Answer.header("X-Burdockpulley-Outcome") == "unknown");
+    BOOST_TEST(runs() == Before + 1);
+    BOOST_REQUIRE(m_system.setFaults(*m_proxy, "{}"));
+    BOOST_TEST(waitUntil([this] { return pay().m_status == 200; }));
+  }
+
+  Deployment m_system;
+  Deployment::ProxyRow *m_proxy = nullptr;
+  bool m_ready = false;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(an_answer_that_breaks_off_is_never_passed_off_as_whole) {
+  BrokenAnswers Case;
+  // Within the header fields, within the body, and before the last bytes.
+  Case.checkOneUnknownRun(R"({"truncateAfter": 0})");
+  Case.checkOneUnknownRun(R"({"truncateAfter": 30})");
+  Case.checkOneUnknownRun(R"({"truncateAfter": 1000})");
+  Case.checkOneUnknownRun(R"({"truncateAfter": 4000})");
+  Case.checkOneUnknownRun(R"({"halfCloseAfter": 1000})");
+}
+
+BOOST_AUTO_TEST_CASE(a_reset_within_an_answer_is_told_as_unknown) {
+  BrokenAnswers Case;
+  Case.checkOneUnknownRun(R"({"resetAfter": 0})");
+  Case.checkOneUnknownRun(R"({"resetAfter": 1000})");
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_stalls_is_told_as_unknown) {
+  BrokenAnswers Case;
+  Case.checkOneUnknownRun(R"({"cutToCaller": true})");
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_connection_is_told_as_not_run) {
+  BrokenAnswers Case;
+  Case.m_system.m_upstreams.at("fee-1").m_process.reset();
+  Case.m_proxy->m_process.reset();
+  int Before = Case.runs();
+  HttpResponse Answer;
+  // The broken connection that was kept may first be told as unknown.
+  BOOST_TEST(waitUntil([&] {
+    Answer = Case.pay();
+    return Answer.header("X-Burdockpulley-Outcome") == "not-run";
+  }));
+  BOOST_TEST(Case.runs() == Before);
+}
+
+BOOST_AUTO_TEST_CASE(keyed_requests_go_on_while_the_store_is_away) {
+  Deployment System;
+  System.startStore();
+  System.startUpstream(upstream("fee-1", "fee", "talca"), false);
+  System.startUpstream(upstream("herd-1", "herd", "talca"), true);
+  System.startUpstream(upstream("herd-2", "herd", "curico"), true);
+  auto &Talca = System.proxyStore("talca");
+  auto &Curico = System.proxyStore("curico");
+  const Endpoint Where = System.startHost("talca-1", "talca").m_callers;
+  System.startHost("curico-1", "curico");
+  BOOST_REQUIRE(System.publish(twoServices()));
+  BOOST_REQUIRE(waitUntil([&] { return everyKeyServed(Where); }));
+  std::string Cut = R"({"cutToTarget": true, "cutToCaller": true})";
+  BOOST_REQUIRE(System.setFaults(Talca, Cut));
+  BOOST_REQUIRE(System.setFaults(Curico, Cut));
+  int Failed = 0;
+  auto End = std::chrono::steady_clock::now() + CutLength;
+  while (std::chrono::steady_clock::now() < End)
+    Failed += everyKeyServed(Where) ? 0 : 1;
+  BOOST_TEST(Failed == 0);
+}
