--- a/src/include/burdockpulley/declarations.h
+++ b/src/include/burdockpulley/declarations.h
@@ -44,6 +44,7 @@
   struct Host {
     HostId m_name;
     Endpoint m_peerAddress;
+    Endpoint m_adminAddress; ///< Port zero when none is declared.
   };
 
   DomainId m_name;
--- a/src/libdeclarations/document.cpp
+++ b/src/libdeclarations/document.cpp
@@ -12,8 +12,12 @@
 
 std::map<std::string, RawField> fieldsOf(const YAML::Node &Node) {
   std::map<std::string, RawField> Fields;
-  for (const auto &Entry : Node)
-    Fields[Entry.first.as<std::string>()] = fieldOf(Entry.second);
+  for (const auto &Entry : Node) {
+    auto [Field, Fresh] =
+        Fields.emplace(Entry.first.as<std::string>(), fieldOf(Entry.second));
+    if (!Fresh)
+      Field->second.m_repeated = true;
+  }
   return Fields;
 }
 
--- a/src/libdeclarations/document.h
+++ b/src/libdeclarations/document.h
@@ -15,6 +15,7 @@
 struct RawField {
   int m_line = 0;
   bool m_list = false;
+  bool m_repeated = false; ///< Written more than once in its object.
   std::vector<std::string> m_values;
   std::vector<std::map<std::string, RawField>> m_objects;
 };
--- a/src/libdeclarations/encode.cpp
+++ b/src/libdeclarations/encode.cpp
@@ -40,9 +40,13 @@
 
 json toJson(const FailureDomain &Row) {
   json Hosts = json::array();
-  for (const FailureDomain::Host &Host : Row.m_hosts)
-    Hosts.push_back({{"name", Host.m_name.value()},
-                     {"peerAddress", toString(Host.m_peerAddress)}});
+  for (const FailureDomain::Host &Host : Row.m_hosts) {
+    json Object = {{"name", Host.m_name.value()},
+                   {"peerAddress", toString(Host.m_peerAddress)}};
+    if (Host.m_adminAddress.m_port != 0)
+      Object["adminAddress"] = toString(Host.m_adminAddress);
+    Hosts.push_back(std::move(Object));
+  }
   return {{"kind", "FailureDomain"},
           {"name", Row.m_name.value()},
           {"region", Row.m_region},
--- a/src/libdeclarations/reader.cpp
+++ b/src/libdeclarations/reader.cpp
@@ -1,6 +1,8 @@
 #include "document.h"
 
 #include <algorithm>
+#include <array>
+#include <cctype>
 #include <charconv>
 #include <set>
 
@@ -11,12 +13,33 @@
 
 using Fields = std::map<std::string, RawField>;
 
+constexpr std::uint32_t DefaultPartitions = 256;
+constexpr std::size_t MaxNameLength = 63;
+constexpr std::array<const char *, 7> Methods = {
+    "GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH"};
+
+/// Names stand in keys of the store, in paths and in metrics.
+bool goodName(const std::string &Name) {
+  return Name.size() <= MaxNameLength &&
+         std::all_of(Name.begin(), Name.end(), [](unsigned char Letter) {
+           return std::isalnum(Letter) || Letter == '-' || Letter == '.' ||
+                  Letter == '_';
+         });
+}
+
 /// Reads the fields of one object and reports what is wrong with them.
 class FieldReader {
 public:
   FieldReader(const RawObject &Object, const Fields &Source,
               std::vector<DeclarationFault> &Faults)
-      : m_object(Object), m_source(Source), m_faults(Faults) {}
+      : m_object(Object), m_source(Source), m_faults(Faults),
+        m_line(Object.m_line) {
+    if (&Source == &Object.m_fields || Source.empty())
+      return;
+    m_line = Source.begin()->second.m_line;
+    for (const auto &[Name, Field] : Source)
+      m_line = std::min(m_line, Field.m_line);
+  }
 
   const RawField *find(const std::string &Name, bool Required) {
     m_known.insert(Name);
@@ -24,7 +47,7 @@
     if (Found != m_source.end())
       return &Found->second;
     if (Required)
-      fault(m_object.m_line, Name, "is missing", "");
+      fault(m_line, Name, "is missing", "add it");
     return nullptr;
   }
 
@@ -33,7 +56,7 @@
     if (!Field)
       return "";
     if (Field->m_list || Field->m_values.size() != 1) {
-      fault(Field->m_line, Name, "is not one value", "");
+      fault(Field->m_line, Name, "is not one value", "write one value");
       return "";
     }
     return Field->m_values.front();
@@ -79,8 +102,9 @@
       fault(line(Name), Name, "is " + Text, "write true or false");
   }
 
-  void endpoint(const std::string &Name, Endpoint &Value) {
-    std::string Text = text(Name, true);
+  void endpoint(const std::string &Name, Endpoint &Value,
+                bool Required = true) {
+    std::string Text = text(Name, Required);
     if (!Text.empty() && !parseEndpoint(Text, Value))
       fault(line(Name), Name, "is " + Text, "write IP-ADDRESS:PORT");
   }
@@ -93,12 +117,14 @@
 
   int line(const std::string &Name) const {
     auto Found = m_source.find(Name);
-    return Found == m_source.end() ? m_object.m_line : Found->second.m_line;
+    return Found == m_source.end() ? m_line : Found->second.m_line;
   }
 
   /// Reports every field that nobody asked for.
   void finish() {
     for (const auto &[Name, Field] : m_source) {
+      if (Field.m_repeated)
+        fault(Field.m_line, Name, "is written twice", "write it once");
       if (m_known.count(Name))
         continue;
       std::string Known;
@@ -113,6 +139,7 @@
   const RawObject &m_object;
   const Fields &m_source;
   std::vector<DeclarationFault> &m_faults;
+  int m_line; ///< Of the object, or of the nested one.
   std::set<std::string> m_known;
 };
 
@@ -142,6 +169,7 @@
       FailureDomain::Host Host;
       Host.m_name = HostId(Nested.text("name", true));
       Nested.endpoint("peerAddress", Host.m_peerAddress);
+      Nested.endpoint("adminAddress", Host.m_adminAddress, false);
       Nested.finish();
       Row.m_hosts.push_back(std::move(Host));
     }
@@ -175,6 +203,16 @@
   Row.m_keyName = What;
 }
 
+void readMethods(FieldReader &Reader, Service &Row) {
+  Row.m_idempotentMethods = Reader.list("idempotentMethods");
+  for (const std::string &Method : Row.m_idempotentMethods)
+    if (std::none_of(Methods.begin(), Methods.end(),
+                     [&](const char *Known) { return Method == Known; }))
+      Reader.fault(Reader.line("idempotentMethods"), "idempotentMethods",
+                   "has " + Method,
+                   "write GET, HEAD, OPTIONS, PUT, DELETE, POST or PATCH");
+}
+
 void readService(FieldReader &Reader, const std::string &Name,
                  Declarations &Set) {
   Service Row;
@@ -182,13 +220,17 @@
   Row.m_tenant = TenantId(Reader.text("tenant", true));
   readKey(Reader, Row);
   if (Row.keyed())
-    Row.m_partitions = 256;
+    Row.m_partitions = DefaultPartitions;
   Reader.number<std::uint32_t>("partitions", Row.m_partitions, 1, 65536);
+  if (!Row.keyed() && Row.m_partitions != 0)
+    Reader.fault(Reader.line("partitions"), "partitions",
+                 "stands in a service without key",
+                 "write key too, or leave partitions out");
   Reader.milliseconds("deadlineMs", Row.m_deadline);
   Reader.milliseconds("isolationHoldMs", Row.m_isolationHold, 200);
   Reader.number<std::uint64_t>("maxBodyBytes", Row.m_maxBodyBytes, 0,
                                std::uint64_t(1) << 30);
-  Row.m_idempotentMethods = Reader.list("idempotentMethods");
+  readMethods(Reader, Row);
   Reader.flag("bulk", Row.m_bulk);
   Set.m_services.push_back(std::move(Row));
 }
@@ -214,9 +256,14 @@
   Row.m_name = Name;
   Row.m_tenant = TenantId(Reader.text("tenant", true));
   Row.m_pathPrefix = Reader.text("pathPrefix", true);
-  if (!Row.m_pathPrefix.empty() && Row.m_pathPrefix[0] != '/')
-    Reader.fault(Reader.line("pathPrefix"), "pathPrefix",
-                 "is " + Row.m_pathPrefix, "start it with /");
+  const std::string &Prefix = Row.m_pathPrefix;
+  bool Path = Prefix.empty() || Prefix[0] == '/';
+  bool Plain = Prefix.find_first_of("?#% ") == std::string::npos &&
+               Prefix.find("//") == std::string::npos &&
+               Prefix.find("/.") == std::string::npos;
+  if (!Path || !Plain)
+    Reader.fault(Reader.line("pathPrefix"), "pathPrefix", "is " + Prefix,
+                 "start it with /, without query, escapes, // or dots");
   Row.m_service = ServiceId(Reader.text("service", true));
   Set.m_routes.push_back(std::move(Row));
 }
@@ -247,6 +294,9 @@
   Declarations Set;
   for (const RawObject &Object : Objects) {
     FieldReader Reader(Object, Object.m_fields, Faults);
+    if (!goodName(Object.m_name))
+      Reader.fault(Object.m_line, "name", "is " + Object.m_name,
+                   "write at most 63 letters, digits, '-', '.' or '_'");
     if (Object.m_kind == "Tenant")
       readTenant(Reader, Object.m_name, Set);
     else if (Object.m_kind == "FailureDomain")
--- a/src/libdeclarations/validate.cpp
+++ b/src/libdeclarations/validate.cpp
@@ -59,8 +59,11 @@
       else if (Target->m_tenant != Row.m_tenant)
         fault(Title, "service", "belongs to tenant " + Target->m_tenant.value(),
               "route only to services of " + Row.m_tenant.value());
-      auto [First, Fresh] = Prefixes.emplace(
-          std::pair(Row.m_tenant.value(), Row.m_pathPrefix), Row.m_name);
+      std::string Prefix = Row.m_pathPrefix;
+      if (Prefix.size() > 1 && Prefix.ends_with('/'))
+        Prefix.pop_back();
+      auto [First, Fresh] =
+          Prefixes.emplace(std::pair(Row.m_tenant.value(), Prefix), Row.m_name);
       if (!Fresh)
         fault(Title, "pathPrefix",
               "conflicts with Route/" + First->second + " (same prefix)",
@@ -77,6 +80,7 @@
       std::string Title = "FailureDomain/" + Domain.m_name.value();
       for (const FailureDomain::Host &Host : Domain.m_hosts) {
         claim(Users, Host.m_peerAddress, Title, "hosts");
+        claim(Users, Host.m_adminAddress, Title, "hosts");
         if (!Hosts.insert(Host.m_name).second)
           fault(Title, "hosts", "names host " + Host.m_name.value() + " again",
                 "a host belongs to one failure domain");
@@ -115,6 +119,20 @@
     }
   }
 
+  void maintenance() {
+    std::map<std::pair<std::string, std::string>, std::string> Targets;
+    for (const Maintenance &Row : m_set.m_maintenance) {
+      auto [First, Fresh] = Targets.emplace(
+          std::pair(Row.m_upstream.value(), Row.m_domain.value()), Row.m_name);
+      bool HasTarget =
+          Row.m_upstream.value().empty() != Row.m_domain.value().empty();
+      if (!Fresh && HasTarget)
+        fault("Maintenance/" + Row.m_name, "",
+              "is for the same target as Maintenance/" + First->second,
+              "keep one of them");
+    }
+  }
+
   void lastDomain() {
     if (m_set.m_domains.empty())
       return;
@@ -141,6 +159,9 @@
 
   void claim(std::map<Endpoint, std::string> &Users, const Endpoint &Where,
              const std::string &Title, const std::string &Field) {
+    // Its absence has been reported, or is allowed.
+    if (Where.m_port == 0)
+      return;
     auto [First, Fresh] = Users.emplace(Where, Title);
     if (!Fresh)
       fault(Title, Field,
@@ -153,30 +174,41 @@
                 const std::string &Kind, const std::string &Name) {
     if (!Name.empty())
       fault(Title, Field,
-            "refers to " + Kind + "/" + Name +
-                ", which is not "
-                "declared",
-            "declare it or correct the name");
+            "refers to " + Kind + "/" + Name + ", which is not declared",
+            "declare it or correct the name", Name);
+  }
+
+  /// The object of a title; of several, the one whose field has the value.
+  const RawObject *findObject(const std::string &Title,
+                              const std::string &Field,
+                              const std::string &Value) const {
+    auto [First, Last] = m_objects.equal_range(Title);
+    for (auto Each = First; Each != Last; ++Each) {
+      auto Found = Each->second->m_fields.find(Field);
+      if (Found != Each->second->m_fields.end() &&
+          Found->second.m_values == std::vector<std::string>{Value})
+        return Each->second;
+    }
+    return First == Last ? nullptr : First->second;
   }
 
   void fault(const std::string &Title, const std::string &Field,
-             std::string Problem, std::string Remedy) {
+             std::string Problem, std::string Remedy,
+             const std::string &Value = "") {
     DeclarationFault Fault{
         "", 0, Title, Field, std::move(Problem), std::move(Remedy)};
-    auto Found = m_objects.find(Title);
-    if (Found != m_objects.end()) {
-      const RawObject &Object = *Found->second;
-      Fault.m_file = Object.m_file;
-      auto Line = Object.m_fields.find(Field);
+    if (const RawObject *Object = findObject(Title, Field, Value)) {
+      Fault.m_file = Object->m_file;
+      auto Line = Object->m_fields.find(Field);
       Fault.m_line =
-          Line == Object.m_fields.end() ? Object.m_line : Line->second.m_line;
+          Line == Object->m_fields.end() ? Object->m_line : Line->second.m_line;
     }
     m_faults.push_back(std::move(Fault));
   }
 
   const Declarations &m_set;
   std::vector<DeclarationFault> &m_faults;
-  std::map<std::string, const RawObject *> m_objects;
+  std::multimap<std::string, const RawObject *> m_objects;
 };
 
 } // namespace
@@ -190,6 +222,7 @@
   Check.addresses();
   Check.credentials();
   Check.capacity();
+  Check.maintenance();
   Check.lastDomain();
 }
 
