ownership: look owners up by hash when a plan is made

Cause: a plan at 65536 partitions cost 40189 us, most of it in string-keyed tree maps, three lookups a row.

--- a/src/include/burdockpulley/placement.h
+++ b/src/include/burdockpulley/placement.h
@@ -53,7 +53,7 @@
   /// The load of each of \p Rows, by partition. A small constant is added, so
   /// that idle partitions are spread by their number.
   std::vector<double> loads(const ServiceId &Service,
-                            std::span<const PartitionRow> Rows) const;
+                            std::span<const PartitionRow *const> Rows) const;
 
 private:
   std::map<ServiceId, std::map<UpstreamId, UpstreamLoad>> m_reports;
--- a/src/libownership/move_planner.cpp
+++ b/src/libownership/move_planner.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <string_view>
+#include <unordered_map>
 
 namespace burdockpulley {
 
@@ -24,11 +26,12 @@
   double m_lowest = 1;
 };
 
-std::vector<PartitionRow> rowsOf(const OwnershipTable &Table,
-                                 const ServiceId &Service) {
-  std::vector<PartitionRow> Rows;
+std::vector<const PartitionRow *> rowsOf(const OwnershipTable &Table,
+                                         const ServiceId &Service) {
+  std::vector<const PartitionRow *> Rows;
   for (const OwnershipChunk &Chunk : Table.chunks(Service))
-    Rows.insert(Rows.end(), Chunk.m_rows.begin(), Chunk.m_rows.end());
+    for (const PartitionRow &Row : Chunk.m_rows)
+      Rows.push_back(&Row);
   return Rows;
 }
 
@@ -46,6 +49,7 @@
         continue;
       bool Reachable = !Unreachable.count(Row.m_name);
       bool InService = !Declared.outOfService(Row);
+      m_indexes.emplace(Row.m_name.value(), m_servers.size());
       m_servers.push_back({&Row, Reachable && InService, Reachable});
     }
     for (std::size_t I = 0; I < m_rows.size(); ++I)
@@ -147,24 +151,18 @@
     return static_cast<std::size_t>(&Each - m_servers.data());
   }
 
-  /// Finds a server by name. The table is sorted as the declarations are.
   std::size_t findServer(const UpstreamId &Name) const {
-    auto Found = std::lower_bound(m_servers.begin(), m_servers.end(), Name,
-                                  [](const Server &Left, const UpstreamId &R) {
-                                    return Left.m_upstream->m_name < R;
-                                  });
-    if (Found == m_servers.end() || Found->m_upstream->m_name != Name)
-      return None;
-    return static_cast<std::size_t>(Found - m_servers.begin());
+    auto Found = m_indexes.find(Name.value());
+    return Found == m_indexes.end() ? None : Found->second;
   }
 
   void placeRow(std::size_t I) {
     // A row that is moving counts for its target and is left alone.
-    bool Moving = m_rows[I].moving();
+    bool Moving = m_rows[I]->moving();
     if (Moving)
       m_moved.insert(I);
     std::size_t Owner =
-        findServer(Moving ? m_rows[I].m_target : m_rows[I].m_owner);
+        findServer(Moving ? m_rows[I]->m_target : m_rows[I]->m_owner);
     m_owners[I] = Owner;
     if (Owner != None)
       m_servers[Owner].m_load += m_loads[I];
@@ -197,10 +195,11 @@
   }
 
   ServiceId m_service;
-  std::vector<PartitionRow> m_rows;
+  std::vector<const PartitionRow *> m_rows;
   std::vector<double> m_loads;
   std::vector<std::size_t> m_owners;
   std::vector<Server> m_servers;
+  std::unordered_map<std::string_view, std::size_t> m_indexes;
   std::set<std::size_t> m_moved;
   std::vector<PlannedMove> m_moves;
 };
