http: whole answers only, a real deadline, no ambiguous requests

evhttp's timeouts start again with each byte, so a server that sent one byte a second was never cut; an answer without framing ended wherever its connection broke; bytes that came behind an answer were read as the answer to the next request on that connection; and a request with two framings, or a GET with a body, was taken.

HttpResponder can watch for its caller leaving.

--- a/src/include/burdockpulley/http.h
+++ b/src/include/burdockpulley/http.h
@@ -31,11 +31,19 @@
   std::string m_target = "/"; ///< Path and query.
   std::vector<HttpHeader> m_headers;
   std::string m_body;
+  std::string m_caller; ///< Address of the caller; set by the server.
 
   /// The first value of a header, whatever its case; empty when absent.
   std::string_view header(std::string_view Name) const;
 };
 
+/// True when a received request can be read in one way only: at most one
+/// Content-Length, which is a number, never together with Transfer-Encoding;
+/// no body with a method that has none; only legal bytes in the target, the
+/// field names and the field values.
+/// Thread safety: safe.
+bool wellFormed(const HttpRequest &Request);
+
 /// A whole answer.
 struct HttpResponse {
   int m_status = 200;
@@ -66,8 +74,16 @@
   /// Sends the answer; it does nothing when the caller has gone.
   void send(const HttpResponse &Response);
 
+  /// Calls \p Gone once, on the loop's thread, when the caller closes its
+  /// connection before the answer is sent. Precondition: not called before.
+  void watchCaller(std::function<void()> Gone);
+
 private:
+  void unwatch();
+
   evhttp_request *m_request;
+  event *m_watch = nullptr;
+  std::function<void()> m_gone;
 };
 
 /// An HTTP server on one loop.
@@ -102,7 +118,9 @@
 /// HTTP calls to one server over a bounded pool of kept connections. Calls
 /// beyond the bound wait in order.
 ///
-/// A connection whose call failed or timed out is closed, never used again.
+/// A connection whose call failed or timed out is closed, never used again;
+/// nor is one on which bytes came that no call asked for. An answer counts as
+/// whole only when its framing says where it ends and that end was reached.
 /// Thread safety: none; it belongs to the loop's thread.
 class HttpClient {
 public:
@@ -113,9 +131,15 @@
              std::uint32_t MaxConnections);
   ~HttpClient();
 
+  /// Which kept connections a call may use. The server may just be closing a
+  /// connection that was idle for long; a request sent on it is lost in a way
+  /// that leaves open whether it was run.
+  enum class Reuse { Any, RecentlyUsed };
+
   /// Sends a request. \p Done runs once, on the loop's thread, at the latest
-  /// when \p Timeout is over.
-  void call(HttpRequest &&Request, Duration Timeout, Callback Done);
+  /// when \p Timeout is over, however slowly the answer's bytes come.
+  void call(HttpRequest &&Request, Duration Timeout, Callback Done,
+            Reuse Allowed = Reuse::Any);
 
   /// Calls sent and not answered yet.
   std::size_t inFlight() const { return m_busy; }
@@ -124,22 +148,30 @@
   struct Call;
   struct Waiting {
     HttpRequest m_request;
-    Duration m_timeout;
+    Instant m_deadline;
     Callback m_done;
+    Reuse m_reuse;
+  };
+  struct Idle {
+    evhttp_connection *m_connection;
+    Instant m_since;
   };
 
   void start(Waiting &&Next);
+  evhttp_connection *takeConnection(Reuse Allowed);
+  evhttp_connection *newConnection();
   void finish(Call *Finished, HttpError Error, HttpResponse &&Response);
   void closeLater(evhttp_connection *Connection);
   void closeDead();
   static void onResponse(evhttp_request *Request, void *Argument);
   static void onError(int Error, void *Argument);
+  static void onDeadline(int Descriptor, short What, void *Argument);
 
   event_base *m_base;
   Endpoint m_server;
   std::uint32_t m_maxConnections;
   std::size_t m_busy = 0;
-  std::vector<evhttp_connection *> m_idle;
+  std::vector<Idle> m_idle;
   std::vector<evhttp_connection *> m_dead;
   event *m_reaper;
   std::vector<Call *> m_calls;
--- a/src/libhttp/http.cpp
+++ b/src/libhttp/http.cpp
@@ -2,6 +2,8 @@
 
 #include <strings.h>
 
+#include <algorithm>
+
 namespace burdockpulley {
 
 namespace {
@@ -15,8 +17,73 @@
   return {};
 }
 
+bool isTokenByte(char Byte) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  bool Letter = (Byte >= 'a' && Byte <= 'z') || (Byte >= 'A' && Byte <= 'Z');
+  bool Digit = Byte >= '0' && Byte <= '9';
+  return Letter || Digit || Marks.find(Byte) != Marks.npos;
+}
+
+bool isValueByte(char Byte) {
+  auto Code = static_cast<unsigned char>(Byte);
+  return Byte == '\t' || (Code >= 0x20 && Code != 0x7f);
+}
+
+bool isTargetByte(char Byte) {
+  auto Code = static_cast<unsigned char>(Byte);
+  return Code > 0x20 && Code < 0x7f;
+}
+
+bool isNumber(std::string_view Text) {
+  constexpr std::size_t MaxDigits = 18;
+  return !Text.empty() && Text.size() <= MaxDigits &&
+         Text.find_first_not_of("0123456789") == Text.npos;
+}
+
+bool legalBytes(const HttpHeader &Header) {
+  return !Header.m_name.empty() &&
+         std::all_of(Header.m_name.begin(), Header.m_name.end(), isTokenByte) &&
+         std::all_of(Header.m_value.begin(), Header.m_value.end(), isValueByte);
+}
+
+/// True when evhttp reads a body after a request of this method.
+bool mayHaveBody(std::string_view Method) {
+  return Method == "POST" || Method == "PUT" || Method == "PATCH";
+}
+
+bool namedLike(const HttpHeader &Header, const char *Name) {
+  return strcasecmp(Header.m_name.c_str(), Name) == 0;
+}
+
 } // namespace
 
+bool wellFormed(const HttpRequest &Request) {
+  std::size_t Lengths = 0;
+  std::size_t Codings = 0;
+  bool Empty = true;
+  for (const HttpHeader &Header : Request.m_headers) {
+    if (!legalBytes(Header))
+      return false;
+    if (namedLike(Header, "Content-Length")) {
+      ++Lengths;
+      if (!isNumber(Header.m_value))
+        return false;
+      Empty = Header.m_value.find_first_not_of('0') == std::string::npos;
+    }
+    if (namedLike(Header, "Transfer-Encoding")) {
+      ++Codings;
+      Empty = false;
+      if (strcasecmp(Header.m_value.c_str(), "chunked") != 0)
+        return false;
+    }
+  }
+  if (Lengths + Codings > 1 || (!Empty && !mayHaveBody(Request.m_method)))
+    return false;
+  return !Request.m_target.empty() &&
+         std::all_of(Request.m_target.begin(), Request.m_target.end(),
+                     isTargetByte);
+}
+
 std::string_view HttpRequest::header(std::string_view Name) const {
   return findHeader(m_headers, Name);
 }
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -1,5 +1,6 @@
 #include "evhttp_glue.h"
 
+#include <event2/bufferevent.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -48,11 +49,36 @@
 HttpResponder::~HttpResponder() {
   if (m_request)
     send(HttpResponse{500, {}, ""});
+  unwatch();
+}
+
+void HttpResponder::unwatch() {
+  if (m_watch)
+    event_free(m_watch);
+  m_watch = nullptr;
+}
+
+void HttpResponder::watchCaller(std::function<void()> Gone) {
+  evhttp_connection *Connection =
+      m_request ? evhttp_request_get_connection(m_request) : nullptr;
+  if (!Connection)
+    return;
+  m_gone = std::move(Gone);
+  auto Closed = [](int, short, void *Self) {
+    std::function<void()> Gone =
+        std::move(static_cast<HttpResponder *>(Self)->m_gone);
+    Gone();
+  };
+  bufferevent *Stream = evhttp_connection_get_bufferevent(Connection);
+  m_watch = event_new(evhttp_connection_get_base(Connection),
+                      bufferevent_getfd(Stream), EV_CLOSED, Closed, this);
+  event_add(m_watch, nullptr);
 }
 
 void HttpResponder::send(const HttpResponse &Response) {
   evhttp_request *Request = m_request;
   m_request = nullptr;
+  unwatch();
   if (!Request)
     return;
   if (!evhttp_request_get_connection(Request)) {
@@ -106,6 +132,11 @@
   Message.m_headers =
       detail::readHeaders(evhttp_request_get_input_headers(Request));
   Message.m_body = detail::drain(evhttp_request_get_input_buffer(Request));
+  char *Address = nullptr;
+  std::uint16_t Port = 0;
+  evhttp_connection_get_peer(evhttp_request_get_connection(Request), &Address,
+                             &Port);
+  Message.m_caller = Address ? Address : "";
   Server->m_handle(std::move(Message),
                    std::make_shared<HttpResponder>(Request));
 }
