host: admission, ramp, retries and choice in the request path

The keeper now admits each request through the upstream's AdmissionQueue and ColdStartRamp: concurrency never passes the slots, what can not end in time is refused at once, and a request whose caller has gone or whose host is lost is not run if it still waits (ForwardCancel). Replaced upstream clients end their calls before they go; their callbacks were lost before, and the request hung until its deadline.

The front driver chooses unkeyed upstreams through UpstreamSelector, retries by decideRetry() with a new id an attempt (a late reply to an earlier attempt finds nothing and is counted), waits shortly for a change of owner, refuses malformed requests and bodies beyond 256 MB in flight, drops fields that Connection names, appends Forwarded, and keeps Content-Length for HEAD. When an earlier attempt may have run, the final outcome is unknown, whatever the last attempt says.

--- a/src/include/burdockpulley/admission.h
+++ b/src/include/burdockpulley/admission.h
@@ -51,8 +51,8 @@
   std::vector<AdmissionRefusal>
   offer(AdmissionTicket Ticket, const AdmissionRequest &Request, Instant Now);
 
-  /// The next request to start, when fewer than \p Allowed and fewer than the
-  /// slots are running. It counts as running from now on.
+  /// The next request to start, when fewer than \p Allowed, which is not zero,
+  /// and fewer than the slots are running. It counts as running from now on.
   std::optional<AdmissionTicket> startNext(std::uint32_t Allowed, Instant Now);
 
   /// Takes out the waiting requests that can not end before their deadline
@@ -91,6 +91,7 @@
   AdmissionRefusal remove(std::size_t Index);
 
   std::uint32_t m_slots;
+  std::uint32_t m_allowed; ///< Concurrency at the last start.
   std::uint32_t m_running = 0;
   std::uint32_t m_interactiveInRow = 0;
   double m_virtualTime = 0;
--- a/src/libhost/entry_host.cpp
+++ b/src/libhost/entry_host.cpp
@@ -43,7 +43,8 @@
       : m_base(Base), m_state(initialState(Settings)),
         m_store(Base, Settings.m_platform, StoreTimeout),
         m_peers(Base, greeting(Settings), *this), m_pool(Base),
-        m_keeper(m_state, m_pool), m_front(Base, m_state, m_peers, m_keeper),
+        m_keeper(Base, m_state, m_pool),
+        m_front(Base, m_state, m_peers, m_keeper),
         m_ownership(Base, m_store, m_state, m_pool),
         m_follower(Base, m_store, m_state, [this] { onTablesChanged(); }),
         m_server(Base, [this](HttpRequest &&Request, auto Responder) {
@@ -82,17 +83,24 @@
 
   void onMessage(const HostId &From, wire::Message &&Message) override {
     if (Message.__isset.forwardRequest)
-      m_keeper.serve(std::move(Message.forwardRequest),
-                     [this, From](wire::ForwardReply &&Reply) {
-                       wire::Message Answer;
-                       Answer.__set_forwardReply(std::move(Reply));
-                       m_peers.send(From, Answer);
-                     });
+      m_keeper.serve(
+          From, std::move(Message.forwardRequest),
+          [this, From](wire::ForwardReply &&Reply) {
+            wire::Message Answer;
+            Answer.__set_forwardReply(std::move(Reply));
+            m_peers.send(From, Answer);
+          },
+          steadyNow());
     else if (Message.__isset.forwardReply)
-      m_front.onReply(std::move(Message.forwardReply));
+      m_front.onReply(std::move(Message.forwardReply), steadyNow());
+    else if (Message.__isset.forwardCancel)
+      m_keeper.cancel(From, Message.forwardCancel.id);
   }
 
-  void onPeerLost(const HostId &Peer) override { m_front.onPeerLost(Peer); }
+  void onPeerLost(const HostId &Peer) override {
+    m_keeper.onPeerLost(Peer);
+    m_front.onPeerLost(Peer, steadyNow());
+  }
 
 private:
   void onTablesChanged() {
--- a/src/libhost/front_driver.cpp
+++ b/src/libhost/front_driver.cpp
@@ -1,19 +1,28 @@
 #include "front_driver.h"
 
 #include "burdockpulley/hashing.h"
-#include "peer_types.h"
+#include "burdockpulley/retry_policy.h"
 
 #include <strings.h>
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace burdockpulley {
 
 namespace {
 
-constexpr Duration SweepInterval{20'000};
-constexpr Duration NoOwnerRetryAfter{500'000};
+constexpr Duration SweepInterval{10'000};
+constexpr Duration OwnerRetryAfter{500'000};
+constexpr Duration OwnerRetryWait{25'000};
+/// A request waits no longer for an owner than this, and half its deadline.
+constexpr Duration MaxOwnerWait{1'000'000};
+/// The keeper's time ends earlier, so that its reply still comes in time.
+constexpr Duration HopMargin{5'000};
+/// Callers of requests that take longer are watched for going away.
+constexpr Duration WatchAfter{20'000};
+constexpr std::size_t MaxBodyBytesInFlight = std::size_t(256) << 20;
 
 /// Header fields that concern one connection, and the caller's credentials.
 constexpr std::array<const char *, 12> HopHeaders = {"Connection",
@@ -29,6 +38,30 @@
                                                      "Authorization",
                                                      "Expect"};
 
+std::string lowered(std::string Text) {
+  std::transform(Text.begin(), Text.end(), Text.begin(),
+                 [](unsigned char Byte) { return std::tolower(Byte); });
+  return Text;
+}
+
+/// Names of fields that the Connection fields declare as for one hop only.
+template <class Headers>
+std::set<std::string> connectionOptions(const Headers &All) {
+  std::set<std::string> Names;
+  for (const HttpHeader &Header : All) {
+    if (strcasecmp(Header.m_name.c_str(), "Connection") != 0)
+      continue;
+    std::string Name;
+    for (char Byte : Header.m_value + ",") {
+      if (Byte == ',')
+        Names.insert(std::exchange(Name, ""));
+      else if (Byte != ' ' && Byte != '\t')
+        Name += static_cast<char>(std::tolower(Byte));
+    }
+  }
+  return Names;
+}
+
 bool forwarded(const std::string &Name) {
   if (strncasecmp(Name.c_str(), "X-Burdockpulley-", 16) == 0 ||
       strcasecmp(Name.c_str(), "X-Request-Id") == 0)
@@ -38,6 +71,13 @@
       [&](const char *Hop) { return strcasecmp(Hop, Name.c_str()) == 0; });
 }
 
+wire::Header wireHeader(std::string Name, std::string Value) {
+  wire::Header Header;
+  Header.name = std::move(Name);
+  Header.value = std::move(Value);
+  return Header;
+}
+
 wire::ForwardRequest toForward(HttpRequest &&Request, const RouteMatch &Match) {
   wire::ForwardRequest Forward;
   Forward.serviceName = Match.m_service->m_name.value();
@@ -46,14 +86,13 @@
   Forward.remainingMicros = Match.m_service->m_deadline.count();
   Forward.method = std::move(Request.m_method);
   Forward.target = std::move(Request.m_target);
-  for (HttpHeader &Header : Request.m_headers) {
-    if (!forwarded(Header.m_name))
-      continue;
-    wire::Header Copy;
-    Copy.name = std::move(Header.m_name);
-    Copy.value = std::move(Header.m_value);
-    Forward.headers.push_back(std::move(Copy));
-  }
+  std::set<std::string> Options = connectionOptions(Request.m_headers);
+  for (HttpHeader &Header : Request.m_headers)
+    if (forwarded(Header.m_name) && !Options.count(lowered(Header.m_name)))
+      Forward.headers.push_back(
+          wireHeader(std::move(Header.m_name), std::move(Header.m_value)));
+  Forward.headers.push_back(
+      wireHeader("Forwarded", "for=" + Request.m_caller + ";proto=http"));
   Forward.body = std::move(Request.m_body);
   return Forward;
 }
@@ -72,129 +111,275 @@
   return errorAnswer(413, Outcome::NotRun, "body-too-large", RequestId);
 }
 
-HttpResponse toCaller(wire::ForwardReply &&Reply) {
+HttpResponse toCaller(wire::ForwardReply &&Reply, bool Head) {
   HttpResponse Response;
   Response.m_status = Reply.status;
+  auto Kept = [&](const std::string &Name) {
+    return forwarded(Name) ||
+           (Head && strcasecmp(Name.c_str(), "Content-Length") == 0);
+  };
   for (wire::Header &Header : Reply.headers)
-    if (forwarded(Header.name))
+    if (Kept(Header.name))
       Response.m_headers.push_back(
           {std::move(Header.name), std::move(Header.value)});
   Response.m_body = std::move(Reply.body);
   return Response;
 }
 
+bool ownerUnsettled(const std::string &Reason) {
+  return Reason == "not-owner" || Reason == "no-owner" ||
+         Reason == "keeper-unreachable" || Reason == "upstream-unreachable" ||
+         Reason == "upstream-not-declared";
+}
+
+Duration ownerWait(Duration Deadline) {
+  return std::min(MaxOwnerWait, Deadline / 2);
+}
+
 } // namespace
 
 FrontDriver::FrontDriver(event_base *Base, HostState &State, PeerNetwork &Peers,
                          KeeperDriver &Keeper)
-    : m_state(State), m_peers(Peers), m_keeper(Keeper),
-      m_timer(Base, SweepInterval, [this](Instant Now) { expire(Now); }) {}
+    : m_state(State), m_peers(Peers), m_keeper(Keeper), m_selector(State),
+      m_timer(Base, SweepInterval, [this](Instant Now) { sweep(Now); }) {}
+
+bool FrontDriver::accept(const HttpRequest &Request, HttpResponder &Responder,
+                         const std::string &RequestId) {
+  if (!wellFormed(Request)) {
+    HttpResponse Refusal =
+        errorAnswer(400, Outcome::NotRun, "malformed-request", RequestId);
+    // What follows on the connection can not be told from the body.
+    Refusal.m_headers.push_back({"Connection", "close"});
+    Responder.send(Refusal);
+    return false;
+  }
+  if (m_bytes + Request.m_body.size() <= MaxBodyBytesInFlight)
+    return true;
+  Responder.send(errorAnswer(503, Outcome::NotRun, "memory-limit", RequestId,
+                             OwnerRetryAfter));
+  return false;
+}
 
 void FrontDriver::onRequest(HttpRequest &&Request,
                             std::shared_ptr<HttpResponder> Responder,
                             Instant Now) {
   std::string RequestId = randomUuid();
+  if (!accept(Request, *Responder, RequestId))
+    return;
   auto Found = findRoute(m_state.declared(), Request);
   if (const auto *Error = std::get_if<RouteError>(&Found))
     return Responder->send(routeErrorAnswer(*Error, RequestId));
   const auto &Match = std::get<RouteMatch>(Found);
-  wire::ForwardRequest Forward = toForward(std::move(Request), Match);
-  Forward.id = ++m_lastId;
-  Forward.requestId = RequestId;
-  m_pending[Forward.id] = {std::move(Responder), RequestId, HostId(),
-                           Now + Match.m_service->m_deadline};
-  const Upstream *Target = chooseUpstream(Match, Forward);
-  if (!Target)
-    return fail(Forward.id, 503, Outcome::NotRun, "no-owner",
-                NoOwnerRetryAfter);
-  dispatch(*Target, std::move(Forward));
+  const Service &Target = *Match.m_service;
+  std::int64_t Id = ++m_lastId;
+  Pending &Row = m_pending[Id];
+  Row.m_responder = std::move(Responder);
+  Row.m_service = Target.m_name;
+  Row.m_keyed = Target.keyed();
+  if (Row.m_keyed)
+    Row.m_partition = partitionOf(Match.m_key, Target.m_partitions);
+  Row.m_bytes = Request.m_body.size();
+  m_bytes += Row.m_bytes;
+  Row.m_started = Now;
+  Row.m_deadline = Now + Target.m_deadline;
+  Row.m_message.__set_forwardRequest(toForward(std::move(Request), Match));
+  Row.m_message.forwardRequest.requestId = RequestId;
+  attempt(Id, Now);
 }
 
-const Upstream *FrontDriver::chooseUpstream(const RouteMatch &Match,
-                                            wire::ForwardRequest &Forward) {
-  const Service &Target = *Match.m_service;
-  if (!Target.keyed())
-    return chooseUnkeyed(Target);
-  PartitionIndex Partition = partitionOf(Match.m_key, Target.m_partitions);
-  const PartitionRow *Row = m_state.m_ownership.find(Target.m_name, Partition);
-  if (!Row)
+const Upstream *FrontDriver::target(Pending &Row) {
+  const Service *Target = m_state.declared().findService(Row.m_service);
+  if (!Target)
     return nullptr;
-  Forward.partition = static_cast<std::int32_t>(Partition.value());
-  Forward.fencingToken = static_cast<std::int64_t>(Row->m_token.value());
-  return m_state.declared().findUpstream(Row->m_owner);
-}
-
-const Upstream *FrontDriver::chooseUnkeyed(const Service &Target) {
-  const auto &Upstreams = m_state.declared().m_upstreams;
-  for (std::size_t Tried = 0; Tried < Upstreams.size(); ++Tried) {
-    const Upstream &Next = Upstreams[m_nextUnkeyed++ % Upstreams.size()];
-    if (Next.m_service == Target.m_name &&
-        !m_state.declared().outOfService(Next))
-      return &Next;
-  }
-  return nullptr;
+  if (!Row.m_keyed)
+    return m_selector.choose(*Target, Row.m_tried);
+  const PartitionRow *Owner =
+      m_state.m_ownership.find(Row.m_service, Row.m_partition);
+  if (!Owner)
+    return nullptr;
+  wire::ForwardRequest &Forward = Row.m_message.forwardRequest;
+  Forward.partition = static_cast<std::int32_t>(Row.m_partition.value());
+  Forward.fencingToken = static_cast<std::int64_t>(Owner->m_token.value());
+  return m_state.declared().findUpstream(Owner->m_owner);
 }
 
-void FrontDriver::dispatch(const Upstream &Target,
-                           wire::ForwardRequest &&Forward) {
-  std::int64_t Id = Forward.id;
-  HostId Keeper = m_state.keeperOf(Target);
-  Forward.upstream = Target.m_name.value();
-  m_pending[Id].m_keeper = Keeper;
-  if (Keeper == m_state.m_settings.m_host)
-    return m_keeper.serve(std::move(Forward), [this](wire::ForwardReply &&R) {
-      onReply(std::move(R));
-    });
-  wire::Message Message;
-  Message.__set_forwardRequest(std::move(Forward));
-  if (!m_peers.send(Keeper, Message))
-    fail(Id, 503, Outcome::NotRun, "keeper-unreachable", NoOwnerRetryAfter);
+void FrontDriver::attempt(std::int64_t Id, Instant Now) {
+  Pending &Row = m_pending.at(Id);
+  const Upstream *Target = target(Row);
+  if (!Target)
+    return onFailed(Id, 503, Outcome::NotRun, "no-owner", OwnerRetryAfter, Now);
+  wire::ForwardRequest &Forward = Row.m_message.forwardRequest;
+  Forward.id = Id;
+  Forward.upstream = Target->m_name.value();
+  Forward.remainingMicros = (Row.m_deadline - Now - HopMargin).count();
+  Row.m_keeper = m_state.keeperOf(*Target);
+  Row.m_upstream = Target->m_name;
+  Row.m_sent = Now;
+  Row.m_tried.push_back(Target->m_name);
+  m_selector.onSent(*Target);
+  if (Row.m_keeper == m_state.m_settings.m_host) {
+    auto Done = [this](wire::ForwardReply &&Reply) {
+      onReply(std::move(Reply), steadyNow());
+    };
+    return m_keeper.serve(Row.m_keeper, wire::ForwardRequest(Forward),
+                          std::move(Done), Now);
+  }
+  if (!m_peers.send(Row.m_keeper, Row.m_message))
+    onFailed(Id, 503, Outcome::NotRun, "keeper-unreachable", OwnerRetryAfter,
+             Now);
 }
 
-void FrontDriver::onReply(wire::ForwardReply &&Reply) {
-  auto Value = static_cast<Outcome>(Reply.outcome);
-  if (Value == Outcome::Answered) {
-    std::int64_t Id = Reply.id;
-    return finish(Id, toCaller(std::move(Reply)));
+void FrontDriver::onReply(wire::ForwardReply &&Reply, Instant Now) {
+  auto Found = m_pending.find(Reply.id);
+  if (Found == m_pending.end()) {
+    ++m_lateReplies;
+    return;
   }
-  fail(Reply.id, Reply.status, Value, Reply.reason,
-       std::chrono::milliseconds(Reply.retryAfterMillis));
+  auto Value = static_cast<Outcome>(Reply.outcome);
+  if (Value != Outcome::Answered)
+    return onFailed(Reply.id, Reply.status, Value, Reply.reason,
+                    std::chrono::milliseconds(Reply.retryAfterMillis), Now);
+  endAttempt(Found->second, Value, "", Now);
+  bool Head = Found->second.m_message.forwardRequest.method == "HEAD";
+  std::int64_t Id = Reply.id;
+  finish(Id, toCaller(std::move(Reply), Head));
+}
+
+void FrontDriver::endAttempt(Pending &Row, Outcome Value,
+                             const std::string &Reason, Instant Now) {
+  if (Row.m_keeper.value().empty())
+    return;
+  Row.m_keeper = HostId();
+  Row.m_mayHaveRun |= Value == Outcome::Unknown;
+  bool Failed = Value == Outcome::Unknown || Reason == "upstream-unreachable";
+  m_selector.onEnd(Row.m_service, Row.m_upstream, Now - Row.m_sent, Failed,
+                   Failed || Value == Outcome::Answered, Now);
+}
+
+void FrontDriver::onFailed(std::int64_t Id, int Status, Outcome Value,
+                           const std::string &Reason, Duration RetryAfter,
+                           Instant Now) {
+  auto Found = m_pending.find(Id);
+  if (Found == m_pending.end())
+    return;
+  Pending &Row = Found->second;
+  endAttempt(Row, Value, Reason, Now);
+  if (!Row.m_callerGone && tryAgain(Found, Status, Value, Reason, Now))
+    return;
+  // An earlier attempt may have run, whatever became of the last.
+  Outcome Final = Row.m_mayHaveRun ? Outcome::Unknown : Value;
+  finish(Id, errorAnswer(Status, Final, Reason,
+                         Row.m_message.forwardRequest.requestId, RetryAfter));
 }
 
-void FrontDriver::onPeerLost(const HostId &Peer) {
+bool FrontDriver::tryAgain(Table::iterator Found, int Status, Outcome Value,
+                           const std::string &Reason, Instant Now) {
+  Pending &Row = Found->second;
+  FailedAttempt Attempt;
+  Attempt.m_notRun = Value == Outcome::NotRun;
+  Attempt.m_timedOut = Status == 504;
+  Attempt.m_overloaded = Reason == "overloaded";
+  Attempt.m_ownerUnsettled = ownerUnsettled(Reason);
+  Attempt.m_idempotent = Row.m_message.forwardRequest.idempotent;
+  Attempt.m_keyed = Row.m_keyed;
+  Attempt.m_otherUpstream =
+      !Row.m_keyed && m_selector.hasOther(Row.m_service, Row.m_tried);
+  Attempt.m_mayWaitForOwner =
+      Now - Row.m_started < ownerWait(Row.m_deadline - Row.m_started);
+  Attempt.m_left = Row.m_deadline - Now - HopMargin;
+  RetryVerdict Verdict = decideRetry(Attempt, m_selector.budget(Row.m_service));
+  if (Verdict == RetryVerdict::Final)
+    return false;
+  auto Node = m_pending.extract(Found);
+  Node.key() = ++m_lastId;
+  std::int64_t Id = Node.key();
+  Node.mapped().m_retryAt = Now + OwnerRetryWait;
+  m_pending.insert(std::move(Node));
+  if (Verdict == RetryVerdict::AtOnce)
+    attempt(Id, Now);
+  return true;
+}
+
+void FrontDriver::onPeerLost(const HostId &Peer, Instant Now) {
   std::vector<std::int64_t> Lost;
   for (const auto &[Id, Row] : m_pending)
     if (Row.m_keeper == Peer)
       Lost.push_back(Id);
   for (std::int64_t Id : Lost)
-    fail(Id, 502, Outcome::Unknown, "keeper-lost");
+    onFailed(Id, 502, Outcome::Unknown, "keeper-lost", Duration(), Now);
 }
 
-void FrontDriver::expire(Instant Now) {
+void FrontDriver::sweep(Instant Now) {
+  m_selector.judge(Now);
   std::vector<std::int64_t> Late;
-  for (const auto &[Id, Row] : m_pending)
+  std::vector<std::int64_t> Again;
+  for (auto &[Id, Row] : m_pending) {
+    bool Idle = Row.m_keeper.value().empty();
     if (Row.m_deadline <= Now)
       Late.push_back(Id);
+    else if (Idle && Row.m_retryAt <= Now)
+      Again.push_back(Id);
+    else if (!Row.m_watched && Now - Row.m_started > WatchAfter)
+      watch(Id, Row);
+  }
   for (std::int64_t Id : Late)
-    fail(Id, 504, Outcome::Unknown, "deadline");
+    expire(Id, Now);
+  for (std::int64_t Id : Again)
+    attempt(Id, Now);
 }
 
-void FrontDriver::fail(std::int64_t Id, int Status, Outcome Value,
-                       const std::string &Code, Duration RetryAfter) {
+void FrontDriver::expire(std::int64_t Id, Instant Now) {
   auto Found = m_pending.find(Id);
   if (Found == m_pending.end())
     return;
-  finish(Id, errorAnswer(Status, Value, Code, Found->second.m_requestId,
-                         RetryAfter));
+  Pending &Row = Found->second;
+  bool Sent = !Row.m_keeper.value().empty();
+  cancel(Row, Id);
+  // A request that was still waiting here has been ended by that.
+  if (!m_pending.count(Id))
+    return;
+  endAttempt(Row, Sent ? Outcome::Unknown : Outcome::NotRun, "deadline", Now);
+  Outcome Final = Row.m_mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+  finish(Id, errorAnswer(504, Final, "deadline",
+                         Row.m_message.forwardRequest.requestId));
+}
+
+// The caller may have closed only its sending side, so it is answered still.
+void FrontDriver::watch(std::int64_t Id, Pending &Row) {
+  Row.m_watched = true;
+  HttpResponder *Watched = Row.m_responder.get();
+  Row.m_responder->watchCaller([this, Id, Watched] {
+    auto Found = m_pending.lower_bound(Id);
+    while (Found != m_pending.end() &&
+           Found->second.m_responder.get() != Watched)
+      ++Found;
+    if (Found == m_pending.end())
+      return;
+    Found->second.m_callerGone = true;
+    cancel(Found->second, Found->first);
+  });
+}
+
+void FrontDriver::cancel(const Pending &Row, std::int64_t Id) {
+  HostId Keeper = Row.m_keeper;
+  if (Keeper.value().empty())
+    return;
+  if (Keeper == m_state.m_settings.m_host)
+    return m_keeper.cancel(Keeper, Id);
+  wire::ForwardCancel Order;
+  Order.id = Id;
+  wire::Message Message;
+  Message.__set_forwardCancel(Order);
+  m_peers.send(Keeper, Message);
 }
 
 void FrontDriver::finish(std::int64_t Id, const HttpResponse &Response) {
   auto Found = m_pending.find(Id);
-  // A late answer: its caller has had the final one.
   if (Found == m_pending.end())
     return;
   std::shared_ptr<HttpResponder> Responder =
       std::move(Found->second.m_responder);
+  m_bytes -= Found->second.m_bytes;
   m_pending.erase(Found);
   Responder->send(Response);
 }
--- a/src/libhost/upstream_pool.cpp
+++ b/src/libhost/upstream_pool.cpp
@@ -8,6 +8,7 @@
                  Row.m_slots == Which.m_slots;
   if (Current)
     return Row;
+  retire(Row);
   Row.m_address = Which.m_address;
   Row.m_slots = Which.m_slots;
   Row.m_requests =
@@ -16,6 +17,15 @@
   return Row;
 }
 
+// Requests in flight end with their answers although the upstream has changed.
+void UpstreamPool::retire(Entry &Row) {
+  std::erase_if(m_retired,
+                [](const auto &Client) { return Client->inFlight() == 0; });
+  for (auto *Client : {&Row.m_requests, &Row.m_control})
+    if (*Client)
+      m_retired.push_back(std::move(*Client));
+}
+
 HttpClient &UpstreamPool::requests(const Upstream &Which) {
   return *find(Which).m_requests;
 }
--- a/src/libhost/upstream_pool.h
+++ b/src/libhost/upstream_pool.h
@@ -31,9 +31,11 @@
   };
 
   Entry &find(const Upstream &Which);
+  void retire(Entry &Row);
 
   event_base *m_base;
   std::map<UpstreamId, Entry> m_entries;
+  std::vector<std::unique_ptr<HttpClient>> m_retired; ///< Calls in flight.
 };
 
 } // namespace burdockpulley
--- a/src/librequest/admission.cpp
+++ b/src/librequest/admission.cpp
@@ -17,12 +17,15 @@
 } // namespace
 
 AdmissionQueue::AdmissionQueue(std::uint32_t Slots)
-    : m_slots(Slots), m_serviceTime(FirstServiceTime) {}
+    : m_slots(Slots), m_allowed(Slots), m_serviceTime(FirstServiceTime) {}
 
-void AdmissionQueue::setSlots(std::uint32_t Slots) { m_slots = Slots; }
+void AdmissionQueue::setSlots(std::uint32_t Slots) {
+  m_slots = Slots;
+  m_allowed = std::min(m_allowed, Slots);
+}
 
 Duration AdmissionQueue::expectedWait(const AdmissionRequest &Request) const {
-  if (m_running < m_slots && m_waiting.empty())
+  if (m_running < m_allowed && m_waiting.empty())
     return Duration();
   double Own = 0;
   double Weights = Request.m_weight;
@@ -34,7 +37,7 @@
   }
   double ByShare = (Own + 1) * Weights / Request.m_weight;
   double ByLength = static_cast<double>(m_waiting.size()) + 1;
-  double Runs = std::min(ByShare, ByLength) / m_slots;
+  double Runs = std::min(ByShare, ByLength) / m_allowed;
   return Duration(static_cast<std::int64_t>(
       Runs * static_cast<double>(m_serviceTime.count())));
 }
@@ -105,7 +108,8 @@
 
 std::optional<AdmissionTicket> AdmissionQueue::startNext(std::uint32_t Allowed,
                                                          Instant) {
-  if (m_running >= std::min(Allowed, m_slots) || m_waiting.empty())
+  m_allowed = std::min(Allowed, m_slots);
+  if (m_running >= m_allowed || m_waiting.empty())
     return std::nullopt;
   bool Bulk = nextIsBulk();
   m_interactiveInRow = Bulk ? 0 : m_interactiveInRow + 1;
@@ -121,7 +125,7 @@
   AdmissionTicket Ticket = m_waiting[Index].m_ticket;
   --m_shares.at(m_waiting[Index].m_request.m_tenant).m_waiting;
   m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(Index));
-  auto Ahead = static_cast<std::int64_t>(m_waiting.size() / m_slots + 1);
+  auto Ahead = static_cast<std::int64_t>(m_waiting.size() / m_allowed + 1);
   return {Ticket, m_serviceTime * Ahead};
 }
 
--- a/src/librequest/outlier_detector.cpp
+++ b/src/librequest/outlier_detector.cpp
@@ -13,8 +13,11 @@
 constexpr Duration FirstEjection{1'000'000};
 constexpr std::uint32_t MaxDoublings = 5;
 constexpr int MeanShift = 2;
-/// A failure counts as a request that took so much longer than the mean.
+/// A failure counts as a request that took so long at least, and so much longer
+/// than the mean: a server that fails fast does not look fast.
+constexpr Duration MinFailure{50'000};
 constexpr int FailureFactor = 4;
+constexpr Duration MaxLatency{60'000'000};
 
 } // namespace
 
@@ -23,7 +26,8 @@
   Row &Each = m_rows[Which];
   Duration Value = Latency;
   if (Failed)
-    Value = std::max(Latency, Each.m_mean * FailureFactor);
+    Value = std::max({Latency, MinFailure, Each.m_mean * FailureFactor});
+  Value = std::min(Value, MaxLatency);
   bool First = Each.m_mean == Duration() ||
                (Each.m_standing == Standing::Probation && !Each.m_samples);
   Each.m_mean =
