--- a/src/include/burdockpulley/ownership.h
+++ b/src/include/burdockpulley/ownership.h
@@ -60,6 +60,9 @@
   const PartitionRow *find(const ServiceId &Service,
                            PartitionIndex Partition) const;
 
+  /// The entries that were written after a version, as the store has them.
+  std::vector<StoreEntry> entriesSince(StoreVersion Version) const;
+
   /// The chunks of a service, in order.
   std::span<const OwnershipChunk> chunks(const ServiceId &Service) const;
 
--- a/src/libownership/ownership_table.cpp
+++ b/src/libownership/ownership_table.cpp
@@ -114,6 +114,18 @@
   return &Rows[Offset];
 }
 
+std::vector<StoreEntry>
+OwnershipTable::entriesSince(StoreVersion Version) const {
+  std::vector<StoreEntry> Entries;
+  for (const auto &[Service, Chunks] : m_services)
+    for (std::uint32_t Number = 0; Number < Chunks.size(); ++Number)
+      if (Chunks[Number].m_version > Version)
+        Entries.push_back({ownershipKey(Service, Number),
+                           encodeChunk(Chunks[Number]),
+                           Chunks[Number].m_version});
+  return Entries;
+}
+
 std::span<const OwnershipChunk>
 OwnershipTable::chunks(const ServiceId &Service) const {
   auto Found = m_services.find(Service);
