--- a/src/include/burdockpulley/peer.h
+++ b/src/include/burdockpulley/peer.h
@@ -1,15 +1,18 @@
 #ifndef BURDOCKPULLEY_PEER_H
 #define BURDOCKPULLEY_PEER_H
 
+#include "burdockpulley/peer_keys.h"
 #include "burdockpulley/types.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
 
+struct event;
 struct event_base;
 struct evconnlistener;
 
@@ -62,6 +65,10 @@
   PeerNetwork(event_base *Base, wire::Hello Self, Handler &Owner);
   ~PeerNetwork();
 
+  /// Replaces the keys. Connections whose key is gone are closed. Without keys
+  /// peers are not authenticated.
+  void setKeys(PeerKeys Keys);
+
   /// Listens; port 0 takes a free one. Returns the bound port, or 0 when the
   /// address can not be had.
   std::uint16_t listen(const Endpoint &Where);
@@ -74,15 +81,36 @@
   /// message has certainly not left; a connection attempt is then under way.
   bool send(const HostId &To, const wire::Message &Message);
 
+  /// Sends a message when a connection is there, which may have to be opened
+  /// first; it is dropped when that fails.
+  void post(const HostId &To, const wire::Message &Message);
+
+  /// Sends a message to an address whose host is not known yet. The answers
+  /// come through the handler.
+  void postToSeed(const Endpoint &Where, const wire::Message &Message);
+
+  /// Closes the connections to a peer, which may be gone without a trace.
+  void drop(const HostId &Peer);
+
   /// True when messages to the peer can leave now.
   bool connected(const HostId &Peer) const;
 
 private:
   friend class detail::PeerConnection;
   void onAccept(int Descriptor);
-  void onHello(detail::PeerConnection *Connection, const wire::Hello &Hello);
-  void onClosed(detail::PeerConnection *Connection);
-  void connect(const HostId &Peer, const Endpoint &Where);
+  void onReady(detail::PeerConnection *Connection);
+  void onProven(detail::PeerConnection *Connection);
+  void onClosed(detail::PeerConnection *Connection, bool WasReady);
+  detail::PeerConnection *open(const HostId &Peer, const Endpoint &Where);
+  detail::PeerConnection *outgoing(const HostId &Peer);
+  detail::PeerConnection *readyTo(const HostId &Peer) const;
+  void closeAll(const std::vector<detail::PeerConnection *> &Connections);
+
+  /// When an address that has failed may be tried again.
+  struct Backoff {
+    unsigned m_failures = 0;
+    Instant m_notBefore;
+  };
 
   event_base *m_base;
   std::unique_ptr<wire::Hello> m_self;
@@ -91,7 +119,14 @@
   std::map<HostId, Endpoint> m_peers;
   std::map<HostId, detail::PeerConnection *> m_outgoing;
   std::map<HostId, detail::PeerConnection *> m_incoming;
+  std::map<Endpoint, detail::PeerConnection *> m_seeds;
   std::vector<std::unique_ptr<detail::PeerConnection>> m_connections;
+  /// Closed ones, until the loop has left their callbacks.
+  std::vector<std::unique_ptr<detail::PeerConnection>> m_closed;
+  event *m_reaper;
+  std::map<Endpoint, Backoff> m_backoff;
+  std::minstd_rand m_random;
+  PeerKeys m_keys;
   bool m_closing = false;
 };
 
--- a/src/libpeer/gen/peer_types.cpp
+++ b/src/libpeer/gen/peer_types.cpp
@@ -156,6 +156,18 @@
 void Hello::__set_incarnation(const int64_t val) {
   this->incarnation = val;
 }
+
+void Hello::__set_nonce(const std::string& val) {
+  this->nonce = val;
+}
+
+void Hello::__set_keyId(const std::string& val) {
+  this->keyId = val;
+}
+
+void Hello::__set_mac(const std::string& val) {
+  this->mac = val;
+}
 std::ostream& operator<<(std::ostream& out, const Hello& obj)
 {
   obj.printTo(out);
@@ -216,6 +228,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->nonce);
+          this->__isset.nonce = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->keyId);
+          this->__isset.keyId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->mac);
+          this->__isset.mac = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -249,6 +285,18 @@
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("nonce", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->nonce);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("keyId", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->keyId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("mac", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeBinary(this->mac);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -260,6 +308,9 @@
   swap(a.host, b.host);
   swap(a.domain, b.domain);
   swap(a.incarnation, b.incarnation);
+  swap(a.nonce, b.nonce);
+  swap(a.keyId, b.keyId);
+  swap(a.mac, b.mac);
   swap(a.__isset, b.__isset);
 }
 
@@ -268,6 +319,9 @@
   host = other4.host;
   domain = other4.domain;
   incarnation = other4.incarnation;
+  nonce = other4.nonce;
+  keyId = other4.keyId;
+  mac = other4.mac;
   __isset = other4.__isset;
 }
 Hello::Hello(Hello&& other5) noexcept {
@@ -275,6 +329,9 @@
   host = std::move(other5.host);
   domain = std::move(other5.domain);
   incarnation = other5.incarnation;
+  nonce = std::move(other5.nonce);
+  keyId = std::move(other5.keyId);
+  mac = std::move(other5.mac);
   __isset = other5.__isset;
 }
 Hello& Hello::operator=(const Hello& other6) {
@@ -282,6 +339,9 @@
   host = other6.host;
   domain = other6.domain;
   incarnation = other6.incarnation;
+  nonce = other6.nonce;
+  keyId = other6.keyId;
+  mac = other6.mac;
   __isset = other6.__isset;
   return *this;
 }
@@ -290,6 +350,9 @@
   host = std::move(other7.host);
   domain = std::move(other7.domain);
   incarnation = other7.incarnation;
+  nonce = std::move(other7.nonce);
+  keyId = std::move(other7.keyId);
+  mac = std::move(other7.mac);
   __isset = other7.__isset;
   return *this;
 }
@@ -300,6 +363,9 @@
   out << ", " << "host=" << to_string(host);
   out << ", " << "domain=" << to_string(domain);
   out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "nonce=" << to_string(nonce);
+  out << ", " << "keyId=" << to_string(keyId);
+  out << ", " << "mac=" << to_string(mac);
   out << ")";
 }
 
@@ -1043,37 +1109,33 @@
 }
 
 
-Message::~Message() noexcept {
+MemberNews::~MemberNews() noexcept {
 }
 
 
-void Message::__set_hello(const Hello& val) {
-  this->hello = val;
-__isset.hello = true;
+void MemberNews::__set_host(const std::string& val) {
+  this->host = val;
 }
 
-void Message::__set_forwardRequest(const ForwardRequest& val) {
-  this->forwardRequest = val;
-__isset.forwardRequest = true;
+void MemberNews::__set_state(const int32_t val) {
+  this->state = val;
 }
 
-void Message::__set_forwardReply(const ForwardReply& val) {
-  this->forwardReply = val;
-__isset.forwardReply = true;
+void MemberNews::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
 }
 
-void Message::__set_forwardCancel(const ForwardCancel& val) {
-  this->forwardCancel = val;
-__isset.forwardCancel = true;
+void MemberNews::__set_observer(const std::string& val) {
+  this->observer = val;
 }
-std::ostream& operator<<(std::ostream& out, const Message& obj)
+std::ostream& operator<<(std::ostream& out, const MemberNews& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Message::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t MemberNews::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1095,33 +1157,33 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->hello.read(iprot);
-          this->__isset.hello = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->forwardRequest.read(iprot);
-          this->__isset.forwardRequest = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->state);
+          this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->forwardReply.read(iprot);
-          this->__isset.forwardReply = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->forwardCancel.read(iprot);
-          this->__isset.forwardCancel = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->observer);
+          this->__isset.observer = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1138,75 +1200,1456 @@
   return xfer;
 }
 
-uint32_t Message::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t MemberNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Message");
+  xfer += oprot->writeStructBegin("MemberNews");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("observer", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->observer);
+  xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.hello) {
-    xfer += oprot->writeFieldBegin("hello", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->hello.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.forwardRequest) {
-    xfer += oprot->writeFieldBegin("forwardRequest", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->forwardRequest.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.forwardReply) {
-    xfer += oprot->writeFieldBegin("forwardReply", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->forwardReply.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.forwardCancel) {
-    xfer += oprot->writeFieldBegin("forwardCancel", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->forwardCancel.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Message &a, Message &b) {
+void swap(MemberNews &a, MemberNews &b) {
   using ::std::swap;
-  swap(a.hello, b.hello);
-  swap(a.forwardRequest, b.forwardRequest);
-  swap(a.forwardReply, b.forwardReply);
-  swap(a.forwardCancel, b.forwardCancel);
+  swap(a.host, b.host);
+  swap(a.state, b.state);
+  swap(a.incarnation, b.incarnation);
+  swap(a.observer, b.observer);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other32) {
-  hello = other32.hello;
-  forwardRequest = other32.forwardRequest;
-  forwardReply = other32.forwardReply;
-  forwardCancel = other32.forwardCancel;
+MemberNews::MemberNews(const MemberNews& other32) {
+  host = other32.host;
+  state = other32.state;
+  incarnation = other32.incarnation;
+  observer = other32.observer;
   __isset = other32.__isset;
 }
-Message::Message(Message&& other33) noexcept {
-  hello = std::move(other33.hello);
-  forwardRequest = std::move(other33.forwardRequest);
-  forwardReply = std::move(other33.forwardReply);
-  forwardCancel = std::move(other33.forwardCancel);
+MemberNews::MemberNews(MemberNews&& other33) noexcept {
+  host = std::move(other33.host);
+  state = other33.state;
+  incarnation = other33.incarnation;
+  observer = std::move(other33.observer);
   __isset = other33.__isset;
 }
-Message& Message::operator=(const Message& other34) {
-  hello = other34.hello;
-  forwardRequest = other34.forwardRequest;
-  forwardReply = other34.forwardReply;
-  forwardCancel = other34.forwardCancel;
+MemberNews& MemberNews::operator=(const MemberNews& other34) {
+  host = other34.host;
+  state = other34.state;
+  incarnation = other34.incarnation;
+  observer = other34.observer;
   __isset = other34.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other35) noexcept {
-  hello = std::move(other35.hello);
-  forwardRequest = std::move(other35.forwardRequest);
-  forwardReply = std::move(other35.forwardReply);
-  forwardCancel = std::move(other35.forwardCancel);
+MemberNews& MemberNews::operator=(MemberNews&& other35) noexcept {
+  host = std::move(other35.host);
+  state = other35.state;
+  incarnation = other35.incarnation;
+  observer = std::move(other35.observer);
   __isset = other35.__isset;
   return *this;
 }
+void MemberNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "MemberNews(";
+  out << "host=" << to_string(host);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "observer=" << to_string(observer);
+  out << ")";
+}
+
+
+DomainDigest::~DomainDigest() noexcept {
+}
+
+
+void DomainDigest::__set_domain(const std::string& val) {
+  this->domain = val;
+}
+
+void DomainDigest::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+std::ostream& operator<<(std::ostream& out, const DomainDigest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DomainDigest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->domain);
+          this->__isset.domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DomainDigest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DomainDigest");
+
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DomainDigest &a, DomainDigest &b) {
+  using ::std::swap;
+  swap(a.domain, b.domain);
+  swap(a.digest, b.digest);
+  swap(a.__isset, b.__isset);
+}
+
+DomainDigest::DomainDigest(const DomainDigest& other36) {
+  domain = other36.domain;
+  digest = other36.digest;
+  __isset = other36.__isset;
+}
+DomainDigest::DomainDigest(DomainDigest&& other37) noexcept {
+  domain = std::move(other37.domain);
+  digest = other37.digest;
+  __isset = other37.__isset;
+}
+DomainDigest& DomainDigest::operator=(const DomainDigest& other38) {
+  domain = other38.domain;
+  digest = other38.digest;
+  __isset = other38.__isset;
+  return *this;
+}
+DomainDigest& DomainDigest::operator=(DomainDigest&& other39) noexcept {
+  domain = std::move(other39.domain);
+  digest = other39.digest;
+  __isset = other39.__isset;
+  return *this;
+}
+void DomainDigest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DomainDigest(";
+  out << "domain=" << to_string(domain);
+  out << ", " << "digest=" << to_string(digest);
+  out << ")";
+}
+
+
+MemberMessage::~MemberMessage() noexcept {
+}
+
+
+void MemberMessage::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void MemberMessage::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void MemberMessage::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void MemberMessage::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void MemberMessage::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void MemberMessage::__set_news(const std::vector<MemberNews> & val) {
+  this->news = val;
+}
+
+void MemberMessage::__set_digests(const std::vector<DomainDigest> & val) {
+  this->digests = val;
+}
+
+void MemberMessage::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void MemberMessage::__set_tableVersion(const int64_t val) {
+  this->tableVersion = val;
+}
+
+void MemberMessage::__set_tableDigest(const int64_t val) {
+  this->tableDigest = val;
+}
+std::ostream& operator<<(std::ostream& out, const MemberMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MemberMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->news.clear();
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->news.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
+            {
+              xfer += this->news[_i44].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->digests.clear();
+            uint32_t _size45;
+            ::apache::thrift::protocol::TType _etype48;
+            xfer += iprot->readListBegin(_etype48, _size45);
+            this->digests.resize(_size45);
+            uint32_t _i49;
+            for (_i49 = 0; _i49 < _size45; ++_i49)
+            {
+              xfer += this->digests[_i49].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.digests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tableVersion);
+          this->__isset.tableVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tableDigest);
+          this->__isset.tableDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t MemberMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("MemberMessage");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("news", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->news.size()));
+    std::vector<MemberNews> ::const_iterator _iter50;
+    for (_iter50 = this->news.begin(); _iter50 != this->news.end(); ++_iter50)
+    {
+      xfer += (*_iter50).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digests", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->digests.size()));
+    std::vector<DomainDigest> ::const_iterator _iter51;
+    for (_iter51 = this->digests.begin(); _iter51 != this->digests.end(); ++_iter51)
+    {
+      xfer += (*_iter51).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tableVersion", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->tableVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tableDigest", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->tableDigest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(MemberMessage &a, MemberMessage &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.sequence, b.sequence);
+  swap(a.incarnation, b.incarnation);
+  swap(a.digest, b.digest);
+  swap(a.target, b.target);
+  swap(a.news, b.news);
+  swap(a.digests, b.digests);
+  swap(a.revision, b.revision);
+  swap(a.tableVersion, b.tableVersion);
+  swap(a.tableDigest, b.tableDigest);
+  swap(a.__isset, b.__isset);
+}
+
+MemberMessage::MemberMessage(const MemberMessage& other52) {
+  kind = other52.kind;
+  sequence = other52.sequence;
+  incarnation = other52.incarnation;
+  digest = other52.digest;
+  target = other52.target;
+  news = other52.news;
+  digests = other52.digests;
+  revision = other52.revision;
+  tableVersion = other52.tableVersion;
+  tableDigest = other52.tableDigest;
+  __isset = other52.__isset;
+}
+MemberMessage::MemberMessage(MemberMessage&& other53) noexcept {
+  kind = other53.kind;
+  sequence = other53.sequence;
+  incarnation = other53.incarnation;
+  digest = other53.digest;
+  target = std::move(other53.target);
+  news = std::move(other53.news);
+  digests = std::move(other53.digests);
+  revision = other53.revision;
+  tableVersion = other53.tableVersion;
+  tableDigest = other53.tableDigest;
+  __isset = other53.__isset;
+}
+MemberMessage& MemberMessage::operator=(const MemberMessage& other54) {
+  kind = other54.kind;
+  sequence = other54.sequence;
+  incarnation = other54.incarnation;
+  digest = other54.digest;
+  target = other54.target;
+  news = other54.news;
+  digests = other54.digests;
+  revision = other54.revision;
+  tableVersion = other54.tableVersion;
+  tableDigest = other54.tableDigest;
+  __isset = other54.__isset;
+  return *this;
+}
+MemberMessage& MemberMessage::operator=(MemberMessage&& other55) noexcept {
+  kind = other55.kind;
+  sequence = other55.sequence;
+  incarnation = other55.incarnation;
+  digest = other55.digest;
+  target = std::move(other55.target);
+  news = std::move(other55.news);
+  digests = std::move(other55.digests);
+  revision = other55.revision;
+  tableVersion = other55.tableVersion;
+  tableDigest = other55.tableDigest;
+  __isset = other55.__isset;
+  return *this;
+}
+void MemberMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "MemberMessage(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "news=" << to_string(news);
+  out << ", " << "digests=" << to_string(digests);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "tableVersion=" << to_string(tableVersion);
+  out << ", " << "tableDigest=" << to_string(tableDigest);
+  out << ")";
+}
+
+
+ConfigPull::~ConfigPull() noexcept {
+}
+
+
+void ConfigPull::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigPull& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigPull::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigPull::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigPull");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigPull &a, ConfigPull &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigPull::ConfigPull(const ConfigPull& other56) noexcept {
+  revision = other56.revision;
+  __isset = other56.__isset;
+}
+ConfigPull::ConfigPull(ConfigPull&& other57) noexcept {
+  revision = other57.revision;
+  __isset = other57.__isset;
+}
+ConfigPull& ConfigPull::operator=(const ConfigPull& other58) noexcept {
+  revision = other58.revision;
+  __isset = other58.__isset;
+  return *this;
+}
+ConfigPull& ConfigPull::operator=(ConfigPull&& other59) noexcept {
+  revision = other59.revision;
+  __isset = other59.__isset;
+  return *this;
+}
+void ConfigPull::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigPull(";
+  out << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
+ConfigPush::~ConfigPush() noexcept {
+}
+
+
+void ConfigPush::__set_root(const std::string& val) {
+  this->root = val;
+}
+
+void ConfigPush::__set_rootVersion(const int64_t val) {
+  this->rootVersion = val;
+}
+
+void ConfigPush::__set_text(const std::string& val) {
+  this->text = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigPush& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigPush::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->root);
+          this->__isset.root = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rootVersion);
+          this->__isset.rootVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigPush::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigPush");
+
+  xfer += oprot->writeFieldBegin("root", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->root);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rootVersion", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->rootVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigPush &a, ConfigPush &b) {
+  using ::std::swap;
+  swap(a.root, b.root);
+  swap(a.rootVersion, b.rootVersion);
+  swap(a.text, b.text);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigPush::ConfigPush(const ConfigPush& other60) {
+  root = other60.root;
+  rootVersion = other60.rootVersion;
+  text = other60.text;
+  __isset = other60.__isset;
+}
+ConfigPush::ConfigPush(ConfigPush&& other61) noexcept {
+  root = std::move(other61.root);
+  rootVersion = other61.rootVersion;
+  text = std::move(other61.text);
+  __isset = other61.__isset;
+}
+ConfigPush& ConfigPush::operator=(const ConfigPush& other62) {
+  root = other62.root;
+  rootVersion = other62.rootVersion;
+  text = other62.text;
+  __isset = other62.__isset;
+  return *this;
+}
+ConfigPush& ConfigPush::operator=(ConfigPush&& other63) noexcept {
+  root = std::move(other63.root);
+  rootVersion = other63.rootVersion;
+  text = std::move(other63.text);
+  __isset = other63.__isset;
+  return *this;
+}
+void ConfigPush::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigPush(";
+  out << "root=" << to_string(root);
+  out << ", " << "rootVersion=" << to_string(rootVersion);
+  out << ", " << "text=" << to_string(text);
+  out << ")";
+}
+
+
+TableEntry::~TableEntry() noexcept {
+}
+
+
+void TableEntry::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void TableEntry::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void TableEntry::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const TableEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TableEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TableEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TableEntry");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TableEntry &a, TableEntry &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+TableEntry::TableEntry(const TableEntry& other64) {
+  key = other64.key;
+  value = other64.value;
+  version = other64.version;
+  __isset = other64.__isset;
+}
+TableEntry::TableEntry(TableEntry&& other65) noexcept {
+  key = std::move(other65.key);
+  value = std::move(other65.value);
+  version = other65.version;
+  __isset = other65.__isset;
+}
+TableEntry& TableEntry::operator=(const TableEntry& other66) {
+  key = other66.key;
+  value = other66.value;
+  version = other66.version;
+  __isset = other66.__isset;
+  return *this;
+}
+TableEntry& TableEntry::operator=(TableEntry&& other67) noexcept {
+  key = std::move(other67.key);
+  value = std::move(other67.value);
+  version = other67.version;
+  __isset = other67.__isset;
+  return *this;
+}
+void TableEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TableEntry(";
+  out << "key=" << to_string(key);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+TablePull::~TablePull() noexcept {
+}
+
+
+void TablePull::__set_known(const std::vector<TableEntry> & val) {
+  this->known = val;
+}
+std::ostream& operator<<(std::ostream& out, const TablePull& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TablePull::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->known.clear();
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->known.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
+            {
+              xfer += this->known[_i72].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TablePull::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TablePull");
+
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
+    std::vector<TableEntry> ::const_iterator _iter73;
+    for (_iter73 = this->known.begin(); _iter73 != this->known.end(); ++_iter73)
+    {
+      xfer += (*_iter73).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TablePull &a, TablePull &b) {
+  using ::std::swap;
+  swap(a.known, b.known);
+  swap(a.__isset, b.__isset);
+}
+
+TablePull::TablePull(const TablePull& other74) {
+  known = other74.known;
+  __isset = other74.__isset;
+}
+TablePull::TablePull(TablePull&& other75) noexcept {
+  known = std::move(other75.known);
+  __isset = other75.__isset;
+}
+TablePull& TablePull::operator=(const TablePull& other76) {
+  known = other76.known;
+  __isset = other76.__isset;
+  return *this;
+}
+TablePull& TablePull::operator=(TablePull&& other77) noexcept {
+  known = std::move(other77.known);
+  __isset = other77.__isset;
+  return *this;
+}
+void TablePull::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TablePull(";
+  out << "known=" << to_string(known);
+  out << ")";
+}
+
+
+TablePush::~TablePush() noexcept {
+}
+
+
+void TablePush::__set_entries(const std::vector<TableEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const TablePush& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TablePush::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->entries.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
+            {
+              xfer += this->entries[_i82].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TablePush::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TablePush");
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<TableEntry> ::const_iterator _iter83;
+    for (_iter83 = this->entries.begin(); _iter83 != this->entries.end(); ++_iter83)
+    {
+      xfer += (*_iter83).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TablePush &a, TablePush &b) {
+  using ::std::swap;
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+TablePush::TablePush(const TablePush& other84) {
+  entries = other84.entries;
+  __isset = other84.__isset;
+}
+TablePush::TablePush(TablePush&& other85) noexcept {
+  entries = std::move(other85.entries);
+  __isset = other85.__isset;
+}
+TablePush& TablePush::operator=(const TablePush& other86) {
+  entries = other86.entries;
+  __isset = other86.__isset;
+  return *this;
+}
+TablePush& TablePush::operator=(TablePush&& other87) noexcept {
+  entries = std::move(other87.entries);
+  __isset = other87.__isset;
+  return *this;
+}
+void TablePush::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TablePush(";
+  out << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
+Message::~Message() noexcept {
+}
+
+
+void Message::__set_hello(const Hello& val) {
+  this->hello = val;
+__isset.hello = true;
+}
+
+void Message::__set_forwardRequest(const ForwardRequest& val) {
+  this->forwardRequest = val;
+__isset.forwardRequest = true;
+}
+
+void Message::__set_forwardReply(const ForwardReply& val) {
+  this->forwardReply = val;
+__isset.forwardReply = true;
+}
+
+void Message::__set_forwardCancel(const ForwardCancel& val) {
+  this->forwardCancel = val;
+__isset.forwardCancel = true;
+}
+
+void Message::__set_member(const MemberMessage& val) {
+  this->member = val;
+__isset.member = true;
+}
+
+void Message::__set_configPull(const ConfigPull& val) {
+  this->configPull = val;
+__isset.configPull = true;
+}
+
+void Message::__set_configPush(const ConfigPush& val) {
+  this->configPush = val;
+__isset.configPush = true;
+}
+
+void Message::__set_tablePull(const TablePull& val) {
+  this->tablePull = val;
+__isset.tablePull = true;
+}
+
+void Message::__set_tablePush(const TablePush& val) {
+  this->tablePush = val;
+__isset.tablePush = true;
+}
+std::ostream& operator<<(std::ostream& out, const Message& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Message::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->hello.read(iprot);
+          this->__isset.hello = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->forwardRequest.read(iprot);
+          this->__isset.forwardRequest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->forwardReply.read(iprot);
+          this->__isset.forwardReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->forwardCancel.read(iprot);
+          this->__isset.forwardCancel = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->member.read(iprot);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configPull.read(iprot);
+          this->__isset.configPull = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->configPush.read(iprot);
+          this->__isset.configPush = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->tablePull.read(iprot);
+          this->__isset.tablePull = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->tablePush.read(iprot);
+          this->__isset.tablePush = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Message::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Message");
+
+  if (this->__isset.hello) {
+    xfer += oprot->writeFieldBegin("hello", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->hello.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.forwardRequest) {
+    xfer += oprot->writeFieldBegin("forwardRequest", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->forwardRequest.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.forwardReply) {
+    xfer += oprot->writeFieldBegin("forwardReply", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->forwardReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.forwardCancel) {
+    xfer += oprot->writeFieldBegin("forwardCancel", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->forwardCancel.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.member) {
+    xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->member.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configPull) {
+    xfer += oprot->writeFieldBegin("configPull", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->configPull.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configPush) {
+    xfer += oprot->writeFieldBegin("configPush", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->configPush.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.tablePull) {
+    xfer += oprot->writeFieldBegin("tablePull", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->tablePull.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.tablePush) {
+    xfer += oprot->writeFieldBegin("tablePush", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->tablePush.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Message &a, Message &b) {
+  using ::std::swap;
+  swap(a.hello, b.hello);
+  swap(a.forwardRequest, b.forwardRequest);
+  swap(a.forwardReply, b.forwardReply);
+  swap(a.forwardCancel, b.forwardCancel);
+  swap(a.member, b.member);
+  swap(a.configPull, b.configPull);
+  swap(a.configPush, b.configPush);
+  swap(a.tablePull, b.tablePull);
+  swap(a.tablePush, b.tablePush);
+  swap(a.__isset, b.__isset);
+}
+
+Message::Message(const Message& other88) {
+  hello = other88.hello;
+  forwardRequest = other88.forwardRequest;
+  forwardReply = other88.forwardReply;
+  forwardCancel = other88.forwardCancel;
+  member = other88.member;
+  configPull = other88.configPull;
+  configPush = other88.configPush;
+  tablePull = other88.tablePull;
+  tablePush = other88.tablePush;
+  __isset = other88.__isset;
+}
+Message::Message(Message&& other89) noexcept {
+  hello = std::move(other89.hello);
+  forwardRequest = std::move(other89.forwardRequest);
+  forwardReply = std::move(other89.forwardReply);
+  forwardCancel = std::move(other89.forwardCancel);
+  member = std::move(other89.member);
+  configPull = std::move(other89.configPull);
+  configPush = std::move(other89.configPush);
+  tablePull = std::move(other89.tablePull);
+  tablePush = std::move(other89.tablePush);
+  __isset = other89.__isset;
+}
+Message& Message::operator=(const Message& other90) {
+  hello = other90.hello;
+  forwardRequest = other90.forwardRequest;
+  forwardReply = other90.forwardReply;
+  forwardCancel = other90.forwardCancel;
+  member = other90.member;
+  configPull = other90.configPull;
+  configPush = other90.configPush;
+  tablePull = other90.tablePull;
+  tablePush = other90.tablePush;
+  __isset = other90.__isset;
+  return *this;
+}
+Message& Message::operator=(Message&& other91) noexcept {
+  hello = std::move(other91.hello);
+  forwardRequest = std::move(other91.forwardRequest);
+  forwardReply = std::move(other91.forwardReply);
+  forwardCancel = std::move(other91.forwardCancel);
+  member = std::move(other91.member);
+  configPull = std::move(other91.configPull);
+  configPush = std::move(other91.configPush);
+  tablePull = std::move(other91.tablePull);
+  tablePush = std::move(other91.tablePush);
+  __isset = other91.__isset;
+  return *this;
+}
 void Message::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Message(";
@@ -1214,6 +2657,11 @@
   out << ", " << "forwardRequest="; (__isset.forwardRequest ? (out << to_string(forwardRequest)) : (out << "<null>"));
   out << ", " << "forwardReply="; (__isset.forwardReply ? (out << to_string(forwardReply)) : (out << "<null>"));
   out << ", " << "forwardCancel="; (__isset.forwardCancel ? (out << to_string(forwardCancel)) : (out << "<null>"));
+  out << ", " << "member="; (__isset.member ? (out << to_string(member)) : (out << "<null>"));
+  out << ", " << "configPull="; (__isset.configPull ? (out << to_string(configPull)) : (out << "<null>"));
+  out << ", " << "configPush="; (__isset.configPush ? (out << to_string(configPush)) : (out << "<null>"));
+  out << ", " << "tablePull="; (__isset.tablePull ? (out << to_string(tablePull)) : (out << "<null>"));
+  out << ", " << "tablePush="; (__isset.tablePush ? (out << to_string(tablePush)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libpeer/gen/peer_types.h
+++ b/src/libpeer/gen/peer_types.h
@@ -31,6 +31,22 @@
 
 class ForwardCancel;
 
+class MemberNews;
+
+class DomainDigest;
+
+class MemberMessage;
+
+class ConfigPull;
+
+class ConfigPush;
+
+class TableEntry;
+
+class TablePull;
+
+class TablePush;
+
 class Message;
 
 typedef struct _Header__isset {
@@ -86,11 +102,14 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _Hello__isset {
-  _Hello__isset() : version(false), host(false), domain(false), incarnation(false) {}
+  _Hello__isset() : version(false), host(false), domain(false), incarnation(false), nonce(false), keyId(false), mac(false) {}
   bool version :1;
   bool host :1;
   bool domain :1;
   bool incarnation :1;
+  bool nonce :1;
+  bool keyId :1;
+  bool mac :1;
 } _Hello__isset;
 
 class Hello : public virtual ::apache::thrift::TBase {
@@ -104,7 +123,10 @@
         : version(0),
           host(),
           domain(),
-          incarnation(0) {
+          incarnation(0),
+          nonce(),
+          keyId(),
+          mac() {
   }
 
   virtual ~Hello() noexcept;
@@ -112,6 +134,9 @@
   std::string host;
   std::string domain;
   int64_t incarnation;
+  std::string nonce;
+  std::string keyId;
+  std::string mac;
 
   _Hello__isset __isset;
 
@@ -123,6 +148,12 @@
 
   void __set_incarnation(const int64_t val);
 
+  void __set_nonce(const std::string& val);
+
+  void __set_keyId(const std::string& val);
+
+  void __set_mac(const std::string& val);
+
   bool operator == (const Hello & rhs) const
   {
     if (!(version == rhs.version))
@@ -133,6 +164,12 @@
       return false;
     if (!(incarnation == rhs.incarnation))
       return false;
+    if (!(nonce == rhs.nonce))
+      return false;
+    if (!(keyId == rhs.keyId))
+      return false;
+    if (!(mac == rhs.mac))
+      return false;
     return true;
   }
   bool operator != (const Hello &rhs) const {
@@ -410,12 +447,492 @@
 
 std::ostream& operator<<(std::ostream& out, const ForwardCancel& obj);
 
+typedef struct _MemberNews__isset {
+  _MemberNews__isset() : host(false), state(false), incarnation(false), observer(false) {}
+  bool host :1;
+  bool state :1;
+  bool incarnation :1;
+  bool observer :1;
+} _MemberNews__isset;
+
+class MemberNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  MemberNews(const MemberNews&);
+  MemberNews(MemberNews&&) noexcept;
+  MemberNews& operator=(const MemberNews&);
+  MemberNews& operator=(MemberNews&&) noexcept;
+  MemberNews() noexcept
+             : host(),
+               state(0),
+               incarnation(0),
+               observer() {
+  }
+
+  virtual ~MemberNews() noexcept;
+  std::string host;
+  int32_t state;
+  int64_t incarnation;
+  std::string observer;
+
+  _MemberNews__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_state(const int32_t val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_observer(const std::string& val);
+
+  bool operator == (const MemberNews & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(observer == rhs.observer))
+      return false;
+    return true;
+  }
+  bool operator != (const MemberNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MemberNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MemberNews &a, MemberNews &b);
+
+std::ostream& operator<<(std::ostream& out, const MemberNews& obj);
+
+typedef struct _DomainDigest__isset {
+  _DomainDigest__isset() : domain(false), digest(false) {}
+  bool domain :1;
+  bool digest :1;
+} _DomainDigest__isset;
+
+class DomainDigest : public virtual ::apache::thrift::TBase {
+ public:
+
+  DomainDigest(const DomainDigest&);
+  DomainDigest(DomainDigest&&) noexcept;
+  DomainDigest& operator=(const DomainDigest&);
+  DomainDigest& operator=(DomainDigest&&) noexcept;
+  DomainDigest() noexcept
+               : domain(),
+                 digest(0) {
+  }
+
+  virtual ~DomainDigest() noexcept;
+  std::string domain;
+  int64_t digest;
+
+  _DomainDigest__isset __isset;
+
+  void __set_domain(const std::string& val);
+
+  void __set_digest(const int64_t val);
+
+  bool operator == (const DomainDigest & rhs) const
+  {
+    if (!(domain == rhs.domain))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    return true;
+  }
+  bool operator != (const DomainDigest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DomainDigest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DomainDigest &a, DomainDigest &b);
+
+std::ostream& operator<<(std::ostream& out, const DomainDigest& obj);
+
+typedef struct _MemberMessage__isset {
+  _MemberMessage__isset() : kind(false), sequence(false), incarnation(false), digest(false), target(false), news(false), digests(false), revision(false), tableVersion(false), tableDigest(false) {}
+  bool kind :1;
+  bool sequence :1;
+  bool incarnation :1;
+  bool digest :1;
+  bool target :1;
+  bool news :1;
+  bool digests :1;
+  bool revision :1;
+  bool tableVersion :1;
+  bool tableDigest :1;
+} _MemberMessage__isset;
+
+class MemberMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  MemberMessage(const MemberMessage&);
+  MemberMessage(MemberMessage&&) noexcept;
+  MemberMessage& operator=(const MemberMessage&);
+  MemberMessage& operator=(MemberMessage&&) noexcept;
+  MemberMessage() noexcept
+                : kind(0),
+                  sequence(0),
+                  incarnation(0),
+                  digest(0),
+                  target(),
+                  revision(0),
+                  tableVersion(0),
+                  tableDigest(0) {
+  }
+
+  virtual ~MemberMessage() noexcept;
+  int32_t kind;
+  int64_t sequence;
+  int64_t incarnation;
+  int64_t digest;
+  std::string target;
+  std::vector<MemberNews>  news;
+  std::vector<DomainDigest>  digests;
+  int64_t revision;
+  int64_t tableVersion;
+  int64_t tableDigest;
+
+  _MemberMessage__isset __isset;
+
+  void __set_kind(const int32_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_digest(const int64_t val);
+
+  void __set_target(const std::string& val);
+
+  void __set_news(const std::vector<MemberNews> & val);
+
+  void __set_digests(const std::vector<DomainDigest> & val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_tableVersion(const int64_t val);
+
+  void __set_tableDigest(const int64_t val);
+
+  bool operator == (const MemberMessage & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(news == rhs.news))
+      return false;
+    if (!(digests == rhs.digests))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(tableVersion == rhs.tableVersion))
+      return false;
+    if (!(tableDigest == rhs.tableDigest))
+      return false;
+    return true;
+  }
+  bool operator != (const MemberMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MemberMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MemberMessage &a, MemberMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const MemberMessage& obj);
+
+typedef struct _ConfigPull__isset {
+  _ConfigPull__isset() : revision(false) {}
+  bool revision :1;
+} _ConfigPull__isset;
+
+class ConfigPull : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigPull(const ConfigPull&) noexcept;
+  ConfigPull(ConfigPull&&) noexcept;
+  ConfigPull& operator=(const ConfigPull&) noexcept;
+  ConfigPull& operator=(ConfigPull&&) noexcept;
+  ConfigPull() noexcept
+             : revision(0) {
+  }
+
+  virtual ~ConfigPull() noexcept;
+  int64_t revision;
+
+  _ConfigPull__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const ConfigPull & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigPull &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigPull & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigPull &a, ConfigPull &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigPull& obj);
+
+typedef struct _ConfigPush__isset {
+  _ConfigPush__isset() : root(false), rootVersion(false), text(false) {}
+  bool root :1;
+  bool rootVersion :1;
+  bool text :1;
+} _ConfigPush__isset;
+
+class ConfigPush : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigPush(const ConfigPush&);
+  ConfigPush(ConfigPush&&) noexcept;
+  ConfigPush& operator=(const ConfigPush&);
+  ConfigPush& operator=(ConfigPush&&) noexcept;
+  ConfigPush() noexcept
+             : root(),
+               rootVersion(0),
+               text() {
+  }
+
+  virtual ~ConfigPush() noexcept;
+  std::string root;
+  int64_t rootVersion;
+  std::string text;
+
+  _ConfigPush__isset __isset;
+
+  void __set_root(const std::string& val);
+
+  void __set_rootVersion(const int64_t val);
+
+  void __set_text(const std::string& val);
+
+  bool operator == (const ConfigPush & rhs) const
+  {
+    if (!(root == rhs.root))
+      return false;
+    if (!(rootVersion == rhs.rootVersion))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigPush &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigPush & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigPush &a, ConfigPush &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigPush& obj);
+
+typedef struct _TableEntry__isset {
+  _TableEntry__isset() : key(false), value(false), version(false) {}
+  bool key :1;
+  bool value :1;
+  bool version :1;
+} _TableEntry__isset;
+
+class TableEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  TableEntry(const TableEntry&);
+  TableEntry(TableEntry&&) noexcept;
+  TableEntry& operator=(const TableEntry&);
+  TableEntry& operator=(TableEntry&&) noexcept;
+  TableEntry() noexcept
+             : key(),
+               value(),
+               version(0) {
+  }
+
+  virtual ~TableEntry() noexcept;
+  std::string key;
+  std::string value;
+  int64_t version;
+
+  _TableEntry__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const TableEntry & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const TableEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TableEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TableEntry &a, TableEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const TableEntry& obj);
+
+typedef struct _TablePull__isset {
+  _TablePull__isset() : known(false) {}
+  bool known :1;
+} _TablePull__isset;
+
+class TablePull : public virtual ::apache::thrift::TBase {
+ public:
+
+  TablePull(const TablePull&);
+  TablePull(TablePull&&) noexcept;
+  TablePull& operator=(const TablePull&);
+  TablePull& operator=(TablePull&&) noexcept;
+  TablePull() noexcept {
+  }
+
+  virtual ~TablePull() noexcept;
+  std::vector<TableEntry>  known;
+
+  _TablePull__isset __isset;
+
+  void __set_known(const std::vector<TableEntry> & val);
+
+  bool operator == (const TablePull & rhs) const
+  {
+    if (!(known == rhs.known))
+      return false;
+    return true;
+  }
+  bool operator != (const TablePull &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TablePull & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TablePull &a, TablePull &b);
+
+std::ostream& operator<<(std::ostream& out, const TablePull& obj);
+
+typedef struct _TablePush__isset {
+  _TablePush__isset() : entries(false) {}
+  bool entries :1;
+} _TablePush__isset;
+
+class TablePush : public virtual ::apache::thrift::TBase {
+ public:
+
+  TablePush(const TablePush&);
+  TablePush(TablePush&&) noexcept;
+  TablePush& operator=(const TablePush&);
+  TablePush& operator=(TablePush&&) noexcept;
+  TablePush() noexcept {
+  }
+
+  virtual ~TablePush() noexcept;
+  std::vector<TableEntry>  entries;
+
+  _TablePush__isset __isset;
+
+  void __set_entries(const std::vector<TableEntry> & val);
+
+  bool operator == (const TablePush & rhs) const
+  {
+    if (!(entries == rhs.entries))
+      return false;
+    return true;
+  }
+  bool operator != (const TablePush &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TablePush & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TablePush &a, TablePush &b);
+
+std::ostream& operator<<(std::ostream& out, const TablePush& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : hello(false), forwardRequest(false), forwardReply(false), forwardCancel(false) {}
+  _Message__isset() : hello(false), forwardRequest(false), forwardReply(false), forwardCancel(false), member(false), configPull(false), configPush(false), tablePull(false), tablePush(false) {}
   bool hello :1;
   bool forwardRequest :1;
   bool forwardReply :1;
   bool forwardCancel :1;
+  bool member :1;
+  bool configPull :1;
+  bool configPush :1;
+  bool tablePull :1;
+  bool tablePush :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -433,6 +950,11 @@
   ForwardRequest forwardRequest;
   ForwardReply forwardReply;
   ForwardCancel forwardCancel;
+  MemberMessage member;
+  ConfigPull configPull;
+  ConfigPush configPush;
+  TablePull tablePull;
+  TablePush tablePush;
 
   _Message__isset __isset;
 
@@ -444,6 +966,16 @@
 
   void __set_forwardCancel(const ForwardCancel& val);
 
+  void __set_member(const MemberMessage& val);
+
+  void __set_configPull(const ConfigPull& val);
+
+  void __set_configPush(const ConfigPush& val);
+
+  void __set_tablePull(const TablePull& val);
+
+  void __set_tablePush(const TablePush& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -462,6 +994,26 @@
       return false;
     else if (__isset.forwardCancel && !(forwardCancel == rhs.forwardCancel))
       return false;
+    if (__isset.member != rhs.__isset.member)
+      return false;
+    else if (__isset.member && !(member == rhs.member))
+      return false;
+    if (__isset.configPull != rhs.__isset.configPull)
+      return false;
+    else if (__isset.configPull && !(configPull == rhs.configPull))
+      return false;
+    if (__isset.configPush != rhs.__isset.configPush)
+      return false;
+    else if (__isset.configPush && !(configPush == rhs.configPush))
+      return false;
+    if (__isset.tablePull != rhs.__isset.tablePull)
+      return false;
+    else if (__isset.tablePull && !(tablePull == rhs.tablePull))
+      return false;
+    if (__isset.tablePush != rhs.__isset.tablePush)
+      return false;
+    else if (__isset.tablePush && !(tablePush == rhs.tablePush))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/src/libpeer/peer.thrift
+++ b/src/libpeer/peer.thrift
@@ -12,6 +12,9 @@
   2: string host,
   3: string domain,
   4: i64 incarnation,
+  5: binary nonce,
+  6: string keyId,
+  7: binary mac,
 }
 
 // A caller's request on its way to the host that keeps the upstream.
@@ -47,9 +50,68 @@
   1: i64 id,
 }
 
+// What is believed of one host, and who says so.
+struct MemberNews {
+  1: string host,
+  2: i32 state,
+  3: i64 incarnation,
+  4: string observer,
+}
+
+struct DomainDigest {
+  1: string domain,
+  2: i64 digest,
+}
+
+// Failure detection: a probe, its answer, a request to probe, or gossip.
+struct MemberMessage {
+  1: i32 kind,
+  2: i64 sequence,
+  3: i64 incarnation,
+  4: i64 digest,
+  5: string target,
+  6: list<MemberNews> news,
+  7: list<DomainDigest> digests,
+  8: i64 revision,
+  9: i64 tableVersion,
+  10: i64 tableDigest,
+}
+
+// Asks for the published set if it is newer than this revision.
+struct ConfigPull {
+  1: i64 revision,
+}
+
+struct ConfigPush {
+  1: string root,
+  2: i64 rootVersion,
+  3: binary text,
+}
+
+// An entry of the store with the version of the write that put it there.
+struct TableEntry {
+  1: string key,
+  2: binary value,
+  3: i64 version,
+}
+
+// Asks for the chunks that are newer than these; only keys and versions.
+struct TablePull {
+  1: list<TableEntry> known,
+}
+
+struct TablePush {
+  1: list<TableEntry> entries,
+}
+
 union Message {
   1: Hello hello,
   2: ForwardRequest forwardRequest,
   3: ForwardReply forwardReply,
   4: ForwardCancel forwardCancel,
+  5: MemberMessage member,
+  6: ConfigPull configPull,
+  7: ConfigPush configPush,
+  8: TablePull tablePull,
+  9: TablePush tablePush,
 }
