host: probes decide who is lost; configuration spreads through peers

Only a broken connection told that a host was gone, so a frozen one kept its upstreams, and a host that started while the store was down had no configuration. The failure detector now runs over the peer network and sets the lost hosts, which keeperOf() follows; what was under way to a lost host ends.

--- a/src/burdockpulley/store_session.h
+++ b/src/burdockpulley/store_session.h
@@ -17,7 +17,7 @@
 /// Thread safety: none.
 class StoreSession {
 public:
-  StoreSession(const Endpoint &Platform, Duration CallTimeout);
+  explicit StoreSession(const Endpoint &Platform);
 
   /// The set in force; see SetReader.
   SetReader::Result readCurrent();
--- a/src/include/burdockpulley/configuration.h
+++ b/src/include/burdockpulley/configuration.h
@@ -51,6 +51,12 @@
   std::string m_text; ///< Canonical form.
 };
 
+/// Puts a set together from its root and its text. StoreError::BadAnswer when
+/// they do not belong together or the set is not valid.
+/// Thread safety: safe.
+std::variant<std::shared_ptr<const PublishedSet>, StoreError>
+assembleSet(const ConfigRoot &Root, StoreVersion RootVersion, std::string Text);
+
 /// Why a set was not published.
 enum class PublishError {
   Conflict,    ///< Someone else published meanwhile; nothing was changed.
--- a/src/include/burdockpulley/settings.h
+++ b/src/include/burdockpulley/settings.h
@@ -12,9 +12,12 @@
 struct HostSettings {
   HostId m_host;
   DomainId m_domain;
-  Endpoint m_listen;      ///< For callers.
-  Endpoint m_peerListen;  ///< For the other entry hosts.
-  Endpoint m_platform;    ///< The platform's store.
+  Endpoint m_listen;     ///< For callers.
+  Endpoint m_peerListen; ///< For the other entry hosts.
+  Endpoint m_platform;   ///< The platform's store.
+  /// Peers that are asked for the configuration while the store is down.
+  std::vector<Endpoint> m_seeds;
+  std::string m_peerKeys; ///< File of keys, or the keys; may be empty.
   std::string m_portFile; ///< Where the bound ports are written; may be empty.
 };
 
--- a/src/libconfiguration/set_reader.cpp
+++ b/src/libconfiguration/set_reader.cpp
@@ -3,26 +3,21 @@
 
 namespace burdockpulley {
 
-namespace {
-
-SetReader::Result assemble(const ConfigRoot &Root, StoreVersion RootVersion,
-                           const StoreRange &Chunks) {
-  auto Set = std::make_shared<PublishedSet>();
-  Set->m_root = Root;
-  Set->m_rootVersion = RootVersion;
-  for (const StoreEntry &Chunk : Chunks.m_entries)
-    Set->m_text += Chunk.m_value;
-  if (sha256Hex(Set->m_text) != Root.m_sha256)
+SetReader::Result assembleSet(const ConfigRoot &Root, StoreVersion RootVersion,
+                              std::string Text) {
+  if (sha256Hex(Text) != Root.m_sha256)
     return StoreError::BadAnswer;
-  auto Declared = decodeDeclarations(Set->m_text);
+  auto Declared = decodeDeclarations(Text);
   if (!Declared)
     return StoreError::BadAnswer;
+  auto Set = std::make_shared<PublishedSet>();
+  Set->m_root = Root;
+  Set->m_rootVersion = RootVersion;
+  Set->m_text = std::move(Text);
   Set->m_declarations = std::move(Declared.value());
   return std::shared_ptr<const PublishedSet>(std::move(Set));
 }
 
-} // namespace
-
 void SetReader::readCurrent(Callback Done) {
   m_store.read({ConfigRootKey, false, {}},
                [this, Done](const StoreReply<StoreRange> &Reply) {
@@ -45,7 +40,10 @@
                [=](const StoreReply<StoreRange> &Reply) {
                  if (const auto *Error = std::get_if<StoreError>(&Reply))
                    return Done(*Error);
-                 Done(assemble(Root, RootVersion, std::get<StoreRange>(Reply)));
+                 std::string Text;
+                 for (const auto &Chunk : std::get<StoreRange>(Reply).m_entries)
+                   Text += Chunk.m_value;
+                 Done(assembleSet(Root, RootVersion, std::move(Text)));
                });
 }
 
--- a/src/libhost/entry_host.cpp
+++ b/src/libhost/entry_host.cpp
@@ -4,7 +4,9 @@
 #include "burdockpulley/event_log.h"
 #include "front_driver.h"
 #include "keeper_driver.h"
+#include "membership_driver.h"
 #include "ownership_driver.h"
+#include "peer_key_driver.h"
 #include "peer_types.h"
 #include "store_follower.h"
 
@@ -42,11 +44,17 @@
   Impl(event_base *Base, const HostSettings &Settings)
       : m_base(Base), m_state(initialState(Settings)),
         m_store(Base, Settings.m_platform, StoreTimeout),
-        m_peers(Base, greeting(Settings), *this), m_pool(Base),
+        m_peers(Base, greeting(Settings), *this),
+        m_peerKeys(Base, m_peers, Settings.m_peerKeys), m_pool(Base),
         m_keeper(Base, m_state, m_pool),
         m_front(Base, m_state, m_peers, m_keeper),
         m_ownership(Base, m_store, m_state, m_pool),
         m_follower(Base, m_store, m_state, [this] { onTablesChanged(); }),
+        m_spread(Base, m_state, m_peers, [this] { onTablesChanged(); }),
+        m_members(
+            Base, m_state, m_peers, m_spread,
+            [this](const HostId &Host) { onPeerLost(Host); },
+            [this] { m_ownership.wake(); }),
         m_server(Base, [this](HttpRequest &&Request, auto Responder) {
           onRequest(std::move(Request), std::move(Responder));
         }) {
@@ -55,6 +63,8 @@
 
   bool start() {
     const HostSettings &Settings = m_state.m_settings;
+    if (!m_peerKeys.load())
+      return false;
     std::uint16_t CallerPort = m_server.listen(Settings.m_listen);
     std::uint16_t PeerPort = m_peers.listen(Settings.m_peerListen);
     if (CallerPort == 0 || PeerPort == 0) {
@@ -95,6 +105,16 @@
       m_front.onReply(std::move(Message.forwardReply), steadyNow());
     else if (Message.__isset.forwardCancel)
       m_keeper.cancel(From, Message.forwardCancel.id);
+    else if (Message.__isset.member)
+      m_members.onMessage(From, Message.member, steadyNow());
+    else if (Message.__isset.configPull)
+      m_spread.onPull(From, Message.configPull);
+    else if (Message.__isset.configPush)
+      m_spread.onPush(std::move(Message.configPush));
+    else if (Message.__isset.tablePull)
+      m_spread.onPull(From, Message.tablePull);
+    else if (Message.__isset.tablePush)
+      m_spread.onPush(Message.tablePush);
   }
 
   void onPeerLost(const HostId &Peer) override {
@@ -110,6 +130,8 @@
         if (Host.m_name != m_state.m_settings.m_host)
           Peers[Host.m_name] = Host.m_peerAddress;
     m_peers.setPeers(std::move(Peers));
+    m_spread.onTablesChanged();
+    m_members.onTablesChanged(steadyNow());
     m_ownership.wake();
   }
 
@@ -139,11 +161,14 @@
   HostState m_state;
   EtcdStore m_store;
   PeerNetwork m_peers;
+  PeerKeyDriver m_peerKeys;
   UpstreamPool m_pool;
   KeeperDriver m_keeper;
   FrontDriver m_front;
   OwnershipDriver m_ownership;
   StoreFollower m_follower;
+  TableSpread m_spread;
+  MembershipDriver m_members;
   HttpServer m_server;
   bool m_stopping = false;
   std::unique_ptr<RepeatingTimer> m_stopTimer;
--- a/src/libhost/settings.cpp
+++ b/src/libhost/settings.cpp
@@ -3,6 +3,7 @@
 #include <cxxopts.hpp>
 
 #include <cstdlib>
+#include <sstream>
 
 namespace burdockpulley {
 
@@ -36,6 +37,20 @@
     return Where;
   }
 
+  std::vector<Endpoint> endpoints(const std::string &Name) {
+    std::vector<Endpoint> All;
+    std::stringstream Text(text(Name, false));
+    for (std::string Part; std::getline(Text, Part, ',');) {
+      Endpoint Where;
+      if (parseEndpoint(Part, Where))
+        All.push_back(Where);
+      else
+        m_faults.push_back("--" + Name + " has " + Part +
+                           "; write IP-ADDRESS:PORT,...");
+    }
+    return All;
+  }
+
 private:
   static std::string variable(const std::string &Name) {
     std::string Variable = "BURDOCKPULLEY_";
@@ -62,8 +77,10 @@
       cxxopts::value<std::string>())("platform",
                                      "address of the platform's store, IP:PORT",
                                      cxxopts::value<std::string>())(
-      "port-file", "file that gets the bound ports",
-      cxxopts::value<std::string>())(
+      "seeds", "peers to ask while the store is down, IP:PORT,...",
+      cxxopts::value<std::string>())("port-file",
+                                     "file that gets the bound ports",
+                                     cxxopts::value<std::string>())(
       "print-settings", "print the settings and end")("help",
                                                       "print this and end");
   return Options;
@@ -87,6 +104,8 @@
     Settings.m_listen = Reader.endpoint("listen");
     Settings.m_peerListen = Reader.endpoint("peer-listen");
     Settings.m_platform = Reader.endpoint("platform");
+    Settings.m_seeds = Reader.endpoints("seeds");
+    Settings.m_peerKeys = Reader.text("peer-keys", false);
     Settings.m_portFile = Reader.text("port-file", false);
     Outcome.m_print = Flags.count("print-settings") != 0;
     for (const std::string &Extra : Flags.unmatched())
@@ -98,11 +117,14 @@
 }
 
 std::string toString(const HostSettings &Settings) {
+  std::string Seeds;
+  for (const Endpoint &Seed : Settings.m_seeds)
+    Seeds += (Seeds.empty() ? "" : ",") + toString(Seed);
   return "host=" + Settings.m_host.value() +
          "\nfailure-domain=" + Settings.m_domain.value() +
          "\nlisten=" + toString(Settings.m_listen) +
          "\npeer-listen=" + toString(Settings.m_peerListen) +
-         "\nplatform=" + toString(Settings.m_platform) +
+         "\nplatform=" + toString(Settings.m_platform) + "\nseeds=" + Seeds +
          "\nport-file=" + Settings.m_portFile + "\n";
 }
 
