--- a/src/standins/upstream_standin.cpp
+++ b/src/standins/upstream_standin.cpp
@@ -103,7 +103,8 @@
     m_queue.pop_front();
     const HttpRequest &Request = Started->m_work.m_request;
     m_runs << Request.header("X-Request-Id") << " "
-           << Request.header("Idempotency-Key") << std::endl;
+           << Request.header("Idempotency-Key") << " "
+           << Request.header("X-Sequence") << std::endl;
     timeval Time{m_options.m_serviceTime.count() / 1'000'000,
                  m_options.m_serviceTime.count() % 1'000'000};
     event_base_once(m_base, -1, EV_TIMEOUT, onDone, Started, &Time);
