--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -24,6 +24,8 @@
     {"declarations", runDeclarations},
     {"control", runControl},
     {"grants", runGrants},
+    {"membership", runMembership},
+    {"connections", runConnections},
     {"upstream-kill", runUpstreamKill},
     {"host-kill", runHostKill},
     {"store-down", runStoreDown},
--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -28,6 +28,8 @@
 Report runDeclarations(const BenchOptions &Options);
 Report runControl(const BenchOptions &Options);
 Report runGrants(const BenchOptions &Options);
+Report runMembership(const BenchOptions &Options);
+Report runConnections(const BenchOptions &Options);
 Report runUpstreamKill(const BenchOptions &Options);
 Report runHostKill(const BenchOptions &Options);
 Report runStoreDown(const BenchOptions &Options);
