--- a/src/burdockpulley/command.h
+++ b/src/burdockpulley/command.h
@@ -26,6 +26,7 @@
 struct CommandLine {
   std::vector<std::string> m_arguments; ///< After the command's name.
   Endpoint m_platform;
+  Duration m_storeTimeout{};
   std::string m_author;
   bool m_json = false;
   bool m_force = false;
--- a/src/burdockpulley/get.cpp
+++ b/src/burdockpulley/get.cpp
@@ -29,7 +29,7 @@
 
 ExitCode runGet(const CommandLine &Line) {
   std::string Filter = Line.m_arguments.empty() ? "" : Line.m_arguments[0];
-  StoreSession Session(Line.m_platform);
+  StoreSession Session(Line.m_platform, Line.m_storeTimeout);
   SetReader::Result Result = Session.readCurrent();
   if (const auto *Error = std::get_if<StoreError>(&Result))
     return printStoreError(Line, *Error);
--- a/src/burdockpulley/history.cpp
+++ b/src/burdockpulley/history.cpp
@@ -9,7 +9,7 @@
 using nlohmann::json;
 
 ExitCode runHistory(const CommandLine &Line) {
-  StoreSession Session(Line.m_platform);
+  StoreSession Session(Line.m_platform, Line.m_storeTimeout);
   SetReader::HistoryResult Result = Session.readHistory();
   if (const auto *Error = std::get_if<StoreError>(&Result))
     return printStoreError(Line, *Error);
@@ -35,7 +35,7 @@
       std::from_chars(Text.data(), Text.data() + Text.size(), Number);
   if (Bad != std::errc() || Stop != Text.data() + Text.size())
     return printFailure(Line, ExitCode::Usage, "write a revision number");
-  StoreSession Session(Line.m_platform);
+  StoreSession Session(Line.m_platform, Line.m_storeTimeout);
   SetReader::Result Current = Session.readCurrent();
   SetReader::Result Old = Session.readRevision(Revision(Number));
   for (const SetReader::Result *Each : {&Current, &Old})
--- a/src/burdockpulley/main.cpp
+++ b/src/burdockpulley/main.cpp
@@ -62,12 +62,14 @@
   Options.add_options()(
       "platform", "address of the platform's store (BURDOCKPULLEY_PLATFORM)",
       cxxopts::value<std::string>(),
-      "IP:PORT")("output", "text or json",
-                 cxxopts::value<std::string>()->default_value("text"),
-                 "FORM")("author", "name in the history (BURDOCKPULLEY_AUTHOR)",
-                         cxxopts::value<std::string>(),
-                         "NAME")("base", "publish only over this revision",
-                                 cxxopts::value<std::uint64_t>(), "REVISION")(
+      "IP:PORT")("store-timeout-ms", "time for each call to the store",
+                 cxxopts::value<std::uint32_t>()->default_value("5000"), "MS")(
+      "output", "text or json",
+      cxxopts::value<std::string>()->default_value("text"),
+      "FORM")("author", "name in the history (BURDOCKPULLEY_AUTHOR)",
+              cxxopts::value<std::string>(),
+              "NAME")("base", "publish only over this revision",
+                      cxxopts::value<std::uint64_t>(), "REVISION")(
       "force", "publish although keys change owners all at once")(
       "help", "print this, or what a command does");
   Options.add_options("hidden")("command", "", cxxopts::value<std::string>())(
@@ -111,6 +113,8 @@
   if (Flags.count("arguments"))
     Line.m_arguments = Flags["arguments"].as<std::vector<std::string>>();
   Line.m_json = Flags["output"].as<std::string>() == "json";
+  Line.m_storeTimeout =
+      std::chrono::milliseconds(Flags["store-timeout-ms"].as<std::uint32_t>());
   Line.m_force = Flags.count("force") != 0;
   if (Flags.count("base"))
     Line.m_base = Revision(Flags["base"].as<std::uint64_t>());
--- a/src/burdockpulley/maintenance.cpp
+++ b/src/burdockpulley/maintenance.cpp
@@ -47,7 +47,7 @@
 /// conflict only means that it is made again on the newer revision.
 ExitCode publishEdit(const CommandLine &Line, const Maintenance &Order,
                      const Edit &Change) {
-  StoreSession Session(Line.m_platform);
+  StoreSession Session(Line.m_platform, Line.m_storeTimeout);
   for (int Conflicts = 0; Conflicts < MaxConflicts; ++Conflicts) {
     SetReader::Result Result = Session.readCurrent();
     if (const auto *Error = std::get_if<StoreError>(&Result))
--- a/src/burdockpulley/owner.cpp
+++ b/src/burdockpulley/owner.cpp
@@ -7,7 +7,7 @@
 
 ExitCode runOwner(const CommandLine &Line) {
   ServiceId Name(Line.m_arguments[0]);
-  StoreSession Session(Line.m_platform);
+  StoreSession Session(Line.m_platform, Line.m_storeTimeout);
   SetReader::Result Result = Session.readCurrent();
   if (const auto *Error = std::get_if<StoreError>(&Result))
     return printStoreError(Line, *Error);
--- a/src/burdockpulley/publish.cpp
+++ b/src/burdockpulley/publish.cpp
@@ -43,7 +43,7 @@
 } // namespace
 
 ExitCode runDiff(const CommandLine &Line) {
-  StoreSession Session(Line.m_platform);
+  StoreSession Session(Line.m_platform, Line.m_storeTimeout);
   SetReader::Result Result = Session.readCurrent();
   if (const auto *Error = std::get_if<StoreError>(&Result))
     return printStoreError(Line, *Error);
@@ -60,7 +60,7 @@
 }
 
 ExitCode runPublish(const CommandLine &Line) {
-  StoreSession Session(Line.m_platform);
+  StoreSession Session(Line.m_platform, Line.m_storeTimeout);
   SetReader::Result Result = Session.readCurrent();
   if (const auto *Error = std::get_if<StoreError>(&Result))
     return printStoreError(Line, *Error);
--- a/src/burdockpulley/store_session.cpp
+++ b/src/burdockpulley/store_session.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr Duration StoreTimeout{5'000'000};
-
 Publisher::Delay delayOn(event_base *Base) {
   return [Base](Duration Pause, std::function<void()> Then) {
     auto Run = [](int, short, void *Argument) {
@@ -29,8 +27,8 @@
   event_base_free(Base);
 }
 
-StoreSession::StoreSession(const Endpoint &Platform)
-    : m_base(event_base_new()), m_store(m_base.get(), Platform, StoreTimeout),
+StoreSession::StoreSession(const Endpoint &Platform, Duration CallTimeout)
+    : m_base(event_base_new()), m_store(m_base.get(), Platform, CallTimeout),
       m_reader(m_store), m_publisher(m_store, delayOn(m_base.get())) {}
 
 template <class Answer, class Start> Answer StoreSession::await(Start Begin) {
--- a/src/burdockpulley/store_session.h
+++ b/src/burdockpulley/store_session.h
@@ -17,7 +17,7 @@
 /// Thread safety: none.
 class StoreSession {
 public:
-  explicit StoreSession(const Endpoint &Platform);
+  StoreSession(const Endpoint &Platform, Duration CallTimeout);
 
   /// The set in force; see SetReader.
   SetReader::Result readCurrent();
--- a/src/include/burdockpulley/store.h
+++ b/src/include/burdockpulley/store.h
@@ -19,6 +19,7 @@
 enum class StoreError {
   Unreachable,  ///< Not sent: a write has certainly not taken effect.
   Unknown,      ///< Sent, no answer: a write may have taken effect.
+  Refused,      ///< Refused as a wrong call: it has not taken effect.
   BadAnswer,    ///< Answered with something that can not be read.
   LeaseExpired, ///< The lease is not there any more.
 };
@@ -27,6 +28,9 @@
 /// Thread safety: safe.
 const char *toString(StoreError Error);
 
+/// Largest value that the platform's store holds.
+constexpr std::size_t MaxStoreValueBytes = std::size_t(1) << 20;
+
 /// One key with its value.
 struct StoreEntry {
   std::string m_key;
--- a/src/libconfiguration/publisher.cpp
+++ b/src/libconfiguration/publisher.cpp
@@ -65,17 +65,17 @@
         Publication->m_firstChunk}},
       {{ConfigRootKey, Value, false, {}},
        {historyKey(Publication->m_root.m_revision), Value, false, {}}}};
-  m_store.commit(Change,
-                 [this, Publication](const StoreReply<StoreCommit> &Reply) {
-                   if (const auto *Error = std::get_if<StoreError>(&Reply)) {
-                     if (*Error == StoreError::Unreachable)
-                       return Publication->m_done(PublishError::Unreachable);
-                     return settle(Publication, SettleTries);
-                   }
-                   if (std::get<StoreCommit>(Reply).m_applied)
-                     return Publication->m_done(Publication->m_root.m_revision);
-                   Publication->m_done(PublishError::Conflict);
-                 });
+  m_store.commit(Change, [this,
+                          Publication](const StoreReply<StoreCommit> &Reply) {
+    if (const auto *Error = std::get_if<StoreError>(&Reply)) {
+      if (*Error == StoreError::Unreachable || *Error == StoreError::Refused)
+        return Publication->m_done(PublishError::Unreachable);
+      return settle(Publication, SettleTries);
+    }
+    if (std::get<StoreCommit>(Reply).m_applied)
+      return Publication->m_done(Publication->m_root.m_revision);
+    Publication->m_done(PublishError::Conflict);
+  });
 }
 
 void Publisher::settle(std::shared_ptr<Attempt> Publication, int TriesLeft) {
--- a/src/libplatform/etcd_server.cpp
+++ b/src/libplatform/etcd_server.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace burdockpulley {
 
 using nlohmann::json;
@@ -42,7 +44,7 @@
   return Write;
 }
 
-json answerTransaction(StoreState &State, const json &Call) {
+StoreTransaction decodeTransaction(const json &Call) {
   StoreTransaction Change;
   for (const json &Condition : Call.value("compare", json::array()))
     Change.m_conditions.push_back(
@@ -50,6 +52,17 @@
          StoreVersion(detail::readInt64(Condition, "mod_revision"))});
   for (const json &Operation : Call.value("success", json::array()))
     Change.m_writes.push_back(decodeWrite(Operation));
+  return Change;
+}
+
+bool tooLarge(const StoreTransaction &Change) {
+  return std::any_of(Change.m_writes.begin(), Change.m_writes.end(),
+                     [](const StoreWrite &Write) {
+                       return Write.m_value.size() > MaxStoreValueBytes;
+                     });
+}
+
+json answerTransaction(StoreState &State, const StoreTransaction &Change) {
   StoreCommit Commit = State.commit(Change);
   return {{"header", header(Commit.m_version)},
           {"succeeded", Commit.m_applied}};
@@ -82,9 +95,14 @@
   State.expire(Now);
   if (Path == detail::RangePath)
     Answer = answerRange(State, Call).dump();
-  else if (Path == detail::TxnPath)
-    Answer = answerTransaction(State, Call).dump();
-  else if (Path == detail::LeaseGrantPath)
+  else if (Path == detail::TxnPath) {
+    StoreTransaction Change = decodeTransaction(Call);
+    if (tooLarge(Change)) {
+      Answer = R"({"error":"a value is larger than 1 MiB"})";
+      return 400;
+    }
+    Answer = answerTransaction(State, Change).dump();
+  } else if (Path == detail::LeaseGrantPath)
     Answer = answerGrant(State, Call, Now).dump();
   else if (Path == detail::LeaseKeepAlivePath)
     Answer = answerKeepAlive(State, Call, Now).dump();
--- a/src/libplatform/etcd_store.cpp
+++ b/src/libplatform/etcd_store.cpp
@@ -99,6 +99,8 @@
                                                HttpResponse &&Response) {
                 if (Error != HttpError::None)
                   return Done(translate(Error));
+                if (Response.m_status >= 400 && Response.m_status < 500)
+                  return Done(StoreError::Refused);
                 // A gateway that is up before its store answers 5xx.
                 if (Response.m_status != 200)
                   return Done(StoreError::Unknown);
--- a/src/libplatform/platform_test.cpp
+++ b/src/libplatform/platform_test.cpp
@@ -76,3 +76,29 @@
   }
   event_base_free(Base);
 }
+
+BOOST_AUTO_TEST_CASE(a_value_beyond_the_platform_s_limit_is_refused) {
+  event_base *Base = event_base_new();
+  {
+    StoreState State;
+    HttpServer Server(Base, [&](HttpRequest &&Request, auto Responder) {
+      HttpResponse Response;
+      Response.m_status = answerEtcdCall(
+          State, Request.m_target, Request.m_body, Instant(), Response.m_body);
+      Responder->send(Response);
+    });
+    Endpoint Where{"127.0.0.1", 0};
+    Where.m_port = Server.listen(Where);
+    EtcdStore Store(Base, Where, Duration(5'000'000));
+    bool Answered = false;
+    StoreWrite Large{"k", std::string(MaxStoreValueBytes + 1, 'x'), false, {}};
+    Store.commit({{}, {Large}}, [&](const StoreReply<StoreCommit> &Reply) {
+      BOOST_TEST((std::get<StoreError>(Reply) == StoreError::Refused));
+      Answered = true;
+    });
+    while (!Answered)
+      event_base_loop(Base, EVLOOP_ONCE);
+    BOOST_TEST(State.read({"k", false, {}}).m_entries.empty());
+  }
+  event_base_free(Base);
+}
--- a/src/libplatform/store.cpp
+++ b/src/libplatform/store.cpp
@@ -8,6 +8,8 @@
     return "unreachable";
   case StoreError::Unknown:
     return "unknown";
+  case StoreError::Refused:
+    return "refused";
   case StoreError::BadAnswer:
     return "bad-answer";
   case StoreError::LeaseExpired:
--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -1,9 +1,8 @@
 // Stand-in for the platform's store: the etcd version 3 JSON protocol over a
-// map in memory. For tests only.
-#include "burdockpulley/etcd_store.h"
+// map in memory, with faults. For tests only.
 #include "burdockpulley/http.h"
-#include "burdockpulley/store_state.h"
 #include "standin.h"
+#include "store_faults.h"
 
 #include <cxxopts.hpp>
 #include <event2/event.h>
@@ -18,16 +17,9 @@
       cxxopts::value<std::string>()->default_value(""));
   cxxopts::ParseResult Flags = Options.parse(Count, Arguments);
   event_base *Base = event_base_new();
-  StoreState State;
-  std::uint64_t Calls = 0;
+  StoreFaults Faults(Base);
   HttpServer Server(Base, [&](HttpRequest &&Request, auto Responder) {
-    HttpResponse Response;
-    if (Request.m_target == "/standin/calls")
-      return Responder->send({200, {}, std::to_string(Calls)});
-    ++Calls;
-    Response.m_status = answerEtcdCall(State, Request.m_target, Request.m_body,
-                                       standinNow(), Response.m_body);
-    Responder->send(Response);
+    Faults.onRequest(std::move(Request), std::move(Responder));
   });
   std::uint16_t Port =
       Server.listen({"127.0.0.1", Flags["port"].as<std::uint16_t>()});
