host: operators' endpoints, metrics, and a store for trying out

--admin-listen serves /status, /metrics, /healthz and /readyz on an address of its own; the caller port has only the health checks.

With /metrics answered on the caller port too, and a lost host counted as healthy, tenants_do_not_reach_the_operators_pages and status_shows_every_host_and_what_it_lacks fail.

--- a/src/burdockpulley/command.h
+++ b/src/burdockpulley/command.h
@@ -20,6 +20,7 @@
   Unsettled = 5, ///< The outcome is not known.
   NotFound = 6,  ///< There is no such object, revision or key.
   Different = 7, ///< diff has found differences.
+  Degraded = 8,  ///< status has found a host that is missing or behind.
 };
 
 /// What an operator has asked for.
@@ -55,6 +56,7 @@
 ExitCode runHistory(const CommandLine &Line);
 ExitCode runRollback(const CommandLine &Line);
 ExitCode runOwner(const CommandLine &Line);
+ExitCode runStatus(const CommandLine &Line);
 
 } // namespace burdockpulley
 
--- a/src/burdockpulley/main.cpp
+++ b/src/burdockpulley/main.cpp
@@ -44,12 +44,17 @@
      false, true, runRollback},
     {"owner", "SERVICE KEY", "say which upstream owns a key", "", 2, false,
      true, runOwner},
+    {"status", "", "ask every entry host and print one screen",
+     "Asks the adminAddress of each declared host. Exit code 8 when one does "
+     "not answer,\nis not ready or has another revision than the store.",
+     0, false, true, runStatus},
 };
 
 constexpr const char *ExitCodeHelp =
     "Exit codes: 0 done, 1 faulty or refused declarations, 2 wrong command "
     "line,\n3 conflict, 4 store not reached, 5 outcome not known, 6 not "
-    "found,\n7 diff found differences. With 3 and 4 nothing has changed.\n";
+    "found,\n7 diff found differences, 8 status found a host missing or "
+    "behind.\nWith 3 and 4 nothing has changed.\n";
 
 std::string environment(const char *Name, const char *Default) {
   const char *Value = std::getenv(Name);
--- a/src/include/burdockpulley/testkit.h
+++ b/src/include/burdockpulley/testkit.h
@@ -57,6 +57,7 @@
     DomainId m_domain;
     Endpoint m_callers;
     Endpoint m_peers;
+    Endpoint m_admin;
     Endpoint m_peersProxy; ///< What the set declares; port 0 declares m_peers.
     std::unique_ptr<ChildProcess> m_process;
   };
@@ -118,6 +119,7 @@
   std::unique_ptr<ChildProcess> m_store;
   Endpoint m_storeAddress;
   std::map<std::string, Endpoint> m_storeOfDomain; ///< Where it is proxied.
+  bool m_embedded = false; ///< Hosts are started with an embedded store.
   std::string m_folder;
 
 private:
--- a/src/libhost/entry_host.cpp
+++ b/src/libhost/entry_host.cpp
@@ -1,5 +1,7 @@
 #include "burdockpulley/entry_host.h"
 
+#include "admin_driver.h"
+#include "burdockpulley/embedded_store.h"
 #include "burdockpulley/etcd_store.h"
 #include "burdockpulley/event_log.h"
 #include "front_driver.h"
@@ -43,7 +45,7 @@
 public:
   Impl(event_base *Base, const HostSettings &Settings)
       : m_base(Base), m_state(initialState(Settings)),
-        m_store(Base, Settings.m_platform, StoreTimeout),
+        m_store(openStore(Base, Settings), m_metrics),
         m_peers(Base, greeting(Settings), *this),
         m_peerKeys(Base, m_peers, Settings.m_peerKeys), m_pool(Base),
         m_keeper(Base, m_state, m_pool),
@@ -59,6 +61,7 @@
           onRequest(std::move(Request), std::move(Responder));
         }) {
     m_server.limitBody(MaxBodyBytes);
+    m_state.m_observer = &m_metrics;
   }
 
   bool start() {
@@ -67,15 +70,21 @@
       return false;
     std::uint16_t CallerPort = m_server.listen(Settings.m_listen);
     std::uint16_t PeerPort = m_peers.listen(Settings.m_peerListen);
-    if (CallerPort == 0 || PeerPort == 0) {
+    bool Admin = !Settings.m_adminListen.m_address.empty();
+    std::uint16_t AdminPort =
+        Admin ? m_admin.listen(Settings.m_adminListen) : 0;
+    if (CallerPort == 0 || PeerPort == 0 || (Admin && AdminPort == 0)) {
       logEvent(Severity::Error, "address-in-use",
                {{"listen", toString(Settings.m_listen)},
-                {"peerListen", toString(Settings.m_peerListen)}});
+                {"peerListen", toString(Settings.m_peerListen)},
+                {"adminListen", toString(Settings.m_adminListen)}});
       return false;
     }
-    writePorts(CallerPort, PeerPort);
+    writePorts(CallerPort, PeerPort, AdminPort);
     logEvent(Severity::Info, "started",
-             {{"port", CallerPort}, {"peerPort", PeerPort}});
+             {{"port", CallerPort},
+              {"peerPort", PeerPort},
+              {"adminPort", AdminPort}});
     return true;
   }
 
@@ -92,6 +101,7 @@
   }
 
   void onMessage(const HostId &From, wire::Message &&Message) override {
+    m_metrics.onPeerMessage();
     if (Message.__isset.forwardRequest)
       m_keeper.serve(
           From, std::move(Message.forwardRequest),
@@ -137,29 +147,45 @@
 
   void onRequest(HttpRequest &&Request,
                  std::shared_ptr<HttpResponder> Responder) {
-    if (Request.m_target == "/healthz")
-      return Responder->send(HttpResponse{200, {}, "ok\n"});
-    if (Request.m_target == "/readyz") {
-      bool Ready = !m_stopping && m_state.m_set->m_root.m_revision.value() > 0;
-      return Responder->send(HttpResponse{
-          Ready ? 200 : 503, {}, Ready ? "ready\n" : "not ready\n"});
-    }
+    if (Request.m_target == "/healthz" || Request.m_target == "/readyz")
+      return Responder->send(healthAnswer(Request.m_target, ready()));
     m_front.onRequest(std::move(Request), std::move(Responder), steadyNow());
   }
 
-  void writePorts(std::uint16_t CallerPort, std::uint16_t PeerPort) {
+  std::unique_ptr<Store> openStore(event_base *Base,
+                                   const HostSettings &Settings) {
+    if (!Settings.m_embedded)
+      return std::make_unique<EtcdStore>(Base, Settings.m_platform,
+                                         StoreTimeout);
+    logEvent(Severity::Warning, "embedded-store",
+             {{"warning", "NOT FOR PRODUCTION: nothing that is published or "
+                          "granted outlives this process"}});
+    auto Embedded = std::make_unique<EmbeddedStore>(Base, steadyNow);
+    m_embedded = &Embedded->state();
+    return Embedded;
+  }
+
+  bool ready() const {
+    return !m_stopping && m_state.m_set->m_root.m_revision.value() > 0;
+  }
+
+  void writePorts(std::uint16_t CallerPort, std::uint16_t PeerPort,
+                  std::uint16_t AdminPort) {
     const std::string &Path = m_state.m_settings.m_portFile;
     if (Path.empty())
       return;
     // Renamed into place, so that a reader never sees half a file.
     std::string Draft = Path + ".draft";
-    std::ofstream(Draft) << CallerPort << " " << PeerPort << "\n";
+    std::ofstream(Draft) << CallerPort << " " << PeerPort << " " << AdminPort
+                         << "\n";
     std::rename(Draft.c_str(), Path.c_str());
   }
 
   event_base *m_base;
   HostState m_state;
-  EtcdStore m_store;
+  HostMetrics m_metrics;
+  StoreState *m_embedded = nullptr;
+  MeteredStore m_store;
   PeerNetwork m_peers;
   PeerKeyDriver m_peerKeys;
   UpstreamPool m_pool;
@@ -170,6 +196,9 @@
   TableSpread m_spread;
   MembershipDriver m_members;
   HttpServer m_server;
+  AdminDriver m_admin{m_base,
+                      {m_state, m_peers, m_front, m_store, m_pool, m_metrics,
+                       m_embedded, [this] { return ready(); }}};
   bool m_stopping = false;
   std::unique_ptr<RepeatingTimer> m_stopTimer;
 };
--- a/src/libhost/front_driver.cpp
+++ b/src/libhost/front_driver.cpp
@@ -379,6 +379,12 @@
     return;
   std::shared_ptr<HttpResponder> Responder =
       std::move(Found->second.m_responder);
+  if (m_state.m_observer) {
+    std::string_view Word = Response.header("X-Burdockpulley-Outcome");
+    m_state.m_observer->onRequestEnded(Found->second.m_service,
+                                       Word.empty() ? "answered" : Word,
+                                       steadyNow() - Found->second.m_started);
+  }
   m_bytes -= Found->second.m_bytes;
   m_pending.erase(Found);
   Responder->send(Response);
--- a/src/libhost/host_state.h
+++ b/src/libhost/host_state.h
@@ -4,6 +4,7 @@
 #include "burdockpulley/configuration.h"
 #include "burdockpulley/ownership.h"
 #include "burdockpulley/settings.h"
+#include "request_observer.h"
 
 #include <memory>
 #include <set>
@@ -18,7 +19,8 @@
   std::shared_ptr<const PublishedSet> m_set =
       std::make_shared<const PublishedSet>();
   OwnershipTable m_ownership;
-  std::set<HostId> m_lostHosts; ///< Hosts that do not answer.
+  std::set<HostId> m_lostHosts;          ///< Hosts that do not answer.
+  RequestObserver *m_observer = nullptr; ///< May be null.
 
   const Declarations &declared() const { return m_set->m_declarations; }
 
--- a/src/libhost/settings.cpp
+++ b/src/libhost/settings.cpp
@@ -28,9 +28,9 @@
     return "";
   }
 
-  Endpoint endpoint(const std::string &Name) {
+  Endpoint endpoint(const std::string &Name, bool Required = true) {
     Endpoint Where;
-    std::string Text = text(Name, true);
+    std::string Text = text(Name, Required);
     if (!Text.empty() && !parseEndpoint(Text, Where))
       m_faults.push_back("--" + Name + " is " + Text +
                          "; write IP-ADDRESS:PORT");
@@ -51,6 +51,16 @@
     return All;
   }
 
+  /// Reads the store's address, or that it is inside the process.
+  void platform(HostSettings &Settings) {
+    Settings.m_embedded = text("platform", false) == "embedded";
+    if (!Settings.m_embedded)
+      Settings.m_platform = endpoint("platform");
+    else if (Settings.m_adminListen.m_address.empty())
+      m_faults.push_back("--platform embedded needs --admin-listen, where the "
+                         "command line reaches the store");
+  }
+
 private:
   static std::string variable(const std::string &Name) {
     std::string Variable = "BURDOCKPULLEY_";
@@ -74,9 +84,14 @@
       cxxopts::value<std::string>())("listen", "address for callers, IP:PORT",
                                      cxxopts::value<std::string>())(
       "peer-listen", "address for the other hosts, IP:PORT",
-      cxxopts::value<std::string>())("platform",
-                                     "address of the platform's store, IP:PORT",
-                                     cxxopts::value<std::string>())(
+      cxxopts::value<std::string>())(
+      "admin-listen",
+      "address for operators, IP:PORT; tenants must not reach it",
+      cxxopts::value<std::string>())(
+      "platform",
+      "address of the platform's store, IP:PORT; "
+      "or embedded, to try out on one host",
+      cxxopts::value<std::string>())(
       "seeds", "peers to ask while the store is down, IP:PORT,...",
       cxxopts::value<std::string>())("port-file",
                                      "file that gets the bound ports",
@@ -103,7 +118,8 @@
     Settings.m_domain = DomainId(Reader.text("failure-domain", true));
     Settings.m_listen = Reader.endpoint("listen");
     Settings.m_peerListen = Reader.endpoint("peer-listen");
-    Settings.m_platform = Reader.endpoint("platform");
+    Settings.m_adminListen = Reader.endpoint("admin-listen", false);
+    Reader.platform(Settings);
     Settings.m_seeds = Reader.endpoints("seeds");
     Settings.m_peerKeys = Reader.text("peer-keys", false);
     Settings.m_portFile = Reader.text("port-file", false);
@@ -124,8 +140,13 @@
          "\nfailure-domain=" + Settings.m_domain.value() +
          "\nlisten=" + toString(Settings.m_listen) +
          "\npeer-listen=" + toString(Settings.m_peerListen) +
-         "\nplatform=" + toString(Settings.m_platform) + "\nseeds=" + Seeds +
-         "\nport-file=" + Settings.m_portFile + "\n";
+         "\nadmin-listen=" +
+         (Settings.m_adminListen.m_address.empty()
+              ? ""
+              : toString(Settings.m_adminListen)) +
+         "\nplatform=" +
+         (Settings.m_embedded ? "embedded" : toString(Settings.m_platform)) +
+         "\nseeds=" + Seeds + "\nport-file=" + Settings.m_portFile + "\n";
 }
 
 } // namespace burdockpulley
--- a/src/libtestkit/deployment.cpp
+++ b/src/libtestkit/deployment.cpp
@@ -94,6 +94,7 @@
   Row.m_domain = DomainId(Domain);
   Row.m_callers.m_address = Loopback;
   Row.m_peers.m_address = Loopback;
+  Row.m_admin.m_address = Loopback;
   std::string PortFile = file(Name + ".port");
   auto Proxied = m_storeOfDomain.find(Domain);
   const Endpoint &Store =
@@ -103,11 +104,13 @@
       std::vector<std::string>{
           "--host", Name, "--failure-domain", Domain, "--listen",
           toString(Row.m_callers), "--peer-listen", toString(Row.m_peers),
-          "--platform", toString(Store), "--port-file", PortFile},
+          "--admin-listen", toString(Row.m_admin), "--platform",
+          m_embedded ? "embedded" : toString(Store), "--port-file", PortFile},
       file(Name + ".log"));
-  std::vector<std::uint16_t> Ports = readPorts(PortFile, 2);
+  std::vector<std::uint16_t> Ports = readPorts(PortFile, 3);
   Row.m_callers.m_port = Ports[0];
   Row.m_peers.m_port = Ports[1];
+  Row.m_admin.m_port = Ports[2];
   return Row;
 }
 
@@ -179,10 +182,12 @@
   for (FailureDomain &Domain : Set.m_domains) {
     Domain.m_hosts.clear();
     for (const auto &[Name, Row] : m_hosts)
-      if (Row.m_domain == Domain.m_name)
+      if (Row.m_domain == Domain.m_name) {
         Domain.m_hosts.push_back({Row.m_name, Row.m_peersProxy.m_port
                                                   ? Row.m_peersProxy
                                                   : Row.m_peers});
+        Domain.m_hosts.back().m_adminAddress = Row.m_admin;
+      }
   }
   Set.m_upstreams.clear();
   for (const auto &[Name, Row] : m_upstreams) {
