host: keepers by record, leases by the upstream's clock, releases by CAS

The ownership driver carries out what KeepingSystem decides: keeper records in the store with epochs, one order a tick to each upstream, releases of silent or left-behind partitions, and, while contact with the store is late, questions to all hosts whose majority stands in for it. The first three hosts in rank give partitions owners and start the planned moves; only the compare-and-swap counts. The upstream stand-in follows GrantGuard, tells partitions that are still in work, refuses queued work that lost its owner, and logs orders, runs and tokens (--grant-log).

--- a/src/include/burdockpulley/keeping.h
+++ b/src/include/burdockpulley/keeping.h
@@ -84,6 +84,7 @@
     KeeperRecord m_record;
     StoreVersion m_since; ///< The store's version with this epoch or later.
     std::optional<std::uint64_t> m_underWay;
+    Instant m_sent{};
   };
   /// A release whose outcome does not show in the tables yet.
   struct Release {
--- a/src/libhost/entry_host.cpp
+++ b/src/libhost/entry_host.cpp
@@ -50,8 +50,11 @@
         m_peerKeys(Base, m_peers, Settings.m_peerKeys), m_pool(Base),
         m_keeper(Base, m_state, m_pool),
         m_front(Base, m_state, m_peers, m_keeper),
-        m_ownership(Base, m_store, m_state, m_pool),
-        m_follower(Base, m_store, m_state, [this] { onTablesChanged(); }),
+        m_ownership(Base, m_store, m_state, m_pool, m_peers,
+                    [this] { m_follower.poll(); }),
+        m_follower(
+            Base, m_store, m_state, [this] { onTablesChanged(); },
+            [this](Instant Began) { m_ownership.onContact(Began); }),
         m_spread(Base, m_state, m_peers, [this] { onTablesChanged(); }),
         m_members(
             Base, m_state, m_peers, m_spread,
@@ -125,6 +128,10 @@
       m_spread.onPull(From, Message.tablePull);
     else if (Message.__isset.tablePush)
       m_spread.onPush(Message.tablePush);
+    else if (Message.__isset.versionAsk)
+      m_ownership.onQuestion(From, Message.versionAsk);
+    else if (Message.__isset.versionAnswer)
+      m_ownership.onAnswer(From, std::move(Message.versionAnswer));
   }
 
   void onPeerLost(const HostId &Peer) override {
--- a/src/libhost/host_state.cpp
+++ b/src/libhost/host_state.cpp
@@ -14,6 +14,9 @@
 }
 
 HostId HostState::keeperOf(const Upstream &Which) const {
+  const KeeperRecord *Record = m_keepers.find(Which.m_domain, Which.m_name);
+  if (Record)
+    return Record->m_host;
   std::vector<HostId> Live = liveHosts(Which.m_domain);
   const HostId *Keeper = chooseKeeper(Which.m_name, Live);
   return Keeper ? *Keeper : HostId();
--- a/src/libhost/host_state.h
+++ b/src/libhost/host_state.h
@@ -2,6 +2,7 @@
 #define BURDOCKPULLEY_LIBHOST_HOST_STATE_H
 
 #include "burdockpulley/configuration.h"
+#include "burdockpulley/keepers.h"
 #include "burdockpulley/ownership.h"
 #include "burdockpulley/settings.h"
 #include "request_observer.h"
@@ -19,7 +20,9 @@
   std::shared_ptr<const PublishedSet> m_set =
       std::make_shared<const PublishedSet>();
   OwnershipTable m_ownership;
-  std::set<HostId> m_lostHosts;          ///< Hosts that do not answer.
+  KeeperTable m_keepers;
+  StoreVersion m_tablesSeen;    ///< Owners and keepers are complete up to here.
+  std::set<HostId> m_lostHosts; ///< Hosts that do not answer.
   RequestObserver *m_observer = nullptr; ///< May be null.
 
   const Declarations &declared() const { return m_set->m_declarations; }
@@ -27,7 +30,8 @@
   /// Hosts of a failure domain that are not known to be lost.
   std::vector<HostId> liveHosts(const DomainId &Domain) const;
 
-  /// The host that keeps an upstream; empty when its domain has none.
+  /// The host that keeps an upstream: the recorded one or, when there is no
+  /// record, the preferred one. Empty when its domain has none.
   HostId keeperOf(const Upstream &Which) const;
 };
 
--- a/src/libhost/ownership_driver.h
+++ b/src/libhost/ownership_driver.h
@@ -5,29 +5,67 @@
 #include "host_state.h"
 #include "upstream_pool.h"
 
+#include "burdockpulley/keeping.h"
+#include "burdockpulley/peer.h"
+#include "burdockpulley/placement.h"
+
+#include <functional>
+
 namespace burdockpulley {
 
-/// Carries out what the ownership code decides: writes first owners to the
-/// store, and sends grants to the upstreams that this host keeps.
+namespace wire {
+class VersionAnswer;
+class VersionAsk;
+} // namespace wire
+
+/// Carries out what the ownership code decides: commits to the store, orders
+/// to the upstreams that this host keeps, and questions to the other hosts.
 ///
 /// Thread safety: none; it belongs to the loop's thread.
 class OwnershipDriver {
 public:
+  /// \p Committed runs when the store has something new to read.
   OwnershipDriver(event_base *Base, Store &Target, HostState &State,
-                  UpstreamPool &Pool);
+                  UpstreamPool &Pool, PeerNetwork &Peers,
+                  std::function<void()> Committed);
 
   /// Looks for work at once; called when the tables have changed.
   void wake();
 
+  /// A read of the store that was sent at \p Began has been taken over.
+  void onContact(Instant Began);
+
+  /// Another host asks how far this one has seen the store.
+  void onQuestion(const HostId &From, const wire::VersionAsk &Question);
+  void onAnswer(const HostId &From, wire::VersionAnswer &&Answer);
+
 private:
-  void assignOwners();
-  void renewGrants();
-  void sendGrants(const Upstream &Which);
+  KeepingSystem::Tables tables() const;
+  void tick(Instant Now);
+  void coordinate(Instant Now);
+  std::size_t coordinatorRank() const;
+  void commitAll(const std::vector<StoreTransaction> &Plan,
+                 std::size_t &Waiting);
+  void onCommit(const StoreTransaction &Change,
+                const StoreReply<StoreCommit> &Reply);
+  void ask(const VersionQuestion &Question);
+  void send(const KeepingSystem::Sending &What);
+  void onOrderEnd(const UpstreamId &Name, const GrantOrder &Order, bool Checks,
+                  HttpError Error, const HttpResponse &Response);
 
   Store &m_store;
   HostState &m_state;
   UpstreamPool &m_pool;
-  std::size_t m_writing = 0;
+  PeerNetwork &m_peers;
+  std::function<void()> m_committed;
+  KeepingSystem m_keeping;
+  Placement m_placement;
+  LoadTable m_loads;
+  std::size_t m_keeperWrites = 0;
+  std::size_t m_releaseWrites = 0;
+  std::size_t m_coordinatorWrites = 0;
+  std::optional<Instant> m_workSince;
+  std::optional<Instant> m_lastPlan;
   RepeatingTimer m_timer;
 };
 
--- a/src/libhost/store_follower.cpp
+++ b/src/libhost/store_follower.cpp
@@ -9,9 +9,10 @@
 } // namespace
 
 StoreFollower::StoreFollower(event_base *Base, Store &Source, HostState &State,
-                             std::function<void()> Changed)
+                             std::function<void()> Changed,
+                             std::function<void(Instant)> Contact)
     : m_store(Source), m_reader(Source), m_state(State),
-      m_changed(std::move(Changed)),
+      m_changed(std::move(Changed)), m_contact(std::move(Contact)),
       m_timer(Base, PollInterval, [this](Instant) { poll(); }) {}
 
 void StoreFollower::poll() {
@@ -19,23 +20,27 @@
     return;
   m_reading = true;
   StoreVersion Since(m_seen.value() + 1);
+  // Whoever acts on what was read counts from before the send.
+  Instant Began = steadyNow();
   m_store.read({LivePrefix, true, Since},
-               [this](const StoreReply<StoreRange> &Reply) {
+               [this, Began](const StoreReply<StoreRange> &Reply) {
                  m_reading = false;
-                 if (const auto *Range = std::get_if<StoreRange>(&Reply))
-                   onRange(*Range);
+                 const auto *Range = std::get_if<StoreRange>(&Reply);
+                 if (!Range || Range->m_version < m_state.m_tablesSeen)
+                   return;
+                 onRange(*Range);
+                 m_contact(Began);
                });
 }
 
 void StoreFollower::onRange(const StoreRange &Range) {
-  if (Range.m_version < m_seen)
-    return;
   m_seen = Range.m_version;
+  m_state.m_tablesSeen = std::max(m_state.m_tablesSeen, Range.m_version);
   for (const StoreEntry &Entry : Range.m_entries) {
     if (Entry.m_key == ConfigRootKey)
       onRoot(Entry);
-    else
-      m_state.m_ownership.apply(Entry);
+    else if (!m_state.m_ownership.apply(Entry))
+      m_state.m_keepers.apply(Entry, steadyNow());
   }
   if (!Range.m_entries.empty())
     m_changed();
--- a/src/libhost/store_follower.h
+++ b/src/libhost/store_follower.h
@@ -14,12 +14,16 @@
 /// Thread safety: none; it belongs to the loop's thread.
 class StoreFollower {
 public:
-  /// \p Changed runs after each read that brought something.
+  /// \p Changed runs after each read that brought something, \p Contact with
+  /// the time before the send of each read that was answered.
   StoreFollower(event_base *Base, Store &Source, HostState &State,
-                std::function<void()> Changed);
+                std::function<void()> Changed,
+                std::function<void(Instant Began)> Contact);
 
-private:
+  /// Reads at once, unless a read is under way.
   void poll();
+
+private:
   void onRange(const StoreRange &Range);
   void onRoot(const StoreEntry &Entry);
 
@@ -27,6 +31,7 @@
   SetReader m_reader;
   HostState &m_state;
   std::function<void()> m_changed;
+  std::function<void(Instant)> m_contact;
   StoreVersion m_seen;
   bool m_reading = false;
   RepeatingTimer m_timer;
--- a/src/libhost/table_spread.cpp
+++ b/src/libhost/table_spread.cpp
@@ -27,6 +27,9 @@
                          Chunk.m_version});
     }
   }
+  for (const auto &[Domain, Row] : m_state.m_keepers.domains())
+    Entries.push_back({keepersKey(Domain), WithValues ? encodeKeepers(Row) : "",
+                       Row.m_version});
   return Entries;
 }
 
@@ -143,9 +146,11 @@
 
 void TableSpread::onPush(const wire::TablePush &Newer) {
   bool Changed = false;
-  for (const wire::TableEntry &Each : Newer.entries)
-    Changed |= m_state.m_ownership.apply(
-        {Each.key, Each.value, StoreVersion(Each.version)});
+  for (const wire::TableEntry &Each : Newer.entries) {
+    StoreEntry Entry{Each.key, Each.value, StoreVersion(Each.version)};
+    Changed |= m_state.m_ownership.apply(Entry) ||
+               m_state.m_keepers.apply(Entry, steadyNow());
+  }
   if (Changed)
     m_changed();
 }
--- a/src/libownership/keeping_system.cpp
+++ b/src/libownership/keeping_system.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Duration GrantLease{1'000'000};
+/// An order whose outcome was not told by then has failed.
+constexpr Duration OrderTimeout{1'000'000};
 constexpr Duration QuestionInterval{200'000};
 /// Contact older than this is asked for among the other hosts.
 constexpr Duration LateContact{600'000};
@@ -82,6 +84,7 @@
            UpstreamLease(Record.m_epoch, GrantLease, Checks, m_rules),
            Record,
            In.m_keepers.domain(Domain).m_version,
+           {},
            {}};
   m_kept.insert_or_assign(Name, std::move(Row));
 }
@@ -260,6 +263,10 @@
   refresh(In, Now);
   std::vector<Sending> Plan;
   for (auto &[Name, Row] : m_kept) {
+    if (Row.m_underWay && Now - Row.m_sent >= OrderTimeout) {
+      Row.m_underWay.reset();
+      Row.m_lease.onFailure();
+    }
     bool Allowed =
         m_authority.holds(Row.m_record.m_hold, Now) && Row.m_lease.maySend(Now);
     if (!Allowed || Row.m_underWay)
@@ -267,6 +274,7 @@
     GrantOrder Order =
         Row.m_lease.prepare(m_self.value(), wanted(Name, Row, In), Now);
     Row.m_underWay = Order.m_sequence;
+    Row.m_sent = Now;
     Plan.push_back({Name, std::move(Order)});
   }
   return Plan;
--- a/src/libpeer/gen/peer_types.cpp
+++ b/src/libpeer/gen/peer_types.cpp
@@ -2371,6 +2371,439 @@
 }
 
 
+VersionAsk::~VersionAsk() noexcept {
+}
+
+
+void VersionAsk::__set_round(const int64_t val) {
+  this->round = val;
+}
+
+void VersionAsk::__set_seen(const int64_t val) {
+  this->seen = val;
+}
+std::ostream& operator<<(std::ostream& out, const VersionAsk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VersionAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->seen);
+          this->__isset.seen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VersionAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VersionAsk");
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("seen", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->seen);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VersionAsk &a, VersionAsk &b) {
+  using ::std::swap;
+  swap(a.round, b.round);
+  swap(a.seen, b.seen);
+  swap(a.__isset, b.__isset);
+}
+
+VersionAsk::VersionAsk(const VersionAsk& other88) noexcept {
+  round = other88.round;
+  seen = other88.seen;
+  __isset = other88.__isset;
+}
+VersionAsk::VersionAsk(VersionAsk&& other89) noexcept {
+  round = other89.round;
+  seen = other89.seen;
+  __isset = other89.__isset;
+}
+VersionAsk& VersionAsk::operator=(const VersionAsk& other90) noexcept {
+  round = other90.round;
+  seen = other90.seen;
+  __isset = other90.__isset;
+  return *this;
+}
+VersionAsk& VersionAsk::operator=(VersionAsk&& other91) noexcept {
+  round = other91.round;
+  seen = other91.seen;
+  __isset = other91.__isset;
+  return *this;
+}
+void VersionAsk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VersionAsk(";
+  out << "round=" << to_string(round);
+  out << ", " << "seen=" << to_string(seen);
+  out << ")";
+}
+
+
+SeenEntry::~SeenEntry() noexcept {
+}
+
+
+void SeenEntry::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void SeenEntry::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void SeenEntry::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const SeenEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SeenEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SeenEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SeenEntry");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SeenEntry &a, SeenEntry &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+SeenEntry::SeenEntry(const SeenEntry& other92) {
+  key = other92.key;
+  value = other92.value;
+  version = other92.version;
+  __isset = other92.__isset;
+}
+SeenEntry::SeenEntry(SeenEntry&& other93) noexcept {
+  key = std::move(other93.key);
+  value = std::move(other93.value);
+  version = other93.version;
+  __isset = other93.__isset;
+}
+SeenEntry& SeenEntry::operator=(const SeenEntry& other94) {
+  key = other94.key;
+  value = other94.value;
+  version = other94.version;
+  __isset = other94.__isset;
+  return *this;
+}
+SeenEntry& SeenEntry::operator=(SeenEntry&& other95) noexcept {
+  key = std::move(other95.key);
+  value = std::move(other95.value);
+  version = other95.version;
+  __isset = other95.__isset;
+  return *this;
+}
+void SeenEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SeenEntry(";
+  out << "key=" << to_string(key);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+VersionAnswer::~VersionAnswer() noexcept {
+}
+
+
+void VersionAnswer::__set_round(const int64_t val) {
+  this->round = val;
+}
+
+void VersionAnswer::__set_seen(const int64_t val) {
+  this->seen = val;
+}
+
+void VersionAnswer::__set_entries(const std::vector<SeenEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const VersionAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VersionAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->seen);
+          this->__isset.seen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _etype99;
+            xfer += iprot->readListBegin(_etype99, _size96);
+            this->entries.resize(_size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
+            {
+              xfer += this->entries[_i100].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VersionAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VersionAnswer");
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("seen", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->seen);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<SeenEntry> ::const_iterator _iter101;
+    for (_iter101 = this->entries.begin(); _iter101 != this->entries.end(); ++_iter101)
+    {
+      xfer += (*_iter101).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VersionAnswer &a, VersionAnswer &b) {
+  using ::std::swap;
+  swap(a.round, b.round);
+  swap(a.seen, b.seen);
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+VersionAnswer::VersionAnswer(const VersionAnswer& other102) {
+  round = other102.round;
+  seen = other102.seen;
+  entries = other102.entries;
+  __isset = other102.__isset;
+}
+VersionAnswer::VersionAnswer(VersionAnswer&& other103) noexcept {
+  round = other103.round;
+  seen = other103.seen;
+  entries = std::move(other103.entries);
+  __isset = other103.__isset;
+}
+VersionAnswer& VersionAnswer::operator=(const VersionAnswer& other104) {
+  round = other104.round;
+  seen = other104.seen;
+  entries = other104.entries;
+  __isset = other104.__isset;
+  return *this;
+}
+VersionAnswer& VersionAnswer::operator=(VersionAnswer&& other105) noexcept {
+  round = other105.round;
+  seen = other105.seen;
+  entries = std::move(other105.entries);
+  __isset = other105.__isset;
+  return *this;
+}
+void VersionAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VersionAnswer(";
+  out << "round=" << to_string(round);
+  out << ", " << "seen=" << to_string(seen);
+  out << ", " << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -2419,6 +2852,16 @@
   this->tablePush = val;
 __isset.tablePush = true;
 }
+
+void Message::__set_versionAsk(const VersionAsk& val) {
+  this->versionAsk = val;
+__isset.versionAsk = true;
+}
+
+void Message::__set_versionAnswer(const VersionAnswer& val) {
+  this->versionAnswer = val;
+__isset.versionAnswer = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -2519,6 +2962,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->versionAsk.read(iprot);
+          this->__isset.versionAsk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->versionAnswer.read(iprot);
+          this->__isset.versionAnswer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2581,6 +3040,16 @@
     xfer += this->tablePush.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.versionAsk) {
+    xfer += oprot->writeFieldBegin("versionAsk", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->versionAsk.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.versionAnswer) {
+    xfer += oprot->writeFieldBegin("versionAnswer", ::apache::thrift::protocol::T_STRUCT, 21);
+    xfer += this->versionAnswer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2597,57 +3066,67 @@
   swap(a.configPush, b.configPush);
   swap(a.tablePull, b.tablePull);
   swap(a.tablePush, b.tablePush);
+  swap(a.versionAsk, b.versionAsk);
+  swap(a.versionAnswer, b.versionAnswer);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other88) {
-  hello = other88.hello;
-  forwardRequest = other88.forwardRequest;
-  forwardReply = other88.forwardReply;
-  forwardCancel = other88.forwardCancel;
-  member = other88.member;
-  configPull = other88.configPull;
-  configPush = other88.configPush;
-  tablePull = other88.tablePull;
-  tablePush = other88.tablePush;
-  __isset = other88.__isset;
-}
-Message::Message(Message&& other89) noexcept {
-  hello = std::move(other89.hello);
-  forwardRequest = std::move(other89.forwardRequest);
-  forwardReply = std::move(other89.forwardReply);
-  forwardCancel = std::move(other89.forwardCancel);
-  member = std::move(other89.member);
-  configPull = std::move(other89.configPull);
-  configPush = std::move(other89.configPush);
-  tablePull = std::move(other89.tablePull);
-  tablePush = std::move(other89.tablePush);
-  __isset = other89.__isset;
-}
-Message& Message::operator=(const Message& other90) {
-  hello = other90.hello;
-  forwardRequest = other90.forwardRequest;
-  forwardReply = other90.forwardReply;
-  forwardCancel = other90.forwardCancel;
-  member = other90.member;
-  configPull = other90.configPull;
-  configPush = other90.configPush;
-  tablePull = other90.tablePull;
-  tablePush = other90.tablePush;
-  __isset = other90.__isset;
+Message::Message(const Message& other106) {
+  hello = other106.hello;
+  forwardRequest = other106.forwardRequest;
+  forwardReply = other106.forwardReply;
+  forwardCancel = other106.forwardCancel;
+  member = other106.member;
+  configPull = other106.configPull;
+  configPush = other106.configPush;
+  tablePull = other106.tablePull;
+  tablePush = other106.tablePush;
+  versionAsk = other106.versionAsk;
+  versionAnswer = other106.versionAnswer;
+  __isset = other106.__isset;
+}
+Message::Message(Message&& other107) noexcept {
+  hello = std::move(other107.hello);
+  forwardRequest = std::move(other107.forwardRequest);
+  forwardReply = std::move(other107.forwardReply);
+  forwardCancel = std::move(other107.forwardCancel);
+  member = std::move(other107.member);
+  configPull = std::move(other107.configPull);
+  configPush = std::move(other107.configPush);
+  tablePull = std::move(other107.tablePull);
+  tablePush = std::move(other107.tablePush);
+  versionAsk = std::move(other107.versionAsk);
+  versionAnswer = std::move(other107.versionAnswer);
+  __isset = other107.__isset;
+}
+Message& Message::operator=(const Message& other108) {
+  hello = other108.hello;
+  forwardRequest = other108.forwardRequest;
+  forwardReply = other108.forwardReply;
+  forwardCancel = other108.forwardCancel;
+  member = other108.member;
+  configPull = other108.configPull;
+  configPush = other108.configPush;
+  tablePull = other108.tablePull;
+  tablePush = other108.tablePush;
+  versionAsk = other108.versionAsk;
+  versionAnswer = other108.versionAnswer;
+  __isset = other108.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other91) noexcept {
-  hello = std::move(other91.hello);
-  forwardRequest = std::move(other91.forwardRequest);
-  forwardReply = std::move(other91.forwardReply);
-  forwardCancel = std::move(other91.forwardCancel);
-  member = std::move(other91.member);
-  configPull = std::move(other91.configPull);
-  configPush = std::move(other91.configPush);
-  tablePull = std::move(other91.tablePull);
-  tablePush = std::move(other91.tablePush);
-  __isset = other91.__isset;
+Message& Message::operator=(Message&& other109) noexcept {
+  hello = std::move(other109.hello);
+  forwardRequest = std::move(other109.forwardRequest);
+  forwardReply = std::move(other109.forwardReply);
+  forwardCancel = std::move(other109.forwardCancel);
+  member = std::move(other109.member);
+  configPull = std::move(other109.configPull);
+  configPush = std::move(other109.configPush);
+  tablePull = std::move(other109.tablePull);
+  tablePush = std::move(other109.tablePush);
+  versionAsk = std::move(other109.versionAsk);
+  versionAnswer = std::move(other109.versionAnswer);
+  __isset = other109.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -2662,6 +3141,8 @@
   out << ", " << "configPush="; (__isset.configPush ? (out << to_string(configPush)) : (out << "<null>"));
   out << ", " << "tablePull="; (__isset.tablePull ? (out << to_string(tablePull)) : (out << "<null>"));
   out << ", " << "tablePush="; (__isset.tablePush ? (out << to_string(tablePush)) : (out << "<null>"));
+  out << ", " << "versionAsk="; (__isset.versionAsk ? (out << to_string(versionAsk)) : (out << "<null>"));
+  out << ", " << "versionAnswer="; (__isset.versionAnswer ? (out << to_string(versionAnswer)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libpeer/gen/peer_types.h
+++ b/src/libpeer/gen/peer_types.h
@@ -47,6 +47,12 @@
 
 class TablePush;
 
+class VersionAsk;
+
+class SeenEntry;
+
+class VersionAnswer;
+
 class Message;
 
 typedef struct _Header__isset {
@@ -922,8 +928,177 @@
 
 std::ostream& operator<<(std::ostream& out, const TablePush& obj);
 
+typedef struct _VersionAsk__isset {
+  _VersionAsk__isset() : round(false), seen(false) {}
+  bool round :1;
+  bool seen :1;
+} _VersionAsk__isset;
+
+class VersionAsk : public virtual ::apache::thrift::TBase {
+ public:
+
+  VersionAsk(const VersionAsk&) noexcept;
+  VersionAsk(VersionAsk&&) noexcept;
+  VersionAsk& operator=(const VersionAsk&) noexcept;
+  VersionAsk& operator=(VersionAsk&&) noexcept;
+  VersionAsk() noexcept
+             : round(0),
+               seen(0) {
+  }
+
+  virtual ~VersionAsk() noexcept;
+  int64_t round;
+  int64_t seen;
+
+  _VersionAsk__isset __isset;
+
+  void __set_round(const int64_t val);
+
+  void __set_seen(const int64_t val);
+
+  bool operator == (const VersionAsk & rhs) const
+  {
+    if (!(round == rhs.round))
+      return false;
+    if (!(seen == rhs.seen))
+      return false;
+    return true;
+  }
+  bool operator != (const VersionAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VersionAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VersionAsk &a, VersionAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const VersionAsk& obj);
+
+typedef struct _SeenEntry__isset {
+  _SeenEntry__isset() : key(false), value(false), version(false) {}
+  bool key :1;
+  bool value :1;
+  bool version :1;
+} _SeenEntry__isset;
+
+class SeenEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  SeenEntry(const SeenEntry&);
+  SeenEntry(SeenEntry&&) noexcept;
+  SeenEntry& operator=(const SeenEntry&);
+  SeenEntry& operator=(SeenEntry&&) noexcept;
+  SeenEntry() noexcept
+            : key(),
+              value(),
+              version(0) {
+  }
+
+  virtual ~SeenEntry() noexcept;
+  std::string key;
+  std::string value;
+  int64_t version;
+
+  _SeenEntry__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const SeenEntry & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const SeenEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SeenEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SeenEntry &a, SeenEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const SeenEntry& obj);
+
+typedef struct _VersionAnswer__isset {
+  _VersionAnswer__isset() : round(false), seen(false), entries(false) {}
+  bool round :1;
+  bool seen :1;
+  bool entries :1;
+} _VersionAnswer__isset;
+
+class VersionAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  VersionAnswer(const VersionAnswer&);
+  VersionAnswer(VersionAnswer&&) noexcept;
+  VersionAnswer& operator=(const VersionAnswer&);
+  VersionAnswer& operator=(VersionAnswer&&) noexcept;
+  VersionAnswer() noexcept
+                : round(0),
+                  seen(0) {
+  }
+
+  virtual ~VersionAnswer() noexcept;
+  int64_t round;
+  int64_t seen;
+  std::vector<SeenEntry>  entries;
+
+  _VersionAnswer__isset __isset;
+
+  void __set_round(const int64_t val);
+
+  void __set_seen(const int64_t val);
+
+  void __set_entries(const std::vector<SeenEntry> & val);
+
+  bool operator == (const VersionAnswer & rhs) const
+  {
+    if (!(round == rhs.round))
+      return false;
+    if (!(seen == rhs.seen))
+      return false;
+    if (!(entries == rhs.entries))
+      return false;
+    return true;
+  }
+  bool operator != (const VersionAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VersionAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VersionAnswer &a, VersionAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const VersionAnswer& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : hello(false), forwardRequest(false), forwardReply(false), forwardCancel(false), member(false), configPull(false), configPush(false), tablePull(false), tablePush(false) {}
+  _Message__isset() : hello(false), forwardRequest(false), forwardReply(false), forwardCancel(false), member(false), configPull(false), configPush(false), tablePull(false), tablePush(false), versionAsk(false), versionAnswer(false) {}
   bool hello :1;
   bool forwardRequest :1;
   bool forwardReply :1;
@@ -933,6 +1108,8 @@
   bool configPush :1;
   bool tablePull :1;
   bool tablePush :1;
+  bool versionAsk :1;
+  bool versionAnswer :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -955,6 +1132,8 @@
   ConfigPush configPush;
   TablePull tablePull;
   TablePush tablePush;
+  VersionAsk versionAsk;
+  VersionAnswer versionAnswer;
 
   _Message__isset __isset;
 
@@ -976,6 +1155,10 @@
 
   void __set_tablePush(const TablePush& val);
 
+  void __set_versionAsk(const VersionAsk& val);
+
+  void __set_versionAnswer(const VersionAnswer& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1014,6 +1197,14 @@
       return false;
     else if (__isset.tablePush && !(tablePush == rhs.tablePush))
       return false;
+    if (__isset.versionAsk != rhs.__isset.versionAsk)
+      return false;
+    else if (__isset.versionAsk && !(versionAsk == rhs.versionAsk))
+      return false;
+    if (__isset.versionAnswer != rhs.__isset.versionAnswer)
+      return false;
+    else if (__isset.versionAnswer && !(versionAnswer == rhs.versionAnswer))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/src/libpeer/peer.thrift
+++ b/src/libpeer/peer.thrift
@@ -104,6 +104,26 @@
   1: list<TableEntry> entries,
 }
 
+// How far has the receiver seen the store? The asker's tables are complete up
+// to this version.
+struct VersionAsk {
+  1: i64 round,
+  2: i64 seen,
+}
+
+// An entry of the store that the asker has not seen.
+struct SeenEntry {
+  1: string key,
+  2: binary value,
+  3: i64 version,
+}
+
+struct VersionAnswer {
+  1: i64 round,
+  2: i64 seen,
+  3: list<SeenEntry> entries,
+}
+
 union Message {
   1: Hello hello,
   2: ForwardRequest forwardRequest,
@@ -114,4 +134,6 @@
   7: ConfigPush configPush,
   8: TablePull tablePull,
   9: TablePush tablePush,
+  20: VersionAsk versionAsk,
+  21: VersionAnswer versionAnswer,
 }
--- a/src/standins/upstream_standin.cpp
+++ b/src/standins/upstream_standin.cpp
@@ -1,5 +1,7 @@
 // Stand-in for an upstream: takes fenced grants, runs requests on a fixed
 // number of slots, and writes down each run. For tests only.
+#include "burdockpulley/grants.h"
+#include "burdockpulley/hashing.h"
 #include "burdockpulley/http.h"
 #include "standin.h"
 
@@ -24,6 +26,7 @@
   Duration m_serviceTime;
   bool m_keyed = false;
   std::string m_runLog;
+  std::string m_grantLog;
 };
 
 std::uint64_t number(std::string_view Text) {
@@ -32,40 +35,19 @@
   return Value;
 }
 
-/// The partitions that this upstream owns, until its lease ends.
-class GrantTable {
-public:
-  void apply(const json &Order, Instant Now) {
-    m_end = Now + std::chrono::milliseconds(Order.value("leaseMs", 0));
-    m_tokens.clear();
-    for (const json &Grant : Order.at("grants"))
-      m_tokens[Grant.at(0).get<std::uint64_t>()] =
-          Grant.at(1).get<std::uint64_t>();
-  }
-
-  bool owns(std::uint64_t Partition, std::uint64_t Token, Instant Now) const {
-    auto Found = m_tokens.find(Partition);
-    return Now < m_end && Found != m_tokens.end() && Found->second == Token;
-  }
-
-private:
-  Instant m_end{};
-  std::map<std::uint64_t, std::uint64_t> m_tokens;
-};
-
 class UpstreamStandin {
 public:
   UpstreamStandin(event_base *Base, Options Settings)
       : m_base(Base), m_options(std::move(Settings)),
-        m_runs(m_options.m_runLog, std::ios::app) {}
+        m_runs(m_options.m_runLog, std::ios::app),
+        m_grantLog(m_options.m_grantLog, std::ios::app) {}
 
   void onRequest(HttpRequest &&Request,
                  std::shared_ptr<HttpResponder> Responder) {
     if (Request.m_target == GrantsPath)
       return onGrants(Request, *Responder);
     if (m_options.m_keyed && !owned(Request))
-      return Responder->send(
-          HttpResponse{409, {{"X-Burdockpulley-Refused", "not-owner"}}, ""});
+      return refuse(*Responder);
     m_queue.push_back({std::move(Request), std::move(Responder)});
     startNext();
   }
@@ -82,20 +64,49 @@
   };
 
   void onGrants(const HttpRequest &Request, HttpResponder &Responder) {
-    json Order = json::parse(Request.m_body, nullptr, false);
-    if (!Order.is_object() || !Order.contains("grants"))
+    GrantOrder Order;
+    if (!decodeOrder(Request.m_body, Order))
       return Responder.send(HttpResponse{400, {}, ""});
-    m_grants.apply(Order, standinNow());
-    Responder.send(HttpResponse{200, {}, "{}"});
+    Duration Clock = standinNow().time_since_epoch();
+    GrantAnswer Answer;
+    Answer.m_refusal = m_guard.apply(Order, Clock);
+    Answer.m_stamp = {m_guard.boot(), Clock};
+    GrantList Owned = m_guard.owned(Clock);
+    for (const auto &[Partition, Count] : m_busy)
+      if (!Owned.count(Partition))
+        Answer.m_busy.push_back(Partition);
+    bool Refused = Answer.m_refusal != GrantRefusal::None;
+    if (Refused || Order.m_full)
+      m_grantLog << (Refused ? toString(Answer.m_refusal) : "taken") << " "
+                 << Order.m_keeper << " " << Order.m_epoch.value() << " "
+                 << Order.m_sequence << " " << Owned.size() << " "
+                 << Clock.count() << std::endl;
+    Responder.send(HttpResponse{Refused ? 409 : 200, {}, encodeAnswer(Answer)});
+  }
+
+  static PartitionIndex partitionOf(const HttpRequest &Request) {
+    return PartitionIndex(static_cast<std::uint32_t>(
+        number(Request.header("X-Burdockpulley-Partition"))));
   }
 
   bool owned(const HttpRequest &Request) const {
-    return m_grants.owns(number(Request.header("X-Burdockpulley-Partition")),
-                         number(Request.header("X-Burdockpulley-Token")),
-                         standinNow());
+    FencingToken Token(number(Request.header("X-Burdockpulley-Token")));
+    return m_guard.owns(partitionOf(Request), Token,
+                        standinNow().time_since_epoch());
+  }
+
+  static void refuse(HttpResponder &Responder) {
+    Responder.send(
+        HttpResponse{409, {{"X-Burdockpulley-Refused", "not-owner"}}, ""});
   }
 
   void startNext() {
+    // What lost its owner while it waited is not run.
+    while (m_options.m_keyed && !m_queue.empty() &&
+           !owned(m_queue.front().m_request)) {
+      refuse(*m_queue.front().m_responder);
+      m_queue.pop_front();
+    }
     if (m_running == m_options.m_slots || m_queue.empty())
       return;
     ++m_running;
@@ -105,11 +116,23 @@
     m_runs << Request.header("X-Request-Id") << " "
            << Request.header("Idempotency-Key") << " "
            << Request.header("X-Sequence") << std::endl;
+    if (m_options.m_keyed) {
+      ++m_busy[partitionOf(Request)];
+      m_grantLog << "run " << partitionOf(Request).value() << " "
+                 << Request.header("X-Burdockpulley-Token") << " "
+                 << standinNow().time_since_epoch().count() << std::endl;
+    }
     timeval Time{m_options.m_serviceTime.count() / 1'000'000,
                  m_options.m_serviceTime.count() % 1'000'000};
     event_base_once(m_base, -1, EV_TIMEOUT, onDone, Started, &Time);
   }
 
+  void endBusy(const HttpRequest &Request) {
+    auto Found = m_busy.find(partitionOf(Request));
+    if (Found != m_busy.end() && --Found->second == 0)
+      m_busy.erase(Found);
+  }
+
   static void onDone(int, short, void *Argument) {
     std::unique_ptr<Run> Done(static_cast<Run *>(Argument));
     UpstreamStandin *Self = Done->m_standin;
@@ -123,15 +146,18 @@
         {{"Content-Type", "application/json"}},
         Body.dump(-1, ' ', false, json::error_handler_t::replace)});
     --Self->m_running;
+    Self->endBusy(Request);
     Self->startNext();
   }
 
   event_base *m_base;
   Options m_options;
-  GrantTable m_grants;
+  GrantGuard m_guard{randomUuid()};
+  std::map<PartitionIndex, std::uint32_t> m_busy; ///< Runs in work.
   std::deque<Work> m_queue;
   std::uint32_t m_running = 0;
   std::ofstream m_runs;
+  std::ofstream m_grantLog;
 };
 
 } // namespace
@@ -150,12 +176,16 @@
       cxxopts::value<std::int64_t>()->default_value("1000"))(
       "keyed", "refuse requests without a valid grant")(
       "run-log", "file that gets a line for each run",
+      cxxopts::value<std::string>()->default_value("/dev/null"))(
+      "grant-log", "file that gets orders, and runs with their tokens",
       cxxopts::value<std::string>()->default_value("/dev/null"));
   cxxopts::ParseResult Given = Flags.parse(Count, Arguments);
-  Options Settings{
-      Given["name"].as<std::string>(), Given["slots"].as<std::uint32_t>(),
-      Duration(Given["service-us"].as<std::int64_t>()),
-      Given.count("keyed") != 0, Given["run-log"].as<std::string>()};
+  Options Settings{Given["name"].as<std::string>(),
+                   Given["slots"].as<std::uint32_t>(),
+                   Duration(Given["service-us"].as<std::int64_t>()),
+                   Given.count("keyed") != 0,
+                   Given["run-log"].as<std::string>(),
+                   Given["grant-log"].as<std::string>()};
   event_base *Base = event_base_new();
   UpstreamStandin Standin(Base, Settings);
   HttpServer Server(Base, [&](HttpRequest &&Request, auto Responder) {
