--- a/src/libhost/settings.cpp
+++ b/src/libhost/settings.cpp
@@ -92,6 +92,8 @@
       "address of the platform's store, IP:PORT; "
       "or embedded, to try out on one host",
       cxxopts::value<std::string>())(
+      "peer-keys", "file with the keys that hosts know each other by",
+      cxxopts::value<std::string>())(
       "seeds", "peers to ask while the store is down, IP:PORT,...",
       cxxopts::value<std::string>())("port-file",
                                      "file that gets the bound ports",
