--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -8,6 +8,8 @@
 
 constexpr const char *Token = "bench-token";
 const TenantId BenchTenant("bench");
+/// The experiments are about warm upstreams.
+constexpr Duration NoWarmUp{1'000};
 
 Service namedService(const std::string &Name) {
   Service Row;
@@ -55,6 +57,7 @@
   Row.m_domain = DomainId(domainName(Domain));
   Row.m_slots = Slots;
   Row.m_connections = 200;
+  Row.m_warmUp = NoWarmUp;
   System.startUpstream(Row, Service == "herd",
                        {"--service-us", std::to_string(ServiceTime.count())});
 }
--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -18,7 +18,11 @@
   cxxopts::ParseResult Flags = Options.parse(Count, Arguments);
   event_base *Base = event_base_new();
   StoreFaults Faults(Base);
+  std::uint64_t Calls = 0;
   HttpServer Server(Base, [&](HttpRequest &&Request, auto Responder) {
+    if (Request.m_target == "/standin/calls")
+      return Responder->send(HttpResponse{200, {}, std::to_string(Calls)});
+    ++Calls;
     Faults.onRequest(std::move(Request), std::move(Responder));
   });
   std::uint16_t Port =
--- a/testsuite/faults/faults_test.cpp
+++ b/testsuite/faults/faults_test.cpp
@@ -164,3 +164,29 @@
     Failed += everyKeyServed(Where) ? 0 : 1;
   BOOST_TEST(Failed == 0);
 }
+
+BOOST_AUTO_TEST_CASE(a_domain_cut_off_serves_unkeyed_work_by_itself) {
+  Deployment System;
+  System.startStore();
+  System.startUpstream(upstream("fee-1", "fee", "talca"), false);
+  System.startUpstream(upstream("fee-2", "fee", "curico"), false);
+  System.startUpstream(upstream("herd-1", "herd", "curico"), true);
+  auto &Store = System.proxyStore("talca");
+  const Endpoint Where = System.startHost("talca-1", "talca").m_callers;
+  System.startHost("curico-1", "curico");
+  auto &ToTalca = System.proxyPeers("talca-1");
+  auto &ToCurico = System.proxyPeers("curico-1");
+  BOOST_REQUIRE(System.publish(twoServices()));
+  auto Pay = [&] { return send(Where, "POST", "/fees", "").m_status == 200; };
+  BOOST_REQUIRE(waitUntil(Pay));
+  std::string Cut = R"({"cutToTarget": true, "cutToCaller": true})";
+  BOOST_REQUIRE(System.setFaults(Store, Cut));
+  BOOST_REQUIRE(System.setFaults(ToTalca, Cut));
+  BOOST_REQUIRE(System.setFaults(ToCurico, Cut));
+  constexpr int Needed = 20;
+  int InARow = 0;
+  BOOST_TEST(waitUntil([&] {
+    InARow = Pay() ? InARow + 1 : 0;
+    return InARow == Needed;
+  }));
+}
