request: at most once with an idempotency key

A caller that hears "unknown" and sends its charge again could have it run twice. Repeats get the stored answer, wait for the try in flight, or hear unknown; another body under the key is refused with 422.

--- a/src/libhost/entry_host.cpp
+++ b/src/libhost/entry_host.cpp
@@ -48,8 +48,8 @@
         m_store(openStore(Base, Settings), m_metrics),
         m_peers(Base, greeting(Settings), *this),
         m_peerKeys(Base, m_peers, Settings.m_peerKeys), m_pool(Base),
-        m_keeper(Base, m_state, m_pool),
-        m_front(Base, m_state, m_peers, m_keeper),
+        m_keeper(Base, m_state, m_pool), m_ledger(Base, m_state, m_peers),
+        m_front(Base, m_state, m_peers, m_keeper, m_ledger),
         m_ownership(Base, m_store, m_state, m_pool, m_peers,
                     [this] { m_follower.poll(); }),
         m_follower(
@@ -118,6 +118,8 @@
       m_front.onReply(std::move(Message.forwardReply), steadyNow());
     else if (Message.__isset.forwardCancel)
       m_keeper.cancel(From, Message.forwardCancel.id);
+    else if (Message.__isset.ledger)
+      m_ledger.onMessage(From, Message.ledger, steadyNow());
     else if (Message.__isset.member)
       m_members.onMessage(From, Message.member, steadyNow());
     else if (Message.__isset.configPull)
@@ -197,6 +199,7 @@
   PeerKeyDriver m_peerKeys;
   UpstreamPool m_pool;
   KeeperDriver m_keeper;
+  LedgerDriver m_ledger;
   FrontDriver m_front;
   OwnershipDriver m_ownership;
   StoreFollower m_follower;
--- a/src/libhost/front_driver.cpp
+++ b/src/libhost/front_driver.cpp
@@ -139,8 +139,9 @@
 } // namespace
 
 FrontDriver::FrontDriver(event_base *Base, HostState &State, PeerNetwork &Peers,
-                         KeeperDriver &Keeper)
-    : m_state(State), m_peers(Peers), m_keeper(Keeper), m_selector(State),
+                         KeeperDriver &Keeper, LedgerDriver &Ledger)
+    : m_state(State), m_peers(Peers), m_keeper(Keeper), m_ledger(Ledger),
+      m_selector(State),
       m_timer(Base, SweepInterval, [this](Instant Now) { sweep(Now); }) {}
 
 bool FrontDriver::accept(const HttpRequest &Request, HttpResponder &Responder,
@@ -171,6 +172,10 @@
     return Responder->send(routeErrorAnswer(*Error, RequestId));
   const auto &Match = std::get<RouteMatch>(Found);
   const Service &Target = *Match.m_service;
+  std::string Key(Match.m_idempotent ? "" : Request.header("Idempotency-Key"));
+  if (!Key.empty() && !issueTime(Key))
+    return Responder->send(
+        errorAnswer(400, Outcome::NotRun, "bad-idempotency-key", RequestId));
   std::int64_t Id = ++m_lastId;
   Pending &Row = m_pending[Id];
   Row.m_responder = std::move(Responder);
@@ -184,7 +189,67 @@
   Row.m_deadline = Now + Target.m_deadline;
   Row.m_message.__set_forwardRequest(toForward(std::move(Request), Match));
   Row.m_message.forwardRequest.requestId = RequestId;
-  attempt(Id, Now);
+  if (Key.empty())
+    return attempt(Id, Now);
+  askLedger(Id, Key, Now);
+}
+
+void FrontDriver::askLedger(std::int64_t Id, const std::string &Key,
+                            Instant Now) {
+  Pending &Row = m_pending.at(Id);
+  const wire::ForwardRequest &Forward = Row.m_message.forwardRequest;
+  Row.m_askingLedger = true;
+  Row.m_ledgerScope = Forward.tenant + "/" + Forward.serviceName + "/" + Key;
+  std::uint64_t Hash = stableHash(
+      Forward.body, stableHash(Forward.method + " " + Forward.target));
+  auto Done = [this, Id,
+               Scope = Row.m_ledgerScope](LedgerDriver::Answer &&Answer) {
+    if (m_pending.count(Id))
+      return onLedger(Id, std::move(Answer));
+    // Its caller has had the final answer, and it has not run.
+    if (Answer.m_result == LedgerRound::Result::Run)
+      m_ledger.end(Scope, Answer.m_attempt, LedgerEnd::NotRun, {});
+  };
+  m_ledger.begin(Row.m_ledgerScope, *issueTime(Key), Hash, Row.m_deadline,
+                 std::move(Done), Now);
+}
+
+void FrontDriver::onLedger(std::int64_t Id, LedgerDriver::Answer &&Answer) {
+  using Result = LedgerRound::Result;
+  Pending &Row = m_pending.at(Id);
+  Row.m_askingLedger = false;
+  const std::string &RequestId = Row.m_message.forwardRequest.requestId;
+  switch (Answer.m_result) {
+  case Result::Run:
+    Row.m_ledgerAttempt = Answer.m_attempt;
+    return attempt(Id, steadyNow());
+  case Result::Done:
+    Answer.m_stored.m_headers.push_back({"X-Burdockpulley-Replayed", "true"});
+    return finish(Id, Outcome::Answered, Answer.m_stored);
+  case Result::Mismatch:
+    return finish(
+        Id, Outcome::NotRun,
+        errorAnswer(422, Outcome::NotRun, "idempotency-key-reused", RequestId));
+  case Result::Busy:
+  case Result::Unknown:
+  case Result::Waiting:
+    break;
+  }
+  finish(
+      Id, Outcome::Unknown,
+      errorAnswer(409, Outcome::Unknown, "idempotency-key-unknown", RequestId));
+}
+
+void FrontDriver::endInLedger(const Pending &Row, Outcome Value,
+                              const HttpResponse &Response) {
+  if (Row.m_ledgerAttempt.value().empty())
+    return;
+  LedgerEnd How = LedgerEnd::Unknown;
+  if (Value == Outcome::Answered)
+    How = LedgerEnd::Ran;
+  else if (Value == Outcome::NotRun)
+    How = LedgerEnd::NotRun;
+  m_ledger.end(Row.m_ledgerScope, Row.m_ledgerAttempt, How, Response);
 }
 
 const Upstream *FrontDriver::target(Pending &Row) {
@@ -242,7 +307,7 @@
   endAttempt(Found->second, Value, "", Now);
   bool Head = Found->second.m_message.forwardRequest.method == "HEAD";
   std::int64_t Id = Reply.id;
-  finish(Id, toCaller(std::move(Reply), Head));
+  finish(Id, Value, toCaller(std::move(Reply), Head));
 }
 
 void FrontDriver::endAttempt(Pending &Row, Outcome Value,
@@ -268,8 +333,9 @@
     return;
   // An earlier attempt may have run, whatever became of the last.
   Outcome Final = Row.m_mayHaveRun ? Outcome::Unknown : Value;
-  finish(Id, errorAnswer(Status, Final, Reason,
-                         Row.m_message.forwardRequest.requestId, RetryAfter));
+  finish(Id, Final,
+         errorAnswer(Status, Final, Reason,
+                     Row.m_message.forwardRequest.requestId, RetryAfter));
 }
 
 bool FrontDriver::tryAgain(Table::iterator Found, int Status, Outcome Value,
@@ -314,7 +380,7 @@
   std::vector<std::int64_t> Late;
   std::vector<std::int64_t> Again;
   for (auto &[Id, Row] : m_pending) {
-    bool Idle = Row.m_keeper.value().empty();
+    bool Idle = Row.m_keeper.value().empty() && !Row.m_askingLedger;
     if (Row.m_deadline <= Now)
       Late.push_back(Id);
     else if (Idle && Row.m_retryAt <= Now)
@@ -339,9 +405,12 @@
   if (!m_pending.count(Id))
     return;
   endAttempt(Row, Sent ? Outcome::Unknown : Outcome::NotRun, "deadline", Now);
-  Outcome Final = Row.m_mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
-  finish(Id, errorAnswer(504, Final, "deadline",
-                         Row.m_message.forwardRequest.requestId));
+  // While the ledger is asked, an earlier try may have run.
+  bool Unsure = Row.m_mayHaveRun || Row.m_askingLedger;
+  Outcome Final = Unsure ? Outcome::Unknown : Outcome::NotRun;
+  finish(Id, Final,
+         errorAnswer(504, Final, "deadline",
+                     Row.m_message.forwardRequest.requestId));
 }
 
 // The caller may have closed only its sending side, so it is answered still.
@@ -373,7 +442,8 @@
   m_peers.send(Keeper, Message);
 }
 
-void FrontDriver::finish(std::int64_t Id, const HttpResponse &Response) {
+void FrontDriver::finish(std::int64_t Id, Outcome Value,
+                         const HttpResponse &Response) {
   auto Found = m_pending.find(Id);
   if (Found == m_pending.end())
     return;
@@ -386,6 +456,7 @@
                                        steadyNow() - Found->second.m_started);
   }
   m_bytes -= Found->second.m_bytes;
+  endInLedger(Found->second, Value, Response);
   m_pending.erase(Found);
   Responder->send(Response);
 }
--- a/src/libhost/front_driver.h
+++ b/src/libhost/front_driver.h
@@ -5,6 +5,7 @@
 #include "error_answer.h"
 #include "host_state.h"
 #include "keeper_driver.h"
+#include "ledger_driver.h"
 #include "router.h"
 #include "upstream_selector.h"
 
@@ -24,7 +25,7 @@
 class FrontDriver {
 public:
   FrontDriver(event_base *Base, HostState &State, PeerNetwork &Peers,
-              KeeperDriver &Keeper);
+              KeeperDriver &Keeper, LedgerDriver &Ledger);
 
   /// Takes a caller's request.
   void onRequest(HttpRequest &&Request,
@@ -59,6 +60,9 @@
     Instant m_sent;
     Instant m_deadline;
     Instant m_retryAt;
+    std::string m_ledgerScope; ///< Empty without an idempotency key.
+    AttemptId m_ledgerAttempt; ///< Empty until the ledger lets it run.
+    bool m_askingLedger = false;
     bool m_mayHaveRun = false; ///< An earlier attempt ended as unknown.
     bool m_callerGone = false;
     bool m_watched = false;
@@ -67,6 +71,10 @@
 
   bool accept(const HttpRequest &Request, HttpResponder &Responder,
               const std::string &RequestId);
+  void askLedger(std::int64_t Id, const std::string &Key, Instant Now);
+  void onLedger(std::int64_t Id, LedgerDriver::Answer &&Answer);
+  void endInLedger(const Pending &Row, Outcome Value,
+                   const HttpResponse &Response);
   void attempt(std::int64_t Id, Instant Now);
   const Upstream *target(Pending &Row);
   void onFailed(std::int64_t Id, int Status, Outcome Value,
@@ -76,7 +84,7 @@
   void endAttempt(Pending &Row, Outcome Value, const std::string &Reason,
                   Instant Now);
   void cancel(const Pending &Row, std::int64_t Id);
-  void finish(std::int64_t Id, const HttpResponse &Response);
+  void finish(std::int64_t Id, Outcome Value, const HttpResponse &Response);
   void sweep(Instant Now);
   void expire(std::int64_t Id, Instant Now);
   void watch(std::int64_t Id, Pending &Row);
@@ -84,6 +92,7 @@
   HostState &m_state;
   PeerNetwork &m_peers;
   KeeperDriver &m_keeper;
+  LedgerDriver &m_ledger;
   UpstreamSelector m_selector;
   Table m_pending;
   std::int64_t m_lastId = 0;
--- a/src/libpeer/gen/peer_types.cpp
+++ b/src/libpeer/gen/peer_types.cpp
@@ -2804,6 +2804,347 @@
 }
 
 
+LedgerMessage::~LedgerMessage() noexcept {
+}
+
+
+void LedgerMessage::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void LedgerMessage::__set_scope(const std::string& val) {
+  this->scope = val;
+}
+
+void LedgerMessage::__set_attempt(const std::string& val) {
+  this->attempt = val;
+}
+
+void LedgerMessage::__set_issuedMillis(const int64_t val) {
+  this->issuedMillis = val;
+}
+
+void LedgerMessage::__set_bodyHash(const int64_t val) {
+  this->bodyHash = val;
+}
+
+void LedgerMessage::__set_deadlineMillis(const int64_t val) {
+  this->deadlineMillis = val;
+}
+
+void LedgerMessage::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+
+void LedgerMessage::__set_ending(const int32_t val) {
+  this->ending = val;
+}
+
+void LedgerMessage::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void LedgerMessage::__set_headers(const std::vector<Header> & val) {
+  this->headers = val;
+}
+
+void LedgerMessage::__set_body(const std::string& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const LedgerMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LedgerMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->scope);
+          this->__isset.scope = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->issuedMillis);
+          this->__isset.issuedMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bodyHash);
+          this->__isset.bodyHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->deadlineMillis);
+          this->__isset.deadlineMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ending);
+          this->__isset.ending = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->headers.clear();
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->headers.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
+            {
+              xfer += this->headers[_i110].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.headers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LedgerMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LedgerMessage");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("scope", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->scope);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("issuedMillis", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->issuedMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bodyHash", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->bodyHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deadlineMillis", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->deadlineMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ending", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->ending);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
+    std::vector<Header> ::const_iterator _iter111;
+    for (_iter111 = this->headers.begin(); _iter111 != this->headers.end(); ++_iter111)
+    {
+      xfer += (*_iter111).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LedgerMessage &a, LedgerMessage &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.scope, b.scope);
+  swap(a.attempt, b.attempt);
+  swap(a.issuedMillis, b.issuedMillis);
+  swap(a.bodyHash, b.bodyHash);
+  swap(a.deadlineMillis, b.deadlineMillis);
+  swap(a.verdict, b.verdict);
+  swap(a.ending, b.ending);
+  swap(a.status, b.status);
+  swap(a.headers, b.headers);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+LedgerMessage::LedgerMessage(const LedgerMessage& other112) {
+  kind = other112.kind;
+  scope = other112.scope;
+  attempt = other112.attempt;
+  issuedMillis = other112.issuedMillis;
+  bodyHash = other112.bodyHash;
+  deadlineMillis = other112.deadlineMillis;
+  verdict = other112.verdict;
+  ending = other112.ending;
+  status = other112.status;
+  headers = other112.headers;
+  body = other112.body;
+  __isset = other112.__isset;
+}
+LedgerMessage::LedgerMessage(LedgerMessage&& other113) noexcept {
+  kind = other113.kind;
+  scope = std::move(other113.scope);
+  attempt = std::move(other113.attempt);
+  issuedMillis = other113.issuedMillis;
+  bodyHash = other113.bodyHash;
+  deadlineMillis = other113.deadlineMillis;
+  verdict = other113.verdict;
+  ending = other113.ending;
+  status = other113.status;
+  headers = std::move(other113.headers);
+  body = std::move(other113.body);
+  __isset = other113.__isset;
+}
+LedgerMessage& LedgerMessage::operator=(const LedgerMessage& other114) {
+  kind = other114.kind;
+  scope = other114.scope;
+  attempt = other114.attempt;
+  issuedMillis = other114.issuedMillis;
+  bodyHash = other114.bodyHash;
+  deadlineMillis = other114.deadlineMillis;
+  verdict = other114.verdict;
+  ending = other114.ending;
+  status = other114.status;
+  headers = other114.headers;
+  body = other114.body;
+  __isset = other114.__isset;
+  return *this;
+}
+LedgerMessage& LedgerMessage::operator=(LedgerMessage&& other115) noexcept {
+  kind = other115.kind;
+  scope = std::move(other115.scope);
+  attempt = std::move(other115.attempt);
+  issuedMillis = other115.issuedMillis;
+  bodyHash = other115.bodyHash;
+  deadlineMillis = other115.deadlineMillis;
+  verdict = other115.verdict;
+  ending = other115.ending;
+  status = other115.status;
+  headers = std::move(other115.headers);
+  body = std::move(other115.body);
+  __isset = other115.__isset;
+  return *this;
+}
+void LedgerMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LedgerMessage(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "scope=" << to_string(scope);
+  out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "issuedMillis=" << to_string(issuedMillis);
+  out << ", " << "bodyHash=" << to_string(bodyHash);
+  out << ", " << "deadlineMillis=" << to_string(deadlineMillis);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "ending=" << to_string(ending);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "headers=" << to_string(headers);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -2862,6 +3203,11 @@
   this->versionAnswer = val;
 __isset.versionAnswer = true;
 }
+
+void Message::__set_ledger(const LedgerMessage& val) {
+  this->ledger = val;
+__isset.ledger = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -2978,6 +3324,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 40:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ledger.read(iprot);
+          this->__isset.ledger = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3050,6 +3404,11 @@
     xfer += this->versionAnswer.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.ledger) {
+    xfer += oprot->writeFieldBegin("ledger", ::apache::thrift::protocol::T_STRUCT, 40);
+    xfer += this->ledger.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3068,65 +3427,70 @@
   swap(a.tablePush, b.tablePush);
   swap(a.versionAsk, b.versionAsk);
   swap(a.versionAnswer, b.versionAnswer);
+  swap(a.ledger, b.ledger);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other106) {
-  hello = other106.hello;
-  forwardRequest = other106.forwardRequest;
-  forwardReply = other106.forwardReply;
-  forwardCancel = other106.forwardCancel;
-  member = other106.member;
-  configPull = other106.configPull;
-  configPush = other106.configPush;
-  tablePull = other106.tablePull;
-  tablePush = other106.tablePush;
-  versionAsk = other106.versionAsk;
-  versionAnswer = other106.versionAnswer;
-  __isset = other106.__isset;
-}
-Message::Message(Message&& other107) noexcept {
-  hello = std::move(other107.hello);
-  forwardRequest = std::move(other107.forwardRequest);
-  forwardReply = std::move(other107.forwardReply);
-  forwardCancel = std::move(other107.forwardCancel);
-  member = std::move(other107.member);
-  configPull = std::move(other107.configPull);
-  configPush = std::move(other107.configPush);
-  tablePull = std::move(other107.tablePull);
-  tablePush = std::move(other107.tablePush);
-  versionAsk = std::move(other107.versionAsk);
-  versionAnswer = std::move(other107.versionAnswer);
-  __isset = other107.__isset;
-}
-Message& Message::operator=(const Message& other108) {
-  hello = other108.hello;
-  forwardRequest = other108.forwardRequest;
-  forwardReply = other108.forwardReply;
-  forwardCancel = other108.forwardCancel;
-  member = other108.member;
-  configPull = other108.configPull;
-  configPush = other108.configPush;
-  tablePull = other108.tablePull;
-  tablePush = other108.tablePush;
-  versionAsk = other108.versionAsk;
-  versionAnswer = other108.versionAnswer;
-  __isset = other108.__isset;
+Message::Message(const Message& other116) {
+  hello = other116.hello;
+  forwardRequest = other116.forwardRequest;
+  forwardReply = other116.forwardReply;
+  forwardCancel = other116.forwardCancel;
+  member = other116.member;
+  configPull = other116.configPull;
+  configPush = other116.configPush;
+  tablePull = other116.tablePull;
+  tablePush = other116.tablePush;
+  versionAsk = other116.versionAsk;
+  versionAnswer = other116.versionAnswer;
+  ledger = other116.ledger;
+  __isset = other116.__isset;
+}
+Message::Message(Message&& other117) noexcept {
+  hello = std::move(other117.hello);
+  forwardRequest = std::move(other117.forwardRequest);
+  forwardReply = std::move(other117.forwardReply);
+  forwardCancel = std::move(other117.forwardCancel);
+  member = std::move(other117.member);
+  configPull = std::move(other117.configPull);
+  configPush = std::move(other117.configPush);
+  tablePull = std::move(other117.tablePull);
+  tablePush = std::move(other117.tablePush);
+  versionAsk = std::move(other117.versionAsk);
+  versionAnswer = std::move(other117.versionAnswer);
+  ledger = std::move(other117.ledger);
+  __isset = other117.__isset;
+}
+Message& Message::operator=(const Message& other118) {
+  hello = other118.hello;
+  forwardRequest = other118.forwardRequest;
+  forwardReply = other118.forwardReply;
+  forwardCancel = other118.forwardCancel;
+  member = other118.member;
+  configPull = other118.configPull;
+  configPush = other118.configPush;
+  tablePull = other118.tablePull;
+  tablePush = other118.tablePush;
+  versionAsk = other118.versionAsk;
+  versionAnswer = other118.versionAnswer;
+  ledger = other118.ledger;
+  __isset = other118.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other109) noexcept {
-  hello = std::move(other109.hello);
-  forwardRequest = std::move(other109.forwardRequest);
-  forwardReply = std::move(other109.forwardReply);
-  forwardCancel = std::move(other109.forwardCancel);
-  member = std::move(other109.member);
-  configPull = std::move(other109.configPull);
-  configPush = std::move(other109.configPush);
-  tablePull = std::move(other109.tablePull);
-  tablePush = std::move(other109.tablePush);
-  versionAsk = std::move(other109.versionAsk);
-  versionAnswer = std::move(other109.versionAnswer);
-  __isset = other109.__isset;
+Message& Message::operator=(Message&& other119) noexcept {
+  hello = std::move(other119.hello);
+  forwardRequest = std::move(other119.forwardRequest);
+  forwardReply = std::move(other119.forwardReply);
+  forwardCancel = std::move(other119.forwardCancel);
+  member = std::move(other119.member);
+  configPull = std::move(other119.configPull);
+  configPush = std::move(other119.configPush);
+  tablePull = std::move(other119.tablePull);
+  tablePush = std::move(other119.tablePush);
+  versionAsk = std::move(other119.versionAsk);
+  versionAnswer = std::move(other119.versionAnswer);
+  ledger = std::move(other119.ledger);
+  __isset = other119.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -3143,6 +3507,7 @@
   out << ", " << "tablePush="; (__isset.tablePush ? (out << to_string(tablePush)) : (out << "<null>"));
   out << ", " << "versionAsk="; (__isset.versionAsk ? (out << to_string(versionAsk)) : (out << "<null>"));
   out << ", " << "versionAnswer="; (__isset.versionAnswer ? (out << to_string(versionAnswer)) : (out << "<null>"));
+  out << ", " << "ledger="; (__isset.ledger ? (out << to_string(ledger)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libpeer/gen/peer_types.h
+++ b/src/libpeer/gen/peer_types.h
@@ -53,6 +53,8 @@
 
 class VersionAnswer;
 
+class LedgerMessage;
+
 class Message;
 
 typedef struct _Header__isset {
@@ -1097,8 +1099,122 @@
 
 std::ostream& operator<<(std::ostream& out, const VersionAnswer& obj);
 
+typedef struct _LedgerMessage__isset {
+  _LedgerMessage__isset() : kind(false), scope(false), attempt(false), issuedMillis(false), bodyHash(false), deadlineMillis(false), verdict(false), ending(false), status(false), headers(false), body(false) {}
+  bool kind :1;
+  bool scope :1;
+  bool attempt :1;
+  bool issuedMillis :1;
+  bool bodyHash :1;
+  bool deadlineMillis :1;
+  bool verdict :1;
+  bool ending :1;
+  bool status :1;
+  bool headers :1;
+  bool body :1;
+} _LedgerMessage__isset;
+
+class LedgerMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  LedgerMessage(const LedgerMessage&);
+  LedgerMessage(LedgerMessage&&) noexcept;
+  LedgerMessage& operator=(const LedgerMessage&);
+  LedgerMessage& operator=(LedgerMessage&&) noexcept;
+  LedgerMessage() noexcept
+                : kind(0),
+                  scope(),
+                  attempt(),
+                  issuedMillis(0),
+                  bodyHash(0),
+                  deadlineMillis(0),
+                  verdict(0),
+                  ending(0),
+                  status(0),
+                  body() {
+  }
+
+  virtual ~LedgerMessage() noexcept;
+  int32_t kind;
+  std::string scope;
+  std::string attempt;
+  int64_t issuedMillis;
+  int64_t bodyHash;
+  int64_t deadlineMillis;
+  int32_t verdict;
+  int32_t ending;
+  int32_t status;
+  std::vector<Header>  headers;
+  std::string body;
+
+  _LedgerMessage__isset __isset;
+
+  void __set_kind(const int32_t val);
+
+  void __set_scope(const std::string& val);
+
+  void __set_attempt(const std::string& val);
+
+  void __set_issuedMillis(const int64_t val);
+
+  void __set_bodyHash(const int64_t val);
+
+  void __set_deadlineMillis(const int64_t val);
+
+  void __set_verdict(const int32_t val);
+
+  void __set_ending(const int32_t val);
+
+  void __set_status(const int32_t val);
+
+  void __set_headers(const std::vector<Header> & val);
+
+  void __set_body(const std::string& val);
+
+  bool operator == (const LedgerMessage & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(scope == rhs.scope))
+      return false;
+    if (!(attempt == rhs.attempt))
+      return false;
+    if (!(issuedMillis == rhs.issuedMillis))
+      return false;
+    if (!(bodyHash == rhs.bodyHash))
+      return false;
+    if (!(deadlineMillis == rhs.deadlineMillis))
+      return false;
+    if (!(verdict == rhs.verdict))
+      return false;
+    if (!(ending == rhs.ending))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    if (!(headers == rhs.headers))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const LedgerMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LedgerMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LedgerMessage &a, LedgerMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const LedgerMessage& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : hello(false), forwardRequest(false), forwardReply(false), forwardCancel(false), member(false), configPull(false), configPush(false), tablePull(false), tablePush(false), versionAsk(false), versionAnswer(false) {}
+  _Message__isset() : hello(false), forwardRequest(false), forwardReply(false), forwardCancel(false), member(false), configPull(false), configPush(false), tablePull(false), tablePush(false), versionAsk(false), versionAnswer(false), ledger(false) {}
   bool hello :1;
   bool forwardRequest :1;
   bool forwardReply :1;
@@ -1110,6 +1226,7 @@
   bool tablePush :1;
   bool versionAsk :1;
   bool versionAnswer :1;
+  bool ledger :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1134,6 +1251,7 @@
   TablePush tablePush;
   VersionAsk versionAsk;
   VersionAnswer versionAnswer;
+  LedgerMessage ledger;
 
   _Message__isset __isset;
 
@@ -1159,6 +1277,8 @@
 
   void __set_versionAnswer(const VersionAnswer& val);
 
+  void __set_ledger(const LedgerMessage& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1205,6 +1325,10 @@
       return false;
     else if (__isset.versionAnswer && !(versionAnswer == rhs.versionAnswer))
       return false;
+    if (__isset.ledger != rhs.__isset.ledger)
+      return false;
+    else if (__isset.ledger && !(ledger == rhs.ledger))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/src/libpeer/peer.thrift
+++ b/src/libpeer/peer.thrift
@@ -124,6 +124,22 @@
   3: list<SeenEntry> entries,
 }
 
+// Idempotency ledger: a try that asks (1), a ledger host's verdict (2), or how
+// a try has ended (3), with the answer to store.
+struct LedgerMessage {
+  1: i32 kind,
+  2: string scope,
+  3: string attempt,
+  4: i64 issuedMillis,
+  5: i64 bodyHash,
+  6: i64 deadlineMillis,
+  7: i32 verdict,
+  8: i32 ending,
+  9: i32 status,
+  10: list<Header> headers,
+  11: binary body,
+}
+
 union Message {
   1: Hello hello,
   2: ForwardRequest forwardRequest,
@@ -136,4 +152,5 @@
   9: TablePush tablePush,
   20: VersionAsk versionAsk,
   21: VersionAnswer versionAnswer,
+  40: LedgerMessage ledger,
 }
