standins: exact timers in the upstream stand-in

make demo showed a p50 of 4 ms and more over an upstream whose run takes 1 ms. Ruled out by the same figures: the hop between hosts, connections, delayed acknowledgements, admission.

The stand-in now asks for exact timers.

--- a/src/standins/upstream_standin.cpp
+++ b/src/standins/upstream_standin.cpp
@@ -160,6 +160,16 @@
   std::ofstream m_grantLog;
 };
 
+/// A loop whose timers are exact: libevent otherwise reads the coarse clock,
+/// whose ticks are longer than a run.
+event_base *preciseLoop() {
+  event_config *Config = event_config_new();
+  event_config_set_flag(Config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  event_base *Base = event_base_new_with_config(Config);
+  event_config_free(Config);
+  return Base;
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -186,7 +196,7 @@
                    Given.count("keyed") != 0,
                    Given["run-log"].as<std::string>(),
                    Given["grant-log"].as<std::string>()};
-  event_base *Base = event_base_new();
+  event_base *Base = preciseLoop();
   UpstreamStandin Standin(Base, Settings);
   HttpServer Server(Base, [&](HttpRequest &&Request, auto Responder) {
     Standin.onRequest(std::move(Request), std::move(Responder));
