--- a/src/include/burdockpulley/grants.h
+++ b/src/include/burdockpulley/grants.h
@@ -118,6 +118,9 @@
   /// gives them must not hear two keepers.
   bool maySend(Instant Now) const;
 
+  /// True when the last order granted the partition under this token.
+  bool grants(PartitionIndex Partition, FencingToken Token) const;
+
   /// True when the upstream certainly does not own the partition any more.
   bool over(PartitionIndex Partition, Instant Now) const;
 
--- a/src/include/burdockpulley/keeping.h
+++ b/src/include/burdockpulley/keeping.h
@@ -68,8 +68,10 @@
   /// The orders to send. At most one an upstream is under way.
   std::vector<Sending> planOrders(const Tables &In, Instant Now);
 
-  /// True while this host may send requests under an upstream's grants.
-  bool mayServe(const UpstreamId &Upstream, Instant Now) const;
+  /// True while this host may send a request under a grant. Upstreams that do
+  /// not check their grants depend on it.
+  bool mayServe(const UpstreamId &Upstream, PartitionIndex Partition,
+                FencingToken Token, Instant Now) const;
 
   /// When the last contact with the store began.
   std::optional<Instant> lastContact() const {
--- a/src/libhost/entry_host.cpp
+++ b/src/libhost/entry_host.cpp
@@ -64,6 +64,11 @@
           onRequest(std::move(Request), std::move(Responder));
         }) {
     m_server.limitBody(MaxBodyBytes);
+    m_state.m_mayServe = [this](const UpstreamId &Upstream,
+                                PartitionIndex Partition, FencingToken Token,
+                                Instant Now) {
+      return m_ownership.mayServe(Upstream, Partition, Token, Now);
+    };
     m_state.m_observer = &m_metrics;
   }
 
--- a/src/libhost/host_state.h
+++ b/src/libhost/host_state.h
@@ -7,6 +7,7 @@
 #include "burdockpulley/settings.h"
 #include "request_observer.h"
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <vector>
@@ -25,6 +26,11 @@
   std::set<HostId> m_lostHosts; ///< Hosts that do not answer.
   RequestObserver *m_observer = nullptr; ///< May be null.
 
+  /// Asked before a keyed request goes to an upstream that does not check its
+  /// grants; set by the composition root.
+  std::function<bool(const UpstreamId &, PartitionIndex, FencingToken, Instant)>
+      m_mayServe;
+
   const Declarations &declared() const { return m_set->m_declarations; }
 
   /// Hosts of a failure domain that are not known to be lost.
--- a/src/libhost/keeper_driver.cpp
+++ b/src/libhost/keeper_driver.cpp
@@ -117,6 +117,17 @@
   startWaiting(Target->m_name, Now);
 }
 
+// An upstream that checks its grants refuses by itself.
+bool KeeperDriver::granted(const Upstream &Target,
+                           const wire::ForwardRequest &Request,
+                           Instant Now) const {
+  if (Target.m_checksGrants || Request.fencingToken == 0 || !m_state.m_mayServe)
+    return true;
+  PartitionIndex Partition(static_cast<std::uint32_t>(Request.partition));
+  FencingToken Token(static_cast<std::uint64_t>(Request.fencingToken));
+  return m_state.m_mayServe(Target.m_name, Partition, Token, Now);
+}
+
 void KeeperDriver::startWaiting(const UpstreamId &Name, Instant Now) {
   Row &Each = m_rows.at(Name);
   refuse(Each, Each.m_queue.giveUp(Now));
@@ -125,12 +136,14 @@
     Work Next = std::move(Found->second);
     Each.m_work.erase(Found);
     const Upstream *Target = m_state.declared().findUpstream(Name);
-    if (Target) {
+    bool Granted = Target && granted(*Target, Next.m_request, Now);
+    if (Granted) {
       send(*Target, Each, std::move(Next), Now);
       continue;
     }
     Each.m_queue.finish(Each.m_queue.serviceTime());
-    Next.m_done(refusal(Next.m_request.id, "upstream-not-declared"));
+    Next.m_done(refusal(Next.m_request.id,
+                        Target ? "not-owner" : "upstream-not-declared"));
   }
 }
 
--- a/src/libhost/keeper_driver.h
+++ b/src/libhost/keeper_driver.h
@@ -57,6 +57,8 @@
   };
 
   Row &find(const Upstream &Which, Instant Now);
+  bool granted(const Upstream &Target, const wire::ForwardRequest &Request,
+               Instant Now) const;
   void startWaiting(const UpstreamId &Name, Instant Now);
   void send(const Upstream &Target, Row &Each, Work &&Next, Instant Now);
   void onEnd(const UpstreamId &Name, HttpError Error, int Status, Instant Sent,
--- a/src/libhost/ownership_driver.h
+++ b/src/libhost/ownership_driver.h
@@ -39,6 +39,13 @@
   void onQuestion(const HostId &From, const wire::VersionAsk &Question);
   void onAnswer(const HostId &From, wire::VersionAnswer &&Answer);
 
+  /// True while a request under this grant may be sent to an upstream that does
+  /// not check it.
+  bool mayServe(const UpstreamId &Upstream, PartitionIndex Partition,
+                FencingToken Token, Instant Now) const {
+    return m_keeping.mayServe(Upstream, Partition, Token, Now);
+  }
+
 private:
   KeepingSystem::Tables tables() const;
   void tick(Instant Now);
--- a/src/libownership/keeping_system.cpp
+++ b/src/libownership/keeping_system.cpp
@@ -280,10 +280,13 @@
   return Plan;
 }
 
-bool KeepingSystem::mayServe(const UpstreamId &Upstream, Instant Now) const {
+bool KeepingSystem::mayServe(const UpstreamId &Upstream,
+                             PartitionIndex Partition, FencingToken Token,
+                             Instant Now) const {
   auto Found = m_kept.find(Upstream);
   return Found != m_kept.end() &&
-         m_authority.holds(Found->second.m_record.m_hold, Now);
+         m_authority.holds(Found->second.m_record.m_hold, Now) &&
+         Found->second.m_lease.grants(Partition, Token);
 }
 
 } // namespace burdockpulley
--- a/src/libownership/upstream_lease.cpp
+++ b/src/libownership/upstream_lease.cpp
@@ -68,6 +68,11 @@
   return m_checks || (m_earlierOver && Now >= *m_earlierOver);
 }
 
+bool UpstreamLease::grants(PartitionIndex Partition, FencingToken Token) const {
+  auto Found = m_list.find(Partition);
+  return Found != m_list.end() && Found->second == Token;
+}
+
 bool UpstreamLease::over(PartitionIndex Partition, Instant Now) const {
   if (!m_earlierOver || Now < *m_earlierOver || m_list.count(Partition))
     return false;
--- a/src/standins/upstream_standin.cpp
+++ b/src/standins/upstream_standin.cpp
@@ -64,6 +64,9 @@
   };
 
   void onGrants(const HttpRequest &Request, HttpResponder &Responder) {
+    // An upstream that does not check takes whatever it is told.
+    if (!m_options.m_keyed)
+      return Responder.send(HttpResponse{200, {}, ""});
     GrantOrder Order;
     if (!decodeOrder(Request.m_body, Order))
       return Responder.send(HttpResponse{400, {}, ""});
