--- a/src/include/burdockpulley/settings.h
+++ b/src/include/burdockpulley/settings.h
@@ -12,11 +12,12 @@
 struct HostSettings {
   HostId m_host;
   DomainId m_domain;
-  Endpoint m_listen;       ///< For callers.
-  Endpoint m_peerListen;   ///< For the other entry hosts.
-  Endpoint m_adminListen;  ///< For operators; an empty address is none.
-  Endpoint m_platform;     ///< The platform's store.
-  bool m_embedded = false; ///< The store is inside the process.
+  Endpoint m_listen;        ///< For callers.
+  Endpoint m_peerListen;    ///< For the other entry hosts.
+  Endpoint m_adminListen;   ///< For operators; an empty address is none.
+  Endpoint m_traceEndpoint; ///< OTLP/HTTP collector; an empty address is none.
+  Endpoint m_platform;      ///< The platform's store.
+  bool m_embedded = false;  ///< The store is inside the process.
   /// Peers that are asked for the configuration while the store is down.
   std::vector<Endpoint> m_seeds;
   std::string m_peerKeys; ///< File of keys, or the keys; may be empty.
--- a/src/libhost/entry_host.cpp
+++ b/src/libhost/entry_host.cpp
@@ -11,6 +11,7 @@
 #include "peer_key_driver.h"
 #include "peer_types.h"
 #include "store_follower.h"
+#include "trace_exporter.h"
 
 #include <event2/event.h>
 
@@ -70,6 +71,11 @@
       return m_ownership.mayServe(Upstream, Partition, Token, Now);
     };
     m_state.m_observer = &m_metrics;
+    if (!Settings.m_traceEndpoint.m_address.empty()) {
+      m_traces = std::make_unique<TraceExporter>(Base, Settings.m_host,
+                                                 Settings.m_traceEndpoint);
+      m_state.m_tracer = &m_traces->tracer();
+    }
   }
 
   bool start() {
@@ -198,6 +204,7 @@
   event_base *m_base;
   HostState m_state;
   HostMetrics m_metrics;
+  std::unique_ptr<TraceExporter> m_traces;
   StoreState *m_embedded = nullptr;
   MeteredStore m_store;
   PeerNetwork m_peers;
--- a/src/libhost/front_driver.cpp
+++ b/src/libhost/front_driver.cpp
@@ -2,6 +2,7 @@
 
 #include "burdockpulley/hashing.h"
 #include "burdockpulley/retry_policy.h"
+#include "hop_tracing.h"
 
 #include <strings.h>
 
@@ -189,6 +190,11 @@
   Row.m_deadline = Now + Target.m_deadline;
   Row.m_message.__set_forwardRequest(toForward(std::move(Request), Match));
   Row.m_message.forwardRequest.requestId = RequestId;
+  if (m_state.m_tracer) {
+    Row.m_span = beginSpan(readTrace(Row.m_message.forwardRequest.headers),
+                           "caller", Now);
+    Row.m_span.m_service = Target.m_name.value();
+  }
   if (Key.empty())
     return attempt(Id, Now);
   askLedger(Id, Key, Now);
@@ -282,6 +288,7 @@
   Row.m_sent = Now;
   Row.m_tried.push_back(Target->m_name);
   m_selector.onSent(*Target);
+  beginHop(Row, Now);
   if (Row.m_keeper == m_state.m_settings.m_host) {
     auto Done = [this](wire::ForwardReply &&Reply) {
       onReply(std::move(Reply), steadyNow());
@@ -310,11 +317,27 @@
   finish(Id, Value, toCaller(std::move(Reply), Head));
 }
 
+void FrontDriver::beginHop(Pending &Row, Instant Now) {
+  if (!m_state.m_tracer)
+    return;
+  bool Local = Row.m_keeper == m_state.m_settings.m_host;
+  Row.m_hop = Local ? Span() : beginSpan(Row.m_span.m_context, "peer", Now);
+  Row.m_hop.m_service = Row.m_span.m_service;
+  writeTrace(Local ? Row.m_span.m_context : Row.m_hop.m_context,
+             Row.m_message.forwardRequest.headers);
+}
+
 void FrontDriver::endAttempt(Pending &Row, Outcome Value,
                              const std::string &Reason, Instant Now) {
   if (Row.m_keeper.value().empty())
     return;
   Row.m_keeper = HostId();
+  if (m_state.m_tracer && !Row.m_hop.m_name.empty()) {
+    Row.m_hop.m_outcome = toString(Value);
+    Row.m_hop.m_failed = Value != Outcome::Answered;
+    m_state.m_tracer->record(std::move(Row.m_hop), Now);
+    Row.m_hop = Span();
+  }
   Row.m_mayHaveRun |= Value == Outcome::Unknown;
   bool Failed = Value == Outcome::Unknown || Reason == "upstream-unreachable";
   m_selector.onEnd(Row.m_service, Row.m_upstream, Now - Row.m_sent, Failed,
@@ -449,11 +472,14 @@
     return;
   std::shared_ptr<HttpResponder> Responder =
       std::move(Found->second.m_responder);
-  if (m_state.m_observer) {
-    std::string_view Word = Response.header("X-Burdockpulley-Outcome");
-    m_state.m_observer->onRequestEnded(Found->second.m_service,
-                                       Word.empty() ? "answered" : Word,
+  if (m_state.m_observer)
+    m_state.m_observer->onRequestEnded(Found->second.m_service, toString(Value),
                                        steadyNow() - Found->second.m_started);
+  if (m_state.m_tracer) {
+    Span &Whole = Found->second.m_span;
+    Whole.m_outcome = toString(Value);
+    Whole.m_failed = Value != Outcome::Answered || Response.m_status >= 500;
+    m_state.m_tracer->record(std::move(Whole), steadyNow());
   }
   m_bytes -= Found->second.m_bytes;
   endInLedger(Found->second, Value, Response);
--- a/src/libhost/front_driver.h
+++ b/src/libhost/front_driver.h
@@ -65,6 +65,8 @@
     bool m_askingLedger = false;
     bool m_mayHaveRun = false; ///< An earlier attempt ended as unknown.
     bool m_callerGone = false;
+    Span m_span; ///< Of the whole request; used with a tracer only.
+    Span m_hop;  ///< Of the attempt that is with a peer.
     bool m_watched = false;
   };
   using Table = std::map<std::int64_t, Pending>;
@@ -83,6 +85,7 @@
                 const std::string &Reason, Instant Now);
   void endAttempt(Pending &Row, Outcome Value, const std::string &Reason,
                   Instant Now);
+  void beginHop(Pending &Row, Instant Now);
   void cancel(const Pending &Row, std::int64_t Id);
   void finish(std::int64_t Id, Outcome Value, const HttpResponse &Response);
   void sweep(Instant Now);
--- a/src/libhost/host_state.h
+++ b/src/libhost/host_state.h
@@ -5,6 +5,7 @@
 #include "burdockpulley/keepers.h"
 #include "burdockpulley/ownership.h"
 #include "burdockpulley/settings.h"
+#include "burdockpulley/trace.h"
 #include "request_observer.h"
 
 #include <functional>
@@ -25,6 +26,7 @@
   StoreVersion m_tablesSeen;    ///< Owners and keepers are complete up to here.
   std::set<HostId> m_lostHosts; ///< Hosts that do not answer.
   RequestObserver *m_observer = nullptr; ///< May be null.
+  Tracer *m_tracer = nullptr;            ///< Null without traces.
 
   /// Asked before a keyed request goes to an upstream that does not check its
   /// grants; set by the composition root.
--- a/src/libhost/keeper_driver.cpp
+++ b/src/libhost/keeper_driver.cpp
@@ -1,6 +1,7 @@
 #include "keeper_driver.h"
 
 #include "error_answer.h"
+#include "hop_tracing.h"
 
 #include <algorithm>
 
@@ -153,13 +154,20 @@
   Duration Left = Next.m_deadline - Now;
   auto Reuse = Next.m_request.idempotent ? HttpClient::Reuse::Any
                                          : HttpClient::Reuse::RecentlyUsed;
+  Span Hop;
+  if (m_state.m_tracer) {
+    Hop = beginSpan(readTrace(Next.m_request.headers), "upstream", Now);
+    Hop.m_service = Target.m_service.value();
+    writeTrace(Hop.m_context, Next.m_request.headers);
+  }
   HttpRequest Message = toUpstream(std::move(Next.m_request), Left);
   m_pool.requests(Target).call(
       std::move(Message), Left,
-      [this, Id, Name = Target.m_name, Sent = Now,
+      [this, Id, Name = Target.m_name, Sent = Now, Hop = std::move(Hop),
        Done = std::move(Next.m_done)](HttpError Error,
                                       HttpResponse &&Response) {
         int Status = Response.m_status;
+        traceEnd(Hop, Error, Status);
         Done(Error == HttpError::None ? answer(Id, std::move(Response))
                                       : failure(Id, Error));
         onEnd(Name, Error, Status, Sent, steadyNow());
@@ -167,6 +175,14 @@
       Reuse);
 }
 
+void KeeperDriver::traceEnd(Span Hop, HttpError Error, int Status) {
+  if (!m_state.m_tracer)
+    return;
+  Hop.m_failed = Error != HttpError::None || Status >= 500;
+  Hop.m_outcome = Error == HttpError::None ? "answered" : "failed";
+  m_state.m_tracer->record(std::move(Hop), steadyNow());
+}
+
 void KeeperDriver::onEnd(const UpstreamId &Name, HttpError Error, int Status,
                          Instant Sent, Instant Now) {
   Row &Each = m_rows.at(Name);
--- a/src/libhost/keeper_driver.h
+++ b/src/libhost/keeper_driver.h
@@ -61,6 +61,7 @@
                Instant Now) const;
   void startWaiting(const UpstreamId &Name, Instant Now);
   void send(const Upstream &Target, Row &Each, Work &&Next, Instant Now);
+  void traceEnd(Span Hop, HttpError Error, int Status);
   void onEnd(const UpstreamId &Name, HttpError Error, int Status, Instant Sent,
              Instant Now);
   void refuse(Row &Each, const std::vector<AdmissionRefusal> &Refused);
--- a/src/libhost/settings.cpp
+++ b/src/libhost/settings.cpp
@@ -92,6 +92,8 @@
       "address of the platform's store, IP:PORT; "
       "or embedded, to try out on one host",
       cxxopts::value<std::string>())(
+      "trace-endpoint", "collector of spans, OTLP/JSON over HTTP, IP:PORT",
+      cxxopts::value<std::string>())(
       "peer-keys", "file with the keys that hosts know each other by",
       cxxopts::value<std::string>())(
       "seeds", "peers to ask while the store is down, IP:PORT,...",
@@ -121,6 +123,7 @@
     Settings.m_listen = Reader.endpoint("listen");
     Settings.m_peerListen = Reader.endpoint("peer-listen");
     Settings.m_adminListen = Reader.endpoint("admin-listen", false);
+    Settings.m_traceEndpoint = Reader.endpoint("trace-endpoint", false);
     Reader.platform(Settings);
     Settings.m_seeds = Reader.endpoints("seeds");
     Settings.m_peerKeys = Reader.text("peer-keys", false);
@@ -146,6 +149,10 @@
          (Settings.m_adminListen.m_address.empty()
               ? ""
               : toString(Settings.m_adminListen)) +
+         "\ntrace-endpoint=" +
+         (Settings.m_traceEndpoint.m_address.empty()
+              ? ""
+              : toString(Settings.m_traceEndpoint)) +
          "\nplatform=" +
          (Settings.m_embedded ? "embedded" : toString(Settings.m_platform)) +
          "\nseeds=" + Seeds + "\nport-file=" + Settings.m_portFile + "\n";
