request: ledger hosts of a key across a change of the hosts

A change of the declared hosts could give a key two disjoint pairs of ledger hosts, and so two runs. Each host now remembers the declared sets of the last window and does not grant a key unless it was a ledger host of it in each set that may have been in use since the key's issue (until 5 s after the change plus 2 s of clock difference). The set is computed once a configuration, not once a request.

--- a/src/include/burdockpulley/idempotency_ledger.h
+++ b/src/include/burdockpulley/idempotency_ledger.h
@@ -115,6 +115,34 @@
 std::vector<HostId> ledgerHosts(std::span<const LedgerHost> All,
                                 const std::string &Scope);
 
+/// The ledger hosts that were declared during the last window.
+///
+/// A host that a change of the declarations made responsible for a key knows
+/// nothing of the tries before; it must not grant keys from that time.
+///
+/// Thread safety: none.
+class LedgerHostHistory {
+public:
+  /// Takes over what is declared now; nothing happens when it is the same.
+  void update(std::vector<LedgerHost> Hosts, WallTime Now);
+
+  const std::vector<LedgerHost> &hosts() const { return m_hosts; }
+
+  /// True when \p Self has been a ledger host of the key in each set that any
+  /// host may have used since the key's issue.
+  bool responsible(const HostId &Self, const std::string &Scope,
+                   WallTime Issued) const;
+
+private:
+  struct Past {
+    std::vector<LedgerHost> m_hosts;
+    WallTime m_until;
+  };
+
+  std::vector<LedgerHost> m_hosts;
+  std::vector<Past> m_past;
+};
+
 /// Collects the verdicts of the ledger hosts for one try.
 /// Thread safety: none.
 class LedgerRound {
--- a/src/libhost/ledger_driver.cpp
+++ b/src/libhost/ledger_driver.cpp
@@ -60,12 +60,19 @@
                       Now - m_startInstant));
 }
 
-std::vector<HostId> LedgerDriver::hostsOf(const std::string &Scope) const {
+void LedgerDriver::refreshHosts(Instant Now) {
+  if (m_set == m_state.m_set)
+    return;
+  m_set = m_state.m_set;
   std::vector<LedgerHost> All;
   for (const FailureDomain &Domain : m_state.declared().m_domains)
     for (const FailureDomain::Host &Host : Domain.m_hosts)
       All.push_back({Host.m_name, Domain.m_name});
-  return ledgerHosts(All, Scope);
+  m_history.update(std::move(All), wall(Now));
+}
+
+std::vector<HostId> LedgerDriver::hostsOf(const std::string &Scope) const {
+  return ledgerHosts(m_history.hosts(), Scope);
 }
 
 void LedgerDriver::begin(const std::string &Scope, WallTime Issued,
@@ -84,6 +91,7 @@
 }
 
 void LedgerDriver::ask(Question &&Each, Instant Now) {
+  refreshHosts(Now);
   std::vector<HostId> Hosts = hostsOf(Each.m_entry.m_scope);
   Each.m_entry.m_attempt = AttemptId(randomUuid());
   Each.m_asked = Now;
@@ -125,7 +133,11 @@
   Try.m_issued = WallTime(milliseconds(Asked.issuedMillis));
   Try.m_bodyHash = static_cast<std::uint64_t>(Asked.bodyHash);
   Try.m_deadline = WallTime(milliseconds(Asked.deadlineMillis));
-  LedgerVerdict Result = m_ledger.begin(Try, wall(Now));
+  refreshHosts(Now);
+  bool Responsible = m_history.responsible(m_state.m_settings.m_host,
+                                           Try.m_scope, Try.m_issued);
+  LedgerVerdict Result =
+      Responsible ? m_ledger.begin(Try, wall(Now)) : LedgerVerdict::Unknown;
   wire::LedgerMessage Reply;
   Reply.kind = Verdict;
   Reply.attempt = Asked.attempt;
--- a/src/libhost/ledger_driver.h
+++ b/src/libhost/ledger_driver.h
@@ -59,6 +59,7 @@
 
   WallTime wall(Instant Now) const;
   std::vector<HostId> hostsOf(const std::string &Scope) const;
+  void refreshHosts(Instant Now);
   void ask(Question &&Each, Instant Now);
   wire::LedgerMessage hold(const wire::LedgerMessage &Begin, Instant Now);
   void hear(const HostId &From, const wire::LedgerMessage &Verdict,
@@ -73,6 +74,8 @@
   Instant m_startInstant;
   WallTime m_startWall;
   IdempotencyLedger m_ledger;
+  LedgerHostHistory m_history;
+  std::shared_ptr<const PublishedSet> m_set; ///< In the history.
   Table m_questions;
   std::mt19937_64 m_random;
   RepeatingTimer m_timer;
--- a/src/librequest/idempotency_ledger.cpp
+++ b/src/librequest/idempotency_ledger.cpp
@@ -11,6 +11,8 @@
 constexpr std::chrono::milliseconds Window = std::chrono::minutes(10);
 /// Largest difference of two clocks of the fleet and its callers.
 constexpr std::chrono::milliseconds MaxClockSkew = std::chrono::seconds(2);
+/// A published set is in force at every host after that.
+constexpr std::chrono::milliseconds SettleTime = std::chrono::seconds(5);
 constexpr std::size_t UuidSize = 36;
 constexpr std::size_t VersionPosition = 14;
 
@@ -147,6 +149,31 @@
   return Chosen;
 }
 
+void LedgerHostHistory::update(std::vector<LedgerHost> Hosts, WallTime Now) {
+  if (Hosts == m_hosts)
+    return;
+  std::erase_if(m_past, [&](const Past &Each) {
+    return Each.m_until + Window + SettleTime < Now;
+  });
+  // A host that has just started knew of no set before; its start counts.
+  if (!m_hosts.empty())
+    m_past.push_back({std::move(m_hosts), Now});
+  m_hosts = std::move(Hosts);
+}
+
+bool LedgerHostHistory::responsible(const HostId &Self,
+                                    const std::string &Scope,
+                                    WallTime Issued) const {
+  for (const Past &Each : m_past) {
+    if (Issued >= Each.m_until + SettleTime + MaxClockSkew)
+      continue;
+    std::vector<HostId> Chosen = ledgerHosts(Each.m_hosts, Scope);
+    if (std::find(Chosen.begin(), Chosen.end(), Self) == Chosen.end())
+      return false;
+  }
+  return true;
+}
+
 LedgerRound::Result LedgerRound::add(LedgerVerdict Verdict) {
   ++m_heard;
   switch (Verdict) {
--- a/src/librequest/idempotency_ledger_test.cpp
+++ b/src/librequest/idempotency_ledger_test.cpp
@@ -215,6 +215,27 @@
   BOOST_TEST(ledgerHosts(Few.first(2), "k").size() == 2u);
 }
 
+BOOST_AUTO_TEST_CASE(a_host_that_became_responsible_grants_no_earlier_keys) {
+  std::vector<LedgerHost> Before;
+  for (const char *Name : {"a", "b", "c", "d"})
+    Before.push_back({HostId(Name), DomainId(Name)});
+  std::vector<LedgerHost> After(Before.begin() + 1, Before.end());
+  After.push_back({HostId("e"), DomainId("e")});
+  LedgerHostHistory History;
+  History.update(Before, WallTime(milliseconds(0)));
+  History.update(After, WallTime(milliseconds(100'000)));
+  BOOST_TEST(rc::check([&](const std::string &Key) {
+    std::vector<HostId> Old = ledgerHosts(Before, Key);
+    for (const HostId &Each : ledgerHosts(After, Key)) {
+      bool WasOne = std::count(Old.begin(), Old.end(), Each) > 0;
+      WallTime Earlier(milliseconds(pick(0, 107'000)));
+      WallTime Later(milliseconds(pick(107'000, 500'000)));
+      RC_ASSERT(History.responsible(Each, Key, Earlier) == WasOne);
+      RC_ASSERT(History.responsible(Each, Key, Later));
+    }
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(the_issue_time_is_read_from_version_7_only) {
   auto Time = issueTime("018f0000-0001-7abc-8def-0123456789ab");
   BOOST_REQUIRE(Time);
