--- a/src/include/burdockpulley/testkit.h
+++ b/src/include/burdockpulley/testkit.h
@@ -84,7 +84,8 @@
   void startStore();
 
   /// Starts one entry host. A host that ran before keeps its ports.
-  HostRow &startHost(const std::string &Name, const std::string &Domain);
+  HostRow &startHost(const std::string &Name, const std::string &Domain,
+                     std::vector<std::string> MoreArguments = {});
 
   /// Starts one upstream. One that ran before keeps its port.
   UpstreamRow &startUpstream(const Upstream &Declared, bool Keyed,
--- a/src/libtestkit/deployment.cpp
+++ b/src/libtestkit/deployment.cpp
@@ -86,8 +86,9 @@
   m_storeAddress = {Loopback, readPorts(file("store.port"), 1)[0]};
 }
 
-Deployment::HostRow &Deployment::startHost(const std::string &Name,
-                                           const std::string &Domain) {
+Deployment::HostRow &
+Deployment::startHost(const std::string &Name, const std::string &Domain,
+                      std::vector<std::string> MoreArguments) {
   HostRow &Row = m_hosts[Name];
   Row.m_process.reset();
   Row.m_name = HostId(Name);
@@ -99,14 +100,17 @@
   auto Proxied = m_storeOfDomain.find(Domain);
   const Endpoint &Store =
       Proxied == m_storeOfDomain.end() ? m_storeAddress : Proxied->second;
+  std::vector<std::string> Arguments = {
+      "--host",           Name,
+      "--failure-domain", Domain,
+      "--listen",         toString(Row.m_callers),
+      "--peer-listen",    toString(Row.m_peers),
+      "--admin-listen",   toString(Row.m_admin),
+      "--platform",       m_embedded ? "embedded" : toString(Store),
+      "--port-file",      PortFile};
+  Arguments.insert(Arguments.end(), MoreArguments.begin(), MoreArguments.end());
   Row.m_process = std::make_unique<ChildProcess>(
-      "burdockpulleyd",
-      std::vector<std::string>{
-          "--host", Name, "--failure-domain", Domain, "--listen",
-          toString(Row.m_callers), "--peer-listen", toString(Row.m_peers),
-          "--admin-listen", toString(Row.m_admin), "--platform",
-          m_embedded ? "embedded" : toString(Store), "--port-file", PortFile},
-      file(Name + ".log"));
+      "burdockpulleyd", std::move(Arguments), file(Name + ".log"));
   std::vector<std::uint16_t> Ports = readPorts(PortFile, 3);
   Row.m_callers.m_port = Ports[0];
   Row.m_peers.m_port = Ports[1];
