testsuite: a store that hangs stops no keyed service

The store stand-in is stopped for 5 s, longer than the hold and the lease together, while all 48 keys are asked for again and again: none goes unserved, because a majority of the hosts stands in for the read. On a variant that asks no question while contact is late the case fails ('Unserved == 0 has failed [48 != 0]').

--- a/testsuite/ownership/ownership_test.cpp
+++ b/testsuite/ownership/ownership_test.cpp
@@ -229,3 +229,18 @@
     System.startHost(Name, "talca");
   }
 }
+
+BOOST_AUTO_TEST_CASE(a_store_that_hangs_stops_no_keyed_service) {
+  Fleet All;
+  All.m_system.m_store->signal(SIGSTOP);
+  // Longer than the hold and the lease together.
+  auto End = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  int Unserved = 0;
+  while (std::chrono::steady_clock::now() < End) {
+    std::vector<std::string> Now = All.owners("curico-1");
+    Unserved += static_cast<int>(std::count(Now.begin(), Now.end(), ""));
+  }
+  BOOST_TEST(Unserved == 0);
+  All.m_system.m_store->signal(SIGCONT);
+  BOOST_TEST(waitUntil([&] { return All.servedEverywhere("talca-1"); }));
+}
