host: partitions follow the load that keepers measure

Cause: the planner had an empty load table, so it balanced counts only. Change: keepers count requests by partition and report each second the rate of each upstream and its 32 busiest partitions to the planning host; planners are ranked in one place.

--- a/src/libhost/entry_host.cpp
+++ b/src/libhost/entry_host.cpp
@@ -49,7 +49,9 @@
         m_store(openStore(Base, Settings), m_metrics),
         m_peers(Base, greeting(Settings), *this),
         m_peerKeys(Base, m_peers, Settings.m_peerKeys), m_pool(Base),
-        m_keeper(Base, m_state, m_pool), m_ledger(Base, m_state, m_peers),
+        m_loads(Base, m_state, m_peers),
+        m_keeper(Base, m_state, m_pool, m_loads),
+        m_ledger(Base, m_state, m_peers),
         m_front(Base, m_state, m_peers, m_keeper, m_ledger),
         m_ownership(Base, m_store, m_state, m_pool, m_peers,
                     [this] { m_follower.poll(); }),
@@ -145,6 +147,8 @@
       m_ownership.onQuestion(From, Message.versionAsk);
     else if (Message.__isset.versionAnswer)
       m_ownership.onAnswer(From, std::move(Message.versionAnswer));
+    else if (Message.__isset.loadReport)
+      m_loads.onReport(Message.loadReport);
   }
 
   void onPeerLost(const HostId &Peer) override {
@@ -210,6 +214,7 @@
   PeerNetwork m_peers;
   PeerKeyDriver m_peerKeys;
   UpstreamPool m_pool;
+  LoadDriver m_loads;
   KeeperDriver m_keeper;
   LedgerDriver m_ledger;
   FrontDriver m_front;
--- a/src/libhost/host_state.cpp
+++ b/src/libhost/host_state.cpp
@@ -1,7 +1,15 @@
 #include "host_state.h"
 
+#include "burdockpulley/hashing.h"
+
+#include <algorithm>
+
 namespace burdockpulley {
 
+namespace {
+constexpr std::string_view PlannerItem = "coordinator";
+} // namespace
+
 std::vector<HostId> HostState::liveHosts(const DomainId &Domain) const {
   std::vector<HostId> Live;
   const FailureDomain *Found = declared().findDomain(Domain);
@@ -22,4 +30,18 @@
   return Keeper ? *Keeper : HostId();
 }
 
+std::vector<HostId> HostState::plannerRanks() const {
+  std::vector<std::pair<std::uint64_t, HostId>> Scored;
+  for (const FailureDomain &Domain : declared().m_domains)
+    for (HostId &Host : liveHosts(Domain.m_name)) {
+      std::uint64_t Score = rendezvousScore(PlannerItem, Host.value());
+      Scored.emplace_back(Score, std::move(Host));
+    }
+  std::sort(Scored.rbegin(), Scored.rend());
+  std::vector<HostId> Ranks;
+  for (auto &[Score, Host] : Scored)
+    Ranks.push_back(std::move(Host));
+  return Ranks;
+}
+
 } // namespace burdockpulley
--- a/src/libhost/host_state.h
+++ b/src/libhost/host_state.h
@@ -4,6 +4,7 @@
 #include "burdockpulley/configuration.h"
 #include "burdockpulley/keepers.h"
 #include "burdockpulley/ownership.h"
+#include "burdockpulley/placement.h"
 #include "burdockpulley/settings.h"
 #include "burdockpulley/trace.h"
 #include "request_observer.h"
@@ -25,6 +26,7 @@
   KeeperTable m_keepers;
   StoreVersion m_tablesSeen;    ///< Owners and keepers are complete up to here.
   std::set<HostId> m_lostHosts; ///< Hosts that do not answer.
+  LoadTable m_loads;            ///< What keepers have reported to this host.
   RequestObserver *m_observer = nullptr; ///< May be null.
   Tracer *m_tracer = nullptr;            ///< Null without traces.
 
@@ -41,6 +43,10 @@
   /// The host that keeps an upstream: the recorded one or, when there is no
   /// record, the preferred one. Empty when its domain has none.
   HostId keeperOf(const Upstream &Which) const;
+
+  /// The live hosts in the order in which they plan moves: the first one
+  /// plans, the next ones help out when it does not get through.
+  std::vector<HostId> plannerRanks() const;
 };
 
 } // namespace burdockpulley
--- a/src/libhost/keeper_driver.cpp
+++ b/src/libhost/keeper_driver.cpp
@@ -82,8 +82,8 @@
       m_ramp(m_slots, Which.m_warmUp, Now) {}
 
 KeeperDriver::KeeperDriver(event_base *Base, HostState &State,
-                           UpstreamPool &Pool)
-    : m_state(State), m_pool(Pool),
+                           UpstreamPool &Pool, LoadDriver &Loads)
+    : m_state(State), m_pool(Pool), m_loads(Loads),
       m_timer(Base, SweepInterval, [this](Instant Now) { sweep(Now); }) {}
 
 KeeperDriver::Row &KeeperDriver::find(const Upstream &Which, Instant Now) {
@@ -110,6 +110,9 @@
   Asked.m_weight = Caller ? std::max(Caller->m_weight, 1U) : 1;
   Asked.m_bulk = Function && Function->m_bulk;
   Asked.m_deadline = Now + Duration(Request.remainingMicros);
+  if (Request.fencingToken > 0)
+    m_loads.count(Target->m_name, PartitionIndex(static_cast<std::uint32_t>(
+                                      Request.partition)));
   Row &Each = find(*Target, Now);
   AdmissionTicket Ticket(++m_lastTicket);
   Each.m_work[Ticket] = {From, std::move(Request), std::move(Done),
--- a/src/libhost/keeper_driver.h
+++ b/src/libhost/keeper_driver.h
@@ -3,6 +3,7 @@
 
 #include "clock.h"
 #include "host_state.h"
+#include "load_driver.h"
 #include "upstream_pool.h"
 
 #include "burdockpulley/admission.h"
@@ -25,7 +26,8 @@
 public:
   using Callback = std::function<void(wire::ForwardReply &&)>;
 
-  KeeperDriver(event_base *Base, HostState &State, UpstreamPool &Pool);
+  KeeperDriver(event_base *Base, HostState &State, UpstreamPool &Pool,
+               LoadDriver &Loads);
 
   /// Runs a request of host \p From on its upstream. \p Done is called once.
   void serve(const HostId &From, wire::ForwardRequest &&Request, Callback Done,
@@ -71,6 +73,7 @@
 
   HostState &m_state;
   UpstreamPool &m_pool;
+  LoadDriver &m_loads;
   std::map<UpstreamId, Row> m_rows;
   std::uint64_t m_lastTicket = 0;
   RepeatingTimer m_timer;
--- a/src/libhost/ownership_driver.cpp
+++ b/src/libhost/ownership_driver.cpp
@@ -4,6 +4,8 @@
 #include "burdockpulley/hashing.h"
 #include "peer_types.h"
 
+#include <algorithm>
+
 namespace burdockpulley {
 
 namespace {
@@ -15,7 +17,6 @@
 /// How long work lies before the next host in rank does it.
 constexpr Duration RankDelay{1'000'000};
 constexpr std::size_t CoordinatorRanks = 3;
-const std::string CoordinatorItem = "coordinator";
 
 } // namespace
 
@@ -57,15 +58,10 @@
 }
 
 std::size_t OwnershipDriver::coordinatorRank() const {
-  const std::string &Self = m_state.m_settings.m_host.value();
-  std::uint64_t Own = rendezvousScore(CoordinatorItem, Self);
-  std::size_t Rank = 0;
-  for (const FailureDomain &Domain : m_state.declared().m_domains)
-    for (const HostId &Host : m_state.liveHosts(Domain.m_name))
-      if (Host.value() != Self &&
-          rendezvousScore(CoordinatorItem, Host.value()) > Own)
-        ++Rank;
-  return Rank;
+  std::vector<HostId> Ranks = m_state.plannerRanks();
+  auto Own = std::find(Ranks.begin(), Ranks.end(), m_state.m_settings.m_host);
+  return Own == Ranks.end() ? CoordinatorRanks
+                            : static_cast<std::size_t>(Own - Ranks.begin());
 }
 
 // Several hosts may do this at once: only the compare-and-swap counts. The
@@ -85,7 +81,7 @@
     m_workSince = Now;
   if (Plan.empty() && Rank == 0)
     Plan = intendMoves(m_placement.plan(m_state.declared(), m_state.m_ownership,
-                                        m_loads, Down, Now),
+                                        m_state.m_loads, Down, Now),
                        m_state.m_ownership);
   Duration Waited = m_workSince ? Now - *m_workSince : Duration();
   if (Waited >= RankDelay * Rank)
--- a/src/libhost/ownership_driver.h
+++ b/src/libhost/ownership_driver.h
@@ -67,7 +67,6 @@
   std::function<void()> m_committed;
   KeepingSystem m_keeping;
   Placement m_placement;
-  LoadTable m_loads;
   std::size_t m_keeperWrites = 0;
   std::size_t m_releaseWrites = 0;
   std::size_t m_coordinatorWrites = 0;
--- a/src/libpeer/gen/peer_types.cpp
+++ b/src/libpeer/gen/peer_types.cpp
@@ -3145,6 +3145,316 @@
 }
 
 
+PartitionRate::~PartitionRate() noexcept {
+}
+
+
+void PartitionRate::__set_partition(const int32_t val) {
+  this->partition = val;
+}
+
+void PartitionRate::__set_requestsPerSecond(const double val) {
+  this->requestsPerSecond = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartitionRate& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartitionRate::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->partition);
+          this->__isset.partition = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->requestsPerSecond);
+          this->__isset.requestsPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartitionRate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartitionRate");
+
+  xfer += oprot->writeFieldBegin("partition", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->partition);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requestsPerSecond", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->requestsPerSecond);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartitionRate &a, PartitionRate &b) {
+  using ::std::swap;
+  swap(a.partition, b.partition);
+  swap(a.requestsPerSecond, b.requestsPerSecond);
+  swap(a.__isset, b.__isset);
+}
+
+PartitionRate::PartitionRate(const PartitionRate& other116) noexcept {
+  partition = other116.partition;
+  requestsPerSecond = other116.requestsPerSecond;
+  __isset = other116.__isset;
+}
+PartitionRate::PartitionRate(PartitionRate&& other117) noexcept {
+  partition = other117.partition;
+  requestsPerSecond = other117.requestsPerSecond;
+  __isset = other117.__isset;
+}
+PartitionRate& PartitionRate::operator=(const PartitionRate& other118) noexcept {
+  partition = other118.partition;
+  requestsPerSecond = other118.requestsPerSecond;
+  __isset = other118.__isset;
+  return *this;
+}
+PartitionRate& PartitionRate::operator=(PartitionRate&& other119) noexcept {
+  partition = other119.partition;
+  requestsPerSecond = other119.requestsPerSecond;
+  __isset = other119.__isset;
+  return *this;
+}
+void PartitionRate::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartitionRate(";
+  out << "partition=" << to_string(partition);
+  out << ", " << "requestsPerSecond=" << to_string(requestsPerSecond);
+  out << ")";
+}
+
+
+LoadReport::~LoadReport() noexcept {
+}
+
+
+void LoadReport::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void LoadReport::__set_upstream(const std::string& val) {
+  this->upstream = val;
+}
+
+void LoadReport::__set_requestsPerSecond(const double val) {
+  this->requestsPerSecond = val;
+}
+
+void LoadReport::__set_busiest(const std::vector<PartitionRate> & val) {
+  this->busiest = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->upstream);
+          this->__isset.upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->requestsPerSecond);
+          this->__isset.requestsPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->busiest.clear();
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->busiest.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
+            {
+              xfer += this->busiest[_i124].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.busiest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadReport");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->upstream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requestsPerSecond", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->requestsPerSecond);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("busiest", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->busiest.size()));
+    std::vector<PartitionRate> ::const_iterator _iter125;
+    for (_iter125 = this->busiest.begin(); _iter125 != this->busiest.end(); ++_iter125)
+    {
+      xfer += (*_iter125).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadReport &a, LoadReport &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.upstream, b.upstream);
+  swap(a.requestsPerSecond, b.requestsPerSecond);
+  swap(a.busiest, b.busiest);
+  swap(a.__isset, b.__isset);
+}
+
+LoadReport::LoadReport(const LoadReport& other126) {
+  serviceName = other126.serviceName;
+  upstream = other126.upstream;
+  requestsPerSecond = other126.requestsPerSecond;
+  busiest = other126.busiest;
+  __isset = other126.__isset;
+}
+LoadReport::LoadReport(LoadReport&& other127) noexcept {
+  serviceName = std::move(other127.serviceName);
+  upstream = std::move(other127.upstream);
+  requestsPerSecond = other127.requestsPerSecond;
+  busiest = std::move(other127.busiest);
+  __isset = other127.__isset;
+}
+LoadReport& LoadReport::operator=(const LoadReport& other128) {
+  serviceName = other128.serviceName;
+  upstream = other128.upstream;
+  requestsPerSecond = other128.requestsPerSecond;
+  busiest = other128.busiest;
+  __isset = other128.__isset;
+  return *this;
+}
+LoadReport& LoadReport::operator=(LoadReport&& other129) noexcept {
+  serviceName = std::move(other129.serviceName);
+  upstream = std::move(other129.upstream);
+  requestsPerSecond = other129.requestsPerSecond;
+  busiest = std::move(other129.busiest);
+  __isset = other129.__isset;
+  return *this;
+}
+void LoadReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadReport(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "upstream=" << to_string(upstream);
+  out << ", " << "requestsPerSecond=" << to_string(requestsPerSecond);
+  out << ", " << "busiest=" << to_string(busiest);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -3204,6 +3514,11 @@
 __isset.versionAnswer = true;
 }
 
+void Message::__set_loadReport(const LoadReport& val) {
+  this->loadReport = val;
+__isset.loadReport = true;
+}
+
 void Message::__set_ledger(const LedgerMessage& val) {
   this->ledger = val;
 __isset.ledger = true;
@@ -3324,6 +3639,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->loadReport.read(iprot);
+          this->__isset.loadReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 40:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->ledger.read(iprot);
@@ -3404,6 +3727,11 @@
     xfer += this->versionAnswer.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.loadReport) {
+    xfer += oprot->writeFieldBegin("loadReport", ::apache::thrift::protocol::T_STRUCT, 30);
+    xfer += this->loadReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.ledger) {
     xfer += oprot->writeFieldBegin("ledger", ::apache::thrift::protocol::T_STRUCT, 40);
     xfer += this->ledger.write(oprot);
@@ -3427,70 +3755,75 @@
   swap(a.tablePush, b.tablePush);
   swap(a.versionAsk, b.versionAsk);
   swap(a.versionAnswer, b.versionAnswer);
+  swap(a.loadReport, b.loadReport);
   swap(a.ledger, b.ledger);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other116) {
-  hello = other116.hello;
-  forwardRequest = other116.forwardRequest;
-  forwardReply = other116.forwardReply;
-  forwardCancel = other116.forwardCancel;
-  member = other116.member;
-  configPull = other116.configPull;
-  configPush = other116.configPush;
-  tablePull = other116.tablePull;
-  tablePush = other116.tablePush;
-  versionAsk = other116.versionAsk;
-  versionAnswer = other116.versionAnswer;
-  ledger = other116.ledger;
-  __isset = other116.__isset;
-}
-Message::Message(Message&& other117) noexcept {
-  hello = std::move(other117.hello);
-  forwardRequest = std::move(other117.forwardRequest);
-  forwardReply = std::move(other117.forwardReply);
-  forwardCancel = std::move(other117.forwardCancel);
-  member = std::move(other117.member);
-  configPull = std::move(other117.configPull);
-  configPush = std::move(other117.configPush);
-  tablePull = std::move(other117.tablePull);
-  tablePush = std::move(other117.tablePush);
-  versionAsk = std::move(other117.versionAsk);
-  versionAnswer = std::move(other117.versionAnswer);
-  ledger = std::move(other117.ledger);
-  __isset = other117.__isset;
-}
-Message& Message::operator=(const Message& other118) {
-  hello = other118.hello;
-  forwardRequest = other118.forwardRequest;
-  forwardReply = other118.forwardReply;
-  forwardCancel = other118.forwardCancel;
-  member = other118.member;
-  configPull = other118.configPull;
-  configPush = other118.configPush;
-  tablePull = other118.tablePull;
-  tablePush = other118.tablePush;
-  versionAsk = other118.versionAsk;
-  versionAnswer = other118.versionAnswer;
-  ledger = other118.ledger;
-  __isset = other118.__isset;
+Message::Message(const Message& other130) {
+  hello = other130.hello;
+  forwardRequest = other130.forwardRequest;
+  forwardReply = other130.forwardReply;
+  forwardCancel = other130.forwardCancel;
+  member = other130.member;
+  configPull = other130.configPull;
+  configPush = other130.configPush;
+  tablePull = other130.tablePull;
+  tablePush = other130.tablePush;
+  versionAsk = other130.versionAsk;
+  versionAnswer = other130.versionAnswer;
+  loadReport = other130.loadReport;
+  ledger = other130.ledger;
+  __isset = other130.__isset;
+}
+Message::Message(Message&& other131) noexcept {
+  hello = std::move(other131.hello);
+  forwardRequest = std::move(other131.forwardRequest);
+  forwardReply = std::move(other131.forwardReply);
+  forwardCancel = std::move(other131.forwardCancel);
+  member = std::move(other131.member);
+  configPull = std::move(other131.configPull);
+  configPush = std::move(other131.configPush);
+  tablePull = std::move(other131.tablePull);
+  tablePush = std::move(other131.tablePush);
+  versionAsk = std::move(other131.versionAsk);
+  versionAnswer = std::move(other131.versionAnswer);
+  loadReport = std::move(other131.loadReport);
+  ledger = std::move(other131.ledger);
+  __isset = other131.__isset;
+}
+Message& Message::operator=(const Message& other132) {
+  hello = other132.hello;
+  forwardRequest = other132.forwardRequest;
+  forwardReply = other132.forwardReply;
+  forwardCancel = other132.forwardCancel;
+  member = other132.member;
+  configPull = other132.configPull;
+  configPush = other132.configPush;
+  tablePull = other132.tablePull;
+  tablePush = other132.tablePush;
+  versionAsk = other132.versionAsk;
+  versionAnswer = other132.versionAnswer;
+  loadReport = other132.loadReport;
+  ledger = other132.ledger;
+  __isset = other132.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other119) noexcept {
-  hello = std::move(other119.hello);
-  forwardRequest = std::move(other119.forwardRequest);
-  forwardReply = std::move(other119.forwardReply);
-  forwardCancel = std::move(other119.forwardCancel);
-  member = std::move(other119.member);
-  configPull = std::move(other119.configPull);
-  configPush = std::move(other119.configPush);
-  tablePull = std::move(other119.tablePull);
-  tablePush = std::move(other119.tablePush);
-  versionAsk = std::move(other119.versionAsk);
-  versionAnswer = std::move(other119.versionAnswer);
-  ledger = std::move(other119.ledger);
-  __isset = other119.__isset;
+Message& Message::operator=(Message&& other133) noexcept {
+  hello = std::move(other133.hello);
+  forwardRequest = std::move(other133.forwardRequest);
+  forwardReply = std::move(other133.forwardReply);
+  forwardCancel = std::move(other133.forwardCancel);
+  member = std::move(other133.member);
+  configPull = std::move(other133.configPull);
+  configPush = std::move(other133.configPush);
+  tablePull = std::move(other133.tablePull);
+  tablePush = std::move(other133.tablePush);
+  versionAsk = std::move(other133.versionAsk);
+  versionAnswer = std::move(other133.versionAnswer);
+  loadReport = std::move(other133.loadReport);
+  ledger = std::move(other133.ledger);
+  __isset = other133.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -3507,6 +3840,7 @@
   out << ", " << "tablePush="; (__isset.tablePush ? (out << to_string(tablePush)) : (out << "<null>"));
   out << ", " << "versionAsk="; (__isset.versionAsk ? (out << to_string(versionAsk)) : (out << "<null>"));
   out << ", " << "versionAnswer="; (__isset.versionAnswer ? (out << to_string(versionAnswer)) : (out << "<null>"));
+  out << ", " << "loadReport="; (__isset.loadReport ? (out << to_string(loadReport)) : (out << "<null>"));
   out << ", " << "ledger="; (__isset.ledger ? (out << to_string(ledger)) : (out << "<null>"));
   out << ")";
 }
--- a/src/libpeer/gen/peer_types.h
+++ b/src/libpeer/gen/peer_types.h
@@ -55,6 +55,10 @@
 
 class LedgerMessage;
 
+class PartitionRate;
+
+class LoadReport;
+
 class Message;
 
 typedef struct _Header__isset {
@@ -1213,8 +1217,125 @@
 
 std::ostream& operator<<(std::ostream& out, const LedgerMessage& obj);
 
+typedef struct _PartitionRate__isset {
+  _PartitionRate__isset() : partition(false), requestsPerSecond(false) {}
+  bool partition :1;
+  bool requestsPerSecond :1;
+} _PartitionRate__isset;
+
+class PartitionRate : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartitionRate(const PartitionRate&) noexcept;
+  PartitionRate(PartitionRate&&) noexcept;
+  PartitionRate& operator=(const PartitionRate&) noexcept;
+  PartitionRate& operator=(PartitionRate&&) noexcept;
+  PartitionRate() noexcept
+                : partition(0),
+                  requestsPerSecond(0) {
+  }
+
+  virtual ~PartitionRate() noexcept;
+  int32_t partition;
+  double requestsPerSecond;
+
+  _PartitionRate__isset __isset;
+
+  void __set_partition(const int32_t val);
+
+  void __set_requestsPerSecond(const double val);
+
+  bool operator == (const PartitionRate & rhs) const
+  {
+    if (!(partition == rhs.partition))
+      return false;
+    if (!(requestsPerSecond == rhs.requestsPerSecond))
+      return false;
+    return true;
+  }
+  bool operator != (const PartitionRate &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartitionRate & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartitionRate &a, PartitionRate &b);
+
+std::ostream& operator<<(std::ostream& out, const PartitionRate& obj);
+
+typedef struct _LoadReport__isset {
+  _LoadReport__isset() : serviceName(false), upstream(false), requestsPerSecond(false), busiest(false) {}
+  bool serviceName :1;
+  bool upstream :1;
+  bool requestsPerSecond :1;
+  bool busiest :1;
+} _LoadReport__isset;
+
+class LoadReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadReport(const LoadReport&);
+  LoadReport(LoadReport&&) noexcept;
+  LoadReport& operator=(const LoadReport&);
+  LoadReport& operator=(LoadReport&&) noexcept;
+  LoadReport() noexcept
+             : serviceName(),
+               upstream(),
+               requestsPerSecond(0) {
+  }
+
+  virtual ~LoadReport() noexcept;
+  std::string serviceName;
+  std::string upstream;
+  double requestsPerSecond;
+  std::vector<PartitionRate>  busiest;
+
+  _LoadReport__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_upstream(const std::string& val);
+
+  void __set_requestsPerSecond(const double val);
+
+  void __set_busiest(const std::vector<PartitionRate> & val);
+
+  bool operator == (const LoadReport & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(upstream == rhs.upstream))
+      return false;
+    if (!(requestsPerSecond == rhs.requestsPerSecond))
+      return false;
+    if (!(busiest == rhs.busiest))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoadReport &a, LoadReport &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadReport& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : hello(false), forwardRequest(false), forwardReply(false), forwardCancel(false), member(false), configPull(false), configPush(false), tablePull(false), tablePush(false), versionAsk(false), versionAnswer(false), ledger(false) {}
+  _Message__isset() : hello(false), forwardRequest(false), forwardReply(false), forwardCancel(false), member(false), configPull(false), configPush(false), tablePull(false), tablePush(false), versionAsk(false), versionAnswer(false), loadReport(false), ledger(false) {}
   bool hello :1;
   bool forwardRequest :1;
   bool forwardReply :1;
@@ -1226,6 +1347,7 @@
   bool tablePush :1;
   bool versionAsk :1;
   bool versionAnswer :1;
+  bool loadReport :1;
   bool ledger :1;
 } _Message__isset;
 
@@ -1251,6 +1373,7 @@
   TablePush tablePush;
   VersionAsk versionAsk;
   VersionAnswer versionAnswer;
+  LoadReport loadReport;
   LedgerMessage ledger;
 
   _Message__isset __isset;
@@ -1277,6 +1400,8 @@
 
   void __set_versionAnswer(const VersionAnswer& val);
 
+  void __set_loadReport(const LoadReport& val);
+
   void __set_ledger(const LedgerMessage& val);
 
   bool operator == (const Message & rhs) const
@@ -1325,6 +1450,10 @@
       return false;
     else if (__isset.versionAnswer && !(versionAnswer == rhs.versionAnswer))
       return false;
+    if (__isset.loadReport != rhs.__isset.loadReport)
+      return false;
+    else if (__isset.loadReport && !(loadReport == rhs.loadReport))
+      return false;
     if (__isset.ledger != rhs.__isset.ledger)
       return false;
     else if (__isset.ledger && !(ledger == rhs.ledger))
--- a/src/libpeer/peer.thrift
+++ b/src/libpeer/peer.thrift
@@ -140,6 +140,20 @@
   11: binary body,
 }
 
+// Rate of one partition, in requests a second.
+struct PartitionRate {
+  1: i32 partition,
+  2: double requestsPerSecond,
+}
+
+// The load of one upstream, from its keeper to the host that plans moves.
+struct LoadReport {
+  1: string serviceName,
+  2: string upstream,
+  3: double requestsPerSecond,
+  4: list<PartitionRate> busiest,
+}
+
 union Message {
   1: Hello hello,
   2: ForwardRequest forwardRequest,
@@ -152,5 +166,6 @@
   9: TablePush tablePush,
   20: VersionAsk versionAsk,
   21: VersionAnswer versionAnswer,
+  30: LoadReport loadReport,
   40: LedgerMessage ledger,
 }
