host: a stop hands over first, and a rolling restart cuts nothing

Cause: a host that was stopped counted only its callers' requests, left its upstreams to be taken over after it was found lost, and requests that other hosts had sent to it ended as unknown; a host that had just started was given requests before it had read the set, and unkeyed ones were refused for good. Ruled out: a stopping host that serves too short a time (it waits for the balancer). Change: StopDriver tells the peers, waits for the balancer, for requests in flight in both roles and for the take-over, and gives up after 30 s or at a second signal; an unkeyed request that was proven not run because its keeper was not reached or not ready yet waits as a keyed one does. The retry property now allows exactly that wait; all else it forbids as before.

--- a/src/include/burdockpulley/http.h
+++ b/src/include/burdockpulley/http.h
@@ -74,6 +74,9 @@
   /// Sends the answer; it does nothing when the caller has gone.
   void send(const HttpResponse &Response);
 
+  /// The connection is closed after the answer.
+  void closeAfter() { m_close = true; }
+
   /// Calls \p Gone once, on the loop's thread, when the caller closes its
   /// connection before the answer is sent. Precondition: not called before.
   void watchCaller(std::function<void()> Gone);
@@ -82,6 +85,7 @@
   void unwatch();
 
   evhttp_request *m_request;
+  bool m_close = false;
   event *m_watch = nullptr;
   std::function<void()> m_gone;
 };
--- a/src/include/burdockpulley/retry_policy.h
+++ b/src/include/burdockpulley/retry_policy.h
@@ -12,6 +12,8 @@
   bool m_timedOut = false;       ///< The upstream was too slow.
   bool m_overloaded = false;     ///< The upstream's queue refused it.
   bool m_ownerUnsettled = false; ///< Refused as not the owner, or no owner.
+  /// The keeper was not reached, or does not know the upstream yet.
+  bool m_keeperUnsettled = false;
   bool m_idempotent = false;
   bool m_keyed = false;         ///< Only the key's owner may run it.
   bool m_otherUpstream = false; ///< One that was not tried may run it.
@@ -24,9 +26,8 @@
 
 /// Decides whether a request is tried again. A request that is not idempotent
 /// is only ever tried again after a proven not-run; a slow upstream never gets
-/// the same request twice; retries other than for a change of owner are taken
-/// from \p Budget.
-/// Thread safety: none, for the budget.
+/// the same request twice; retries other than for a change of owner or keeper
+/// are taken from \p Budget. Thread safety: none, for the budget.
 RetryVerdict decideRetry(const FailedAttempt &Attempt, RetryBudget &Budget);
 
 } // namespace burdockpulley
--- a/src/libhost/entry_host.cpp
+++ b/src/libhost/entry_host.cpp
@@ -10,6 +10,7 @@
 #include "ownership_driver.h"
 #include "peer_key_driver.h"
 #include "peer_types.h"
+#include "stop_driver.h"
 #include "store_follower.h"
 #include "trace_exporter.h"
 
@@ -23,7 +24,6 @@
 namespace {
 
 constexpr Duration StoreTimeout{1'000'000};
-constexpr Duration StopCheckInterval{50'000};
 constexpr std::uint64_t MaxBodyBytes = std::uint64_t(256) << 20;
 
 wire::Hello greeting(const HostSettings &Settings) {
@@ -104,17 +104,7 @@
     return true;
   }
 
-  void stop() {
-    if (m_stopping)
-      return;
-    m_stopping = true;
-    m_server.stopListening();
-    m_stopTimer = std::make_unique<RepeatingTimer>(
-        m_base, StopCheckInterval, [this](Instant) {
-          if (m_front.inFlight() == 0)
-            event_base_loopexit(m_base, nullptr);
-        });
-  }
+  void stop() { m_stop.stop(steadyNow()); }
 
   void onMessage(const HostId &From, wire::Message &&Message) override {
     m_metrics.onPeerMessage();
@@ -149,11 +139,14 @@
       m_ownership.onAnswer(From, std::move(Message.versionAnswer));
     else if (Message.__isset.loadReport)
       m_loads.onReport(Message.loadReport);
+    else if (Message.__isset.leaving)
+      m_stop.onLeaving(From);
   }
 
   void onPeerLost(const HostId &Peer) override {
     m_keeper.onPeerLost(Peer);
     m_front.onPeerLost(Peer, steadyNow());
+    m_stop.onPeerLost(Peer);
   }
 
 private:
@@ -173,6 +166,8 @@
                  std::shared_ptr<HttpResponder> Responder) {
     if (Request.m_target == "/healthz" || Request.m_target == "/readyz")
       return Responder->send(healthAnswer(Request.m_target, ready()));
+    if (m_stop.stopping())
+      Responder->closeAfter();
     m_front.onRequest(std::move(Request), std::move(Responder), steadyNow());
   }
 
@@ -190,7 +185,7 @@
   }
 
   bool ready() const {
-    return !m_stopping && m_state.m_set->m_root.m_revision.value() > 0;
+    return !m_stop.stopping() && m_state.m_set->m_root.m_revision.value() > 0;
   }
 
   void writePorts(std::uint16_t CallerPort, std::uint16_t PeerPort,
@@ -226,8 +221,13 @@
   AdminDriver m_admin{m_base,
                       {m_state, m_peers, m_front, m_store, m_pool, m_metrics,
                        m_embedded, [this] { return ready(); }}};
-  bool m_stopping = false;
-  std::unique_ptr<RepeatingTimer> m_stopTimer;
+  StopDriver m_stop{
+      m_base,
+      m_state,
+      m_peers,
+      {[this] { return m_front.inFlight() + m_keeper.inFlight(); },
+       [this] { m_server.stopListening(); }, [this] { m_ownership.wake(); },
+       [this] { event_base_loopexit(m_base, nullptr); }}};
 };
 
 EntryHost::EntryHost(event_base *Base, const HostSettings &Settings)
--- a/src/libhost/front_driver.cpp
+++ b/src/libhost/front_driver.cpp
@@ -127,10 +127,13 @@
   return Response;
 }
 
+bool keeperUnsettled(const std::string &Reason) {
+  return Reason == "keeper-unreachable" || Reason == "upstream-not-declared";
+}
+
 bool ownerUnsettled(const std::string &Reason) {
   return Reason == "not-owner" || Reason == "no-owner" ||
-         Reason == "keeper-unreachable" || Reason == "upstream-unreachable" ||
-         Reason == "upstream-not-declared";
+         Reason == "upstream-unreachable" || keeperUnsettled(Reason);
 }
 
 Duration ownerWait(Duration Deadline) {
@@ -369,6 +372,7 @@
   Attempt.m_timedOut = Status == 504;
   Attempt.m_overloaded = Reason == "overloaded";
   Attempt.m_ownerUnsettled = ownerUnsettled(Reason);
+  Attempt.m_keeperUnsettled = keeperUnsettled(Reason);
   Attempt.m_idempotent = Row.m_message.forwardRequest.idempotent;
   Attempt.m_keyed = Row.m_keyed;
   Attempt.m_otherUpstream =
--- a/src/libhost/host_state.cpp
+++ b/src/libhost/host_state.cpp
@@ -16,7 +16,7 @@
   if (!Found)
     return Live;
   for (const FailureDomain::Host &Host : Found->m_hosts)
-    if (!m_lostHosts.count(Host.m_name))
+    if (!m_lostHosts.count(Host.m_name) && !m_leavingHosts.count(Host.m_name))
       Live.push_back(Host.m_name);
   return Live;
 }
--- a/src/libhost/host_state.h
+++ b/src/libhost/host_state.h
@@ -26,7 +26,8 @@
   KeeperTable m_keepers;
   StoreVersion m_tablesSeen;    ///< Owners and keepers are complete up to here.
   std::set<HostId> m_lostHosts; ///< Hosts that do not answer.
-  LoadTable m_loads;            ///< What keepers have reported to this host.
+  std::set<HostId> m_leavingHosts; ///< Hosts that are stopping.
+  LoadTable m_loads;               ///< What keepers have reported to this host.
   RequestObserver *m_observer = nullptr; ///< May be null.
   Tracer *m_tracer = nullptr;            ///< Null without traces.
 
@@ -37,7 +38,7 @@
 
   const Declarations &declared() const { return m_set->m_declarations; }
 
-  /// Hosts of a failure domain that are not known to be lost.
+  /// Hosts of a failure domain that are neither lost nor stopping.
   std::vector<HostId> liveHosts(const DomainId &Domain) const;
 
   /// The host that keeps an upstream: the recorded one or, when there is no
--- a/src/libhost/keeper_driver.cpp
+++ b/src/libhost/keeper_driver.cpp
@@ -246,6 +246,13 @@
   }
 }
 
+std::size_t KeeperDriver::inFlight() const {
+  std::size_t Count = 0;
+  for (const auto &[Name, Each] : m_rows)
+    Count += Each.m_queue.running() + Each.m_queue.waiting();
+  return Count;
+}
+
 void KeeperDriver::sweep(Instant Now) {
   for (auto &[Name, Each] : m_rows)
     if (Each.m_queue.waiting() > 0)
--- a/src/libhost/keeper_driver.h
+++ b/src/libhost/keeper_driver.h
@@ -40,6 +40,9 @@
   /// Ends the wait of all requests of a host that is lost.
   void onPeerLost(const HostId &Peer);
 
+  /// Requests that wait or run.
+  std::size_t inFlight() const;
+
 private:
   struct Work {
     HostId m_from;
--- a/src/libhost/ownership_driver.cpp
+++ b/src/libhost/ownership_driver.cpp
@@ -29,9 +29,12 @@
       m_keeping(State.m_settings.m_host, randomUuid()),
       m_timer(Base, TickInterval, [this](Instant Now) { tick(Now); }) {}
 
-KeepingSystem::Tables OwnershipDriver::tables() const {
+KeepingSystem::Tables OwnershipDriver::tables() {
+  m_absentHosts = m_state.m_lostHosts;
+  m_absentHosts.insert(m_state.m_leavingHosts.begin(),
+                       m_state.m_leavingHosts.end());
   return {m_state.declared(), m_state.m_ownership, m_state.m_keepers,
-          m_state.m_lostHosts, m_state.m_tablesSeen};
+          m_absentHosts, m_state.m_tablesSeen};
 }
 
 void OwnershipDriver::wake() { tick(steadyNow()); }
--- a/src/libhost/ownership_driver.h
+++ b/src/libhost/ownership_driver.h
@@ -47,7 +47,7 @@
   }
 
 private:
-  KeepingSystem::Tables tables() const;
+  KeepingSystem::Tables tables();
   void tick(Instant Now);
   void coordinate(Instant Now);
   std::size_t coordinatorRank() const;
@@ -67,6 +67,7 @@
   std::function<void()> m_committed;
   KeepingSystem m_keeping;
   Placement m_placement;
+  std::set<HostId> m_absentHosts; ///< Lost or stopping.
   std::size_t m_keeperWrites = 0;
   std::size_t m_releaseWrites = 0;
   std::size_t m_coordinatorWrites = 0;
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -89,6 +89,9 @@
   Request->flags &= ~EVHTTP_USER_OWNED;
   detail::writeHeaders(evhttp_request_get_output_headers(Request),
                        Response.m_headers);
+  if (m_close)
+    detail::writeHeaders(evhttp_request_get_output_headers(Request),
+                         {{"Connection", "close"}});
   evbuffer *Body = evhttp_request_get_output_buffer(Request);
   evbuffer_add(Body, Response.m_body.data(), Response.m_body.size());
   evhttp_send_reply(Request, Response.m_status, nullptr, nullptr);
--- a/src/libpeer/gen/peer_types.cpp
+++ b/src/libpeer/gen/peer_types.cpp
@@ -3455,6 +3455,81 @@
 }
 
 
+Leaving::~Leaving() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const Leaving& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Leaving::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Leaving::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Leaving");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Leaving &a, Leaving &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+Leaving::Leaving(const Leaving& other130) noexcept {
+  (void) other130;
+}
+Leaving::Leaving(Leaving&& other131) noexcept {
+  (void) other131;
+}
+Leaving& Leaving::operator=(const Leaving& other132) noexcept {
+  (void) other132;
+  return *this;
+}
+Leaving& Leaving::operator=(Leaving&& other133) noexcept {
+  (void) other133;
+  return *this;
+}
+void Leaving::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Leaving(";
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -3519,6 +3594,11 @@
 __isset.loadReport = true;
 }
 
+void Message::__set_leaving(const Leaving& val) {
+  this->leaving = val;
+__isset.leaving = true;
+}
+
 void Message::__set_ledger(const LedgerMessage& val) {
   this->ledger = val;
 __isset.ledger = true;
@@ -3647,6 +3727,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaving.read(iprot);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 40:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->ledger.read(iprot);
@@ -3732,6 +3820,11 @@
     xfer += this->loadReport.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.leaving) {
+    xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_STRUCT, 31);
+    xfer += this->leaving.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.ledger) {
     xfer += oprot->writeFieldBegin("ledger", ::apache::thrift::protocol::T_STRUCT, 40);
     xfer += this->ledger.write(oprot);
@@ -3756,74 +3849,79 @@
   swap(a.versionAsk, b.versionAsk);
   swap(a.versionAnswer, b.versionAnswer);
   swap(a.loadReport, b.loadReport);
+  swap(a.leaving, b.leaving);
   swap(a.ledger, b.ledger);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other130) {
-  hello = other130.hello;
-  forwardRequest = other130.forwardRequest;
-  forwardReply = other130.forwardReply;
-  forwardCancel = other130.forwardCancel;
-  member = other130.member;
-  configPull = other130.configPull;
-  configPush = other130.configPush;
-  tablePull = other130.tablePull;
-  tablePush = other130.tablePush;
-  versionAsk = other130.versionAsk;
-  versionAnswer = other130.versionAnswer;
-  loadReport = other130.loadReport;
-  ledger = other130.ledger;
-  __isset = other130.__isset;
-}
-Message::Message(Message&& other131) noexcept {
-  hello = std::move(other131.hello);
-  forwardRequest = std::move(other131.forwardRequest);
-  forwardReply = std::move(other131.forwardReply);
-  forwardCancel = std::move(other131.forwardCancel);
-  member = std::move(other131.member);
-  configPull = std::move(other131.configPull);
-  configPush = std::move(other131.configPush);
-  tablePull = std::move(other131.tablePull);
-  tablePush = std::move(other131.tablePush);
-  versionAsk = std::move(other131.versionAsk);
-  versionAnswer = std::move(other131.versionAnswer);
-  loadReport = std::move(other131.loadReport);
-  ledger = std::move(other131.ledger);
-  __isset = other131.__isset;
-}
-Message& Message::operator=(const Message& other132) {
-  hello = other132.hello;
-  forwardRequest = other132.forwardRequest;
-  forwardReply = other132.forwardReply;
-  forwardCancel = other132.forwardCancel;
-  member = other132.member;
-  configPull = other132.configPull;
-  configPush = other132.configPush;
-  tablePull = other132.tablePull;
-  tablePush = other132.tablePush;
-  versionAsk = other132.versionAsk;
-  versionAnswer = other132.versionAnswer;
-  loadReport = other132.loadReport;
-  ledger = other132.ledger;
-  __isset = other132.__isset;
+Message::Message(const Message& other134) {
+  hello = other134.hello;
+  forwardRequest = other134.forwardRequest;
+  forwardReply = other134.forwardReply;
+  forwardCancel = other134.forwardCancel;
+  member = other134.member;
+  configPull = other134.configPull;
+  configPush = other134.configPush;
+  tablePull = other134.tablePull;
+  tablePush = other134.tablePush;
+  versionAsk = other134.versionAsk;
+  versionAnswer = other134.versionAnswer;
+  loadReport = other134.loadReport;
+  leaving = other134.leaving;
+  ledger = other134.ledger;
+  __isset = other134.__isset;
+}
+Message::Message(Message&& other135) noexcept {
+  hello = std::move(other135.hello);
+  forwardRequest = std::move(other135.forwardRequest);
+  forwardReply = std::move(other135.forwardReply);
+  forwardCancel = std::move(other135.forwardCancel);
+  member = std::move(other135.member);
+  configPull = std::move(other135.configPull);
+  configPush = std::move(other135.configPush);
+  tablePull = std::move(other135.tablePull);
+  tablePush = std::move(other135.tablePush);
+  versionAsk = std::move(other135.versionAsk);
+  versionAnswer = std::move(other135.versionAnswer);
+  loadReport = std::move(other135.loadReport);
+  leaving = std::move(other135.leaving);
+  ledger = std::move(other135.ledger);
+  __isset = other135.__isset;
+}
+Message& Message::operator=(const Message& other136) {
+  hello = other136.hello;
+  forwardRequest = other136.forwardRequest;
+  forwardReply = other136.forwardReply;
+  forwardCancel = other136.forwardCancel;
+  member = other136.member;
+  configPull = other136.configPull;
+  configPush = other136.configPush;
+  tablePull = other136.tablePull;
+  tablePush = other136.tablePush;
+  versionAsk = other136.versionAsk;
+  versionAnswer = other136.versionAnswer;
+  loadReport = other136.loadReport;
+  leaving = other136.leaving;
+  ledger = other136.ledger;
+  __isset = other136.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other133) noexcept {
-  hello = std::move(other133.hello);
-  forwardRequest = std::move(other133.forwardRequest);
-  forwardReply = std::move(other133.forwardReply);
-  forwardCancel = std::move(other133.forwardCancel);
-  member = std::move(other133.member);
-  configPull = std::move(other133.configPull);
-  configPush = std::move(other133.configPush);
-  tablePull = std::move(other133.tablePull);
-  tablePush = std::move(other133.tablePush);
-  versionAsk = std::move(other133.versionAsk);
-  versionAnswer = std::move(other133.versionAnswer);
-  loadReport = std::move(other133.loadReport);
-  ledger = std::move(other133.ledger);
-  __isset = other133.__isset;
+Message& Message::operator=(Message&& other137) noexcept {
+  hello = std::move(other137.hello);
+  forwardRequest = std::move(other137.forwardRequest);
+  forwardReply = std::move(other137.forwardReply);
+  forwardCancel = std::move(other137.forwardCancel);
+  member = std::move(other137.member);
+  configPull = std::move(other137.configPull);
+  configPush = std::move(other137.configPush);
+  tablePull = std::move(other137.tablePull);
+  tablePush = std::move(other137.tablePush);
+  versionAsk = std::move(other137.versionAsk);
+  versionAnswer = std::move(other137.versionAnswer);
+  loadReport = std::move(other137.loadReport);
+  leaving = std::move(other137.leaving);
+  ledger = std::move(other137.ledger);
+  __isset = other137.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -3841,6 +3939,7 @@
   out << ", " << "versionAsk="; (__isset.versionAsk ? (out << to_string(versionAsk)) : (out << "<null>"));
   out << ", " << "versionAnswer="; (__isset.versionAnswer ? (out << to_string(versionAnswer)) : (out << "<null>"));
   out << ", " << "loadReport="; (__isset.loadReport ? (out << to_string(loadReport)) : (out << "<null>"));
+  out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
   out << ", " << "ledger="; (__isset.ledger ? (out << to_string(ledger)) : (out << "<null>"));
   out << ")";
 }
--- a/src/libpeer/gen/peer_types.h
+++ b/src/libpeer/gen/peer_types.h
@@ -59,6 +59,8 @@
 
 class LoadReport;
 
+class Leaving;
+
 class Message;
 
 typedef struct _Header__isset {
@@ -1334,8 +1336,41 @@
 
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj);
 
+
+class Leaving : public virtual ::apache::thrift::TBase {
+ public:
+
+  Leaving(const Leaving&) noexcept;
+  Leaving(Leaving&&) noexcept;
+  Leaving& operator=(const Leaving&) noexcept;
+  Leaving& operator=(Leaving&&) noexcept;
+  Leaving() noexcept {
+  }
+
+  virtual ~Leaving() noexcept;
+
+  bool operator == (const Leaving & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const Leaving &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Leaving & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Leaving &a, Leaving &b);
+
+std::ostream& operator<<(std::ostream& out, const Leaving& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : hello(false), forwardRequest(false), forwardReply(false), forwardCancel(false), member(false), configPull(false), configPush(false), tablePull(false), tablePush(false), versionAsk(false), versionAnswer(false), loadReport(false), ledger(false) {}
+  _Message__isset() : hello(false), forwardRequest(false), forwardReply(false), forwardCancel(false), member(false), configPull(false), configPush(false), tablePull(false), tablePush(false), versionAsk(false), versionAnswer(false), loadReport(false), leaving(false), ledger(false) {}
   bool hello :1;
   bool forwardRequest :1;
   bool forwardReply :1;
@@ -1348,6 +1383,7 @@
   bool versionAsk :1;
   bool versionAnswer :1;
   bool loadReport :1;
+  bool leaving :1;
   bool ledger :1;
 } _Message__isset;
 
@@ -1374,6 +1410,7 @@
   VersionAsk versionAsk;
   VersionAnswer versionAnswer;
   LoadReport loadReport;
+  Leaving leaving;
   LedgerMessage ledger;
 
   _Message__isset __isset;
@@ -1402,6 +1439,8 @@
 
   void __set_loadReport(const LoadReport& val);
 
+  void __set_leaving(const Leaving& val);
+
   void __set_ledger(const LedgerMessage& val);
 
   bool operator == (const Message & rhs) const
@@ -1454,6 +1493,10 @@
       return false;
     else if (__isset.loadReport && !(loadReport == rhs.loadReport))
       return false;
+    if (__isset.leaving != rhs.__isset.leaving)
+      return false;
+    else if (__isset.leaving && !(leaving == rhs.leaving))
+      return false;
     if (__isset.ledger != rhs.__isset.ledger)
       return false;
     else if (__isset.ledger && !(ledger == rhs.ledger))
--- a/src/libpeer/peer.thrift
+++ b/src/libpeer/peer.thrift
@@ -154,6 +154,11 @@
   4: list<PartitionRate> busiest,
 }
 
+// The sender is stopping: it is to get no new work, and what it keeps is to be
+// taken over.
+struct Leaving {
+}
+
 union Message {
   1: Hello hello,
   2: ForwardRequest forwardRequest,
@@ -167,5 +172,6 @@
   20: VersionAsk versionAsk,
   21: VersionAnswer versionAnswer,
   30: LoadReport loadReport,
+  31: Leaving leaving,
   40: LedgerMessage ledger,
 }
--- a/src/librequest/retry_policy.cpp
+++ b/src/librequest/retry_policy.cpp
@@ -13,8 +13,11 @@
   if (!Safe || Attempt.m_left < MinAttempt)
     return RetryVerdict::Final;
   if (!Attempt.m_keyed) {
-    bool Retry = Attempt.m_otherUpstream && Budget.take();
-    return Retry ? RetryVerdict::AtOnce : RetryVerdict::Final;
+    if (Attempt.m_otherUpstream && Budget.take())
+      return RetryVerdict::AtOnce;
+    bool Wait = Attempt.m_notRun && Attempt.m_keeperUnsettled &&
+                Attempt.m_mayWaitForOwner;
+    return Wait ? RetryVerdict::AfterWait : RetryVerdict::Final;
   }
   if (Attempt.m_notRun && Attempt.m_ownerUnsettled)
     return Attempt.m_mayWaitForOwner ? RetryVerdict::AfterWait
--- /dev/null
+++ b/testsuite/stop/stop_test.cpp
@@ -0,0 +1,158 @@
+// Hosts are stopped and started again one after the other while callers send
+// requests that may not be repeated: none is cut, refused or unknown.
+#include "burdockpulley/hashing.h"
+#include "burdockpulley/http.h"
+#include "burdockpulley/testkit.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <map>
+#include <mutex>
+#include <thread>
+
+using namespace burdockpulley;
+
+namespace {
+
+Declarations twoServices() {
+  Declarations Set;
+  Set.m_tenants = {{TenantId("censo"), sha256Hex("secret")}};
+  Set.m_domains = {{DomainId("curico"), "cl", {}},
+                   {DomainId("talca"), "cl", {}}};
+  Service Fee;
+  Fee.m_name = ServiceId("fee");
+  Fee.m_tenant = TenantId("censo");
+  Fee.m_deadline = std::chrono::seconds(10);
+  Service Herd = Fee;
+  Herd.m_name = ServiceId("herd");
+  Herd.m_keySource = KeySource::PathSegment;
+  Herd.m_keySegment = 1;
+  Herd.m_keyName = "1";
+  Herd.m_partitions = 16;
+  Set.m_services = {Fee, Herd};
+  Set.m_routes = {{"fees", TenantId("censo"), "/fees", ServiceId("fee")},
+                  {"herds", TenantId("censo"), "/herds", ServiceId("herd")}};
+  return Set;
+}
+
+void startAll(Deployment &System) {
+  System.startStore();
+  for (const char *Domain : {"curico", "talca"}) {
+    Upstream Row;
+    Row.m_domain = DomainId(Domain);
+    Row.m_slots = 4;
+    Row.m_name = UpstreamId("fee-" + std::string(Domain));
+    Row.m_service = ServiceId("fee");
+    System.startUpstream(Row, false);
+    Row.m_name = UpstreamId("herd-" + std::string(Domain));
+    Row.m_service = ServiceId("herd");
+    System.startUpstream(Row, true);
+    System.startHost(std::string(Domain) + "-1", Domain);
+    System.startHost(std::string(Domain) + "-2", Domain);
+  }
+}
+
+HttpResponse send(const Endpoint &Host, int Number) {
+  std::string Target =
+      Number % 2 ? "/fees" : "/herds/" + std::to_string(Number % 40);
+  return callOnce(Host,
+                  {"POST", Target, {{"Authorization", "Bearer secret"}}, "10"},
+                  std::chrono::seconds(20));
+}
+
+bool allServed(Deployment &System) {
+  for (const auto &[Name, Host] : System.m_hosts)
+    for (int Number = 0; Number < 40; ++Number)
+      if (send(Host.m_callers, Number).m_status != 200)
+        return false;
+  return true;
+}
+
+/// Sends requests, one after the other, to the host that is set.
+class Caller {
+public:
+  explicit Caller(Endpoint Host)
+      : m_host(std::move(Host)), m_thread([this] { run(); }) {}
+  ~Caller() {
+    m_end = true;
+    m_thread.join();
+  }
+
+  void setHost(const Endpoint &Host) {
+    std::lock_guard<std::mutex> Lock(m_mutex);
+    m_host = Host;
+  }
+
+  std::map<std::string, int> outcomes() {
+    std::lock_guard<std::mutex> Lock(m_mutex);
+    return m_outcomes;
+  }
+
+private:
+  void run() {
+    for (int Number = 0; !m_end; ++Number) {
+      Endpoint Host;
+      {
+        std::lock_guard<std::mutex> Lock(m_mutex);
+        Host = m_host;
+      }
+      HttpResponse Answer = send(Host, Number);
+      std::string Outcome =
+          std::to_string(Answer.m_status) + " " + Answer.m_body.substr(0, 200);
+      std::lock_guard<std::mutex> Lock(m_mutex);
+      ++m_outcomes[Answer.m_status == 200 ? "answered" : Outcome];
+    }
+  }
+
+  std::mutex m_mutex;
+  Endpoint m_host;
+  std::map<std::string, int> m_outcomes;
+  std::atomic<bool> m_end{false};
+  std::thread m_thread;
+};
+
+bool isReady(const Endpoint &Host) {
+  return callOnce(Host, {"GET", "/readyz", {}, ""}).m_status == 200;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_rolling_restart_cuts_no_request) {
+  Deployment System;
+  startAll(System);
+  BOOST_REQUIRE(System.publish(twoServices()));
+  BOOST_REQUIRE(waitUntil([&] { return allServed(System); }));
+  std::vector<std::string> Names;
+  for (const auto &[Name, Host] : System.m_hosts)
+    Names.push_back(Name);
+  Caller Other(System.m_hosts[Names[1]].m_callers);
+  Caller Own(System.m_hosts[Names[0]].m_callers);
+  for (std::size_t I = 0; I < Names.size(); ++I) {
+    auto &Host = System.m_hosts[Names[I]];
+    const std::string &Next = Names[(I + 1) % Names.size()];
+    Other.setHost(System.m_hosts[Next].m_callers);
+    Own.setHost(Host.m_callers);
+    Host.m_process->signal(SIGTERM);
+    // The balancer sends nothing more once the host is not ready.
+    BOOST_REQUIRE(waitUntil([&] { return !isReady(Host.m_callers); }));
+    Own.setHost(System.m_hosts[Next].m_callers);
+    BOOST_TEST(Host.m_process->wait() == 0);
+    System.startHost(Names[I], Host.m_domain.value());
+    BOOST_REQUIRE(waitUntil([&] { return isReady(Host.m_callers); }));
+  }
+  for (Caller *Each : {&Own, &Other})
+    for (const auto &[Outcome, Count] : Each->outcomes())
+      BOOST_TEST(Outcome == "answered", Outcome << " x " << Count);
+}
+
+BOOST_AUTO_TEST_CASE(a_second_signal_ends_the_stop_at_once) {
+  Deployment System;
+  System.startStore();
+  auto &Host = System.startHost("talca-1", "talca");
+  Host.m_process->signal(SIGTERM);
+  BOOST_REQUIRE(waitUntil([&] { return !isReady(Host.m_callers); }));
+  Host.m_process->signal(SIGTERM);
+  BOOST_TEST(Host.m_process->wait() == 0);
+}
