burdockpulleyd: timers on the exact clock

Change: EVENT_BASE_FLAG_PRECISE_TIMER. Tried with it and taken out again: EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST.

--- a/src/burdockpulleyd/main.cpp
+++ b/src/burdockpulleyd/main.cpp
@@ -16,9 +16,18 @@
   static_cast<EntryHost *>(Host)->stop();
 }
 
+/// A loop whose timers do not use the coarse clock, which has steps of 4 ms.
+event_base *newLoop() {
+  event_config *Config = event_config_new();
+  event_config_set_flag(Config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  event_base *Base = event_base_new_with_config(Config);
+  event_config_free(Config);
+  return Base;
+}
+
 int run(const HostSettings &Settings) {
   openEventLog(Settings.m_host.value());
-  event_base *Base = event_base_new();
+  event_base *Base = newLoop();
   int Code = 0;
   {
     EntryHost Host(Base, Settings);
