--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -28,6 +28,7 @@
     {"connections", runConnections},
     {"upstream-kill", runUpstreamKill},
     {"host-kill", runHostKill},
+    {"domain-out", runDomainOut},
     {"store-down", runStoreDown},
     {"slow", runSlow},
 };
--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -32,6 +32,7 @@
 Report runConnections(const BenchOptions &Options);
 Report runUpstreamKill(const BenchOptions &Options);
 Report runHostKill(const BenchOptions &Options);
+Report runDomainOut(const BenchOptions &Options);
 Report runStoreDown(const BenchOptions &Options);
 Report runSlow(const BenchOptions &Options);
 
--- a/bench/loss_experiments.cpp
+++ b/bench/loss_experiments.cpp
@@ -8,7 +8,9 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
 #include <set>
+#include <thread>
 
 namespace burdockpulley::bench {
 
@@ -29,6 +31,7 @@
   Action m_strike;
   Action m_heal;        ///< Halfway through what is left; may be empty.
   std::string m_spared; ///< Host to which callers send: they fail over too.
+  std::function<void()> m_settle; ///< After the load; may be empty.
 };
 
 bool start(Deployment &System) {
@@ -134,14 +137,97 @@
   if (Which.m_heal)
     Load.at(Before + Options.m_length, [&] { Which.m_heal(System); });
   LoadResult Result = Load.run();
+  if (Which.m_settle)
+    Which.m_settle();
   addRow(Which, Result, Plan.m_length, Found);
   if (!Options.m_plot.empty())
     plotTimeline(Options.m_plot + "-" + Which.m_name, Title, Result);
   return Found;
 }
 
+/// Takes a failure domain out and brings it back, and watches when its
+/// upstreams have run their last request and run again.
+class DomainSwitch {
+public:
+  DomainSwitch(Deployment &System, int Domain)
+      : m_system(System), m_domain(domainName(Domain)) {}
+  ~DomainSwitch() { join(); }
+
+  /// Publishes on a thread of its own, so that the load goes on.
+  void change(bool Out) {
+    join();
+    m_thread = std::thread([this, Out] { publishAndWatch(Out); });
+  }
+
+  void join() {
+    if (m_thread.joinable())
+      m_thread.join();
+  }
+
+  double lastRunMillis() const { return m_lastRun; }
+  double firstRunMillis() const { return m_firstRun; }
+
+private:
+  static constexpr auto WatchStep = std::chrono::milliseconds(10);
+  static constexpr int WatchSteps = 300;
+
+  std::uintmax_t runBytes() const {
+    std::uintmax_t Bytes = 0;
+    for (const auto &[Name, Row] : m_system.m_upstreams)
+      if (Row.m_declared.m_domain.value() == m_domain)
+        Bytes += std::filesystem::file_size(Row.m_runLog);
+    return Bytes;
+  }
+
+  void publishAndWatch(bool Out) {
+    Declarations Set = workloadSet(DomainCount, Partitions);
+    if (Out)
+      Set.m_maintenance = {{"out", UpstreamId(), DomainId(m_domain)}};
+    auto Start = std::chrono::steady_clock::now();
+    std::uintmax_t Known = runBytes();
+    m_system.publish(Set);
+    for (int Step = 0; Step < WatchSteps; ++Step) {
+      std::uintmax_t Now = runBytes();
+      std::chrono::duration<double, std::milli> Spent =
+          std::chrono::steady_clock::now() - Start;
+      if (Now != Known && Out)
+        m_lastRun = Spent.count();
+      if (Now != Known && !Out && m_firstRun == 0)
+        m_firstRun = Spent.count();
+      Known = Now;
+      std::this_thread::sleep_for(WatchStep);
+    }
+  }
+
+  Deployment &m_system;
+  std::string m_domain;
+  std::thread m_thread;
+  double m_lastRun = 0;
+  double m_firstRun = 0;
+};
+
 } // namespace
 
+Report runDomainOut(const BenchOptions &Options) {
+  std::unique_ptr<DomainSwitch> Switch;
+  auto Strike = [&](Deployment &System) {
+    Switch = std::make_unique<DomainSwitch>(System, 1);
+    Switch->change(true);
+  };
+  auto Heal = [&](Deployment &) { Switch->change(false); };
+  auto Settle = [&] { Switch->join(); };
+  Report Found = measure("domain-out: one of 3 failure domains is taken out, "
+                         "then brought back",
+                         {"domain-out", Strike, Heal, "", Settle}, Options);
+  if (Switch)
+    Found.note("Last run on the domain " +
+               std::to_string(int(Switch->lastRunMillis())) +
+               " ms after the order to take it out was sent; first run " +
+               std::to_string(int(Switch->firstRunMillis())) +
+               " ms after the order to bring it back.");
+  return Found;
+}
+
 Report runUpstreamKill(const BenchOptions &Options) {
   auto Strike = [](Deployment &System) {
     System.m_upstreams.at("herd-0").m_process.reset();
--- a/testsuite/placement/placement_test.cpp
+++ b/testsuite/placement/placement_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include <filesystem>
 #include <map>
 
 using namespace burdockpulley;
@@ -86,3 +87,36 @@
     return Counts["herd-2"] >= Busy.size() / 4 && Counts["herd-1"] > 0;
   }));
 }
+
+BOOST_AUTO_TEST_CASE(
+    a_domain_goes_out_and_comes_back_without_a_failed_request) {
+  Deployment System;
+  System.startStore();
+  start(System, "herd-1", "talca");
+  start(System, "herd-2", "curico");
+  const Endpoint &Host = System.startHost("talca-1", "talca").m_callers;
+  System.startHost("curico-1", "curico");
+  Declarations Set = oneService();
+  BOOST_REQUIRE(System.publish(Set));
+  int Failed = 0;
+  auto Owners = [&] {
+    std::map<std::string, int> Counts;
+    for (int Key = 0; Key < 60; ++Key)
+      ++Counts[ownerOf(Host, Key)];
+    Failed += Counts[""];
+    return Counts;
+  };
+  BOOST_REQUIRE(waitUntil([&] { return Owners()[""] == 0; }));
+  Failed = 0;
+  Set.m_maintenance = {{"out", UpstreamId(), DomainId("talca")}};
+  BOOST_REQUIRE(System.publish(Set));
+  BOOST_TEST(waitUntil([&] { return Owners()["herd-1"] == 0; }));
+  const std::string &RunLog = System.m_upstreams["herd-1"].m_runLog;
+  auto Runs = std::filesystem::file_size(RunLog);
+  BOOST_TEST(Owners()["herd-2"] == 60);
+  BOOST_TEST(std::filesystem::file_size(RunLog) == Runs);
+  Set.m_maintenance.clear();
+  BOOST_REQUIRE(System.publish(Set));
+  BOOST_TEST(waitUntil([&] { return Owners()["herd-1"] > 8; }));
+  BOOST_TEST(Failed == 0);
+}
