testkit: one sample workload for the cases

Cause: the same tenant, domains, two services and calls stood in four cases. Change: sampleSet(), sampleUpstream() and callAsTenant() in testkit; the cases keep their checks word for word. Conclusion: kept; ownership, membership and placement declare sets of their own shape.

--- a/src/include/burdockpulley/testkit.h
+++ b/src/include/burdockpulley/testkit.h
@@ -134,6 +134,21 @@
 HttpResponse callOnce(const Endpoint &Where, HttpRequest Request,
                       Duration Timeout = std::chrono::seconds(5));
 
+/// One unkeyed service "fee" (/fees) and one keyed service "herd" (/herds/KEY,
+/// idempotent by GET) of one tenant, in the failure domains curico and talca.
+/// Thread safety: safe.
+Declarations sampleSet(std::uint32_t Partitions = 64);
+
+/// An upstream with 4 slots for that set. Thread safety: safe.
+Upstream sampleUpstream(const std::string &Name, const std::string &Service,
+                        const std::string &Domain);
+
+/// callOnce() with the credentials of that set's tenant.
+/// Thread safety: safe.
+HttpResponse callAsTenant(const Endpoint &Where, const std::string &Method,
+                          const std::string &Target, const std::string &Body,
+                          Duration Timeout = std::chrono::seconds(5));
+
 } // namespace burdockpulley
 
 #endif
--- a/testsuite/faults/faults_test.cpp
+++ b/testsuite/faults/faults_test.cpp
@@ -1,5 +1,4 @@
 // Connections that break, stall or end early, between real processes.
-#include "burdockpulley/hashing.h"
 #include "burdockpulley/http.h"
 #include "burdockpulley/testkit.h"
 
@@ -16,46 +15,10 @@
 /// Longer than several leases of grants.
 constexpr auto CutLength = std::chrono::seconds(5);
 
-Declarations twoServices() {
-  Declarations Set;
-  Set.m_tenants = {{TenantId("censo"), sha256Hex("secret")}};
-  Set.m_domains = {{DomainId("curico"), "cl", {}},
-                   {DomainId("talca"), "cl", {}}};
-  Service Fee;
-  Fee.m_name = ServiceId("fee");
-  Fee.m_tenant = TenantId("censo");
-  Service Herd = Fee;
-  Herd.m_name = ServiceId("herd");
-  Herd.m_keySource = KeySource::PathSegment;
-  Herd.m_keySegment = 1;
-  Herd.m_keyName = "1";
-  Herd.m_partitions = 64;
-  Herd.m_idempotentMethods = {"GET"};
-  Set.m_services = {Fee, Herd};
-  Set.m_routes = {{"fees", TenantId("censo"), "/fees", ServiceId("fee")},
-                  {"herds", TenantId("censo"), "/herds", ServiceId("herd")}};
-  return Set;
-}
-
-Upstream upstream(const std::string &Name, const std::string &Service,
-                  const std::string &Domain) {
-  Upstream Row;
-  Row.m_name = UpstreamId(Name);
-  Row.m_service = ServiceId(Service);
-  Row.m_domain = DomainId(Domain);
-  Row.m_slots = 4;
-  return Row;
-}
-
-HttpResponse send(const Endpoint &Where, const std::string &Method,
-                  const std::string &Target, const std::string &Body) {
-  return callOnce(Where,
-                  {Method, Target, {{"Authorization", "Bearer secret"}}, Body});
-}
-
 bool everyKeyServed(const Endpoint &Where) {
   for (int Key = 0; Key < KeyCount; ++Key)
-    if (send(Where, "GET", "/herds/" + std::to_string(Key), "").m_status != 200)
+    if (callAsTenant(Where, "GET", "/herds/" + std::to_string(Key), "")
+            .m_status != 200)
       return false;
   return true;
 }
@@ -72,19 +35,19 @@
 struct BrokenAnswers {
   BrokenAnswers() {
     m_system.startStore();
-    m_system.startUpstream(upstream("fee-1", "fee", "talca"), false);
-    m_system.startUpstream(upstream("herd-1", "herd", "talca"), true);
+    m_system.startUpstream(sampleUpstream("fee-1", "fee", "talca"), false);
+    m_system.startUpstream(sampleUpstream("herd-1", "herd", "talca"), true);
     m_proxy = &m_system.proxyUpstream("fee-1");
     m_system.startHost("talca-1", "talca");
     m_system.startHost("curico-1", "curico");
-    BOOST_REQUIRE(m_system.publish(twoServices()));
+    BOOST_REQUIRE(m_system.publish(sampleSet()));
     m_ready = waitUntil([this] { return pay().m_status == 200; });
     BOOST_REQUIRE(m_ready);
   }
 
   HttpResponse pay() {
-    return send(m_system.m_hosts.at("talca-1").m_callers, "POST", "/fees",
-                std::string(BodyBytes, 'x'));
+    return callAsTenant(m_system.m_hosts.at("talca-1").m_callers, "POST",
+                        "/fees", std::string(BodyBytes, 'x'));
   }
 
   int runs() { return lines(m_system.m_upstreams.at("fee-1").m_runLog); }
@@ -146,14 +109,14 @@
 BOOST_AUTO_TEST_CASE(keyed_requests_go_on_while_the_store_is_away) {
   Deployment System;
   System.startStore();
-  System.startUpstream(upstream("fee-1", "fee", "talca"), false);
-  System.startUpstream(upstream("herd-1", "herd", "talca"), true);
-  System.startUpstream(upstream("herd-2", "herd", "curico"), true);
+  System.startUpstream(sampleUpstream("fee-1", "fee", "talca"), false);
+  System.startUpstream(sampleUpstream("herd-1", "herd", "talca"), true);
+  System.startUpstream(sampleUpstream("herd-2", "herd", "curico"), true);
   auto &Talca = System.proxyStore("talca");
   auto &Curico = System.proxyStore("curico");
   const Endpoint Where = System.startHost("talca-1", "talca").m_callers;
   System.startHost("curico-1", "curico");
-  BOOST_REQUIRE(System.publish(twoServices()));
+  BOOST_REQUIRE(System.publish(sampleSet()));
   BOOST_REQUIRE(waitUntil([&] { return everyKeyServed(Where); }));
   std::string Cut = R"({"cutToTarget": true, "cutToCaller": true})";
   BOOST_REQUIRE(System.setFaults(Talca, Cut));
@@ -168,16 +131,18 @@
 BOOST_AUTO_TEST_CASE(a_domain_cut_off_serves_unkeyed_work_by_itself) {
   Deployment System;
   System.startStore();
-  System.startUpstream(upstream("fee-1", "fee", "talca"), false);
-  System.startUpstream(upstream("fee-2", "fee", "curico"), false);
-  System.startUpstream(upstream("herd-1", "herd", "curico"), true);
+  System.startUpstream(sampleUpstream("fee-1", "fee", "talca"), false);
+  System.startUpstream(sampleUpstream("fee-2", "fee", "curico"), false);
+  System.startUpstream(sampleUpstream("herd-1", "herd", "curico"), true);
   auto &Store = System.proxyStore("talca");
   const Endpoint Where = System.startHost("talca-1", "talca").m_callers;
   System.startHost("curico-1", "curico");
   auto &ToTalca = System.proxyPeers("talca-1");
   auto &ToCurico = System.proxyPeers("curico-1");
-  BOOST_REQUIRE(System.publish(twoServices()));
-  auto Pay = [&] { return send(Where, "POST", "/fees", "").m_status == 200; };
+  BOOST_REQUIRE(System.publish(sampleSet()));
+  auto Pay = [&] {
+    return callAsTenant(Where, "POST", "/fees", "").m_status == 200;
+  };
   BOOST_REQUIRE(waitUntil(Pay));
   std::string Cut = R"({"cutToTarget": true, "cutToCaller": true})";
   BOOST_REQUIRE(System.setFaults(Store, Cut));
--- a/testsuite/requests/outcomes_test.cpp
+++ b/testsuite/requests/outcomes_test.cpp
@@ -25,24 +25,11 @@
 constexpr int MaxRepeats = 3;
 constexpr Duration CallTimeout{10'000'000};
 
+/// The sample set with its idempotent methods on both services.
 Declarations declared() {
-  Declarations Set;
-  Set.m_tenants = {{TenantId("censo"), sha256Hex("secret")}};
-  Set.m_domains = {{DomainId("curico"), "cl", {}},
-                   {DomainId("talca"), "cl", {}}};
-  Service Fee;
-  Fee.m_name = ServiceId("fee");
-  Fee.m_tenant = TenantId("censo");
-  Fee.m_idempotentMethods = {"GET"};
-  Service Herd = Fee;
-  Herd.m_name = ServiceId("herd");
-  Herd.m_keySource = KeySource::PathSegment;
-  Herd.m_keySegment = 1;
-  Herd.m_keyName = "1";
-  Herd.m_partitions = 64;
-  Set.m_services = {Fee, Herd};
-  Set.m_routes = {{"fees", TenantId("censo"), "/fees", ServiceId("fee")},
-                  {"herds", TenantId("censo"), "/herds", ServiceId("herd")}};
+  Declarations Set = sampleSet();
+  for (Service &Each : Set.m_services)
+    Each.m_idempotentMethods = {"GET"};
   return Set;
 }
 
--- a/testsuite/stop/stop_test.cpp
+++ b/testsuite/stop/stop_test.cpp
@@ -1,6 +1,5 @@
 // Hosts are stopped and started again one after the other while callers send
 // requests that may not be repeated: none is cut, refused or unknown.
-#include "burdockpulley/hashing.h"
 #include "burdockpulley/http.h"
 #include "burdockpulley/testkit.h"
 
@@ -16,39 +15,12 @@
 
 namespace {
 
-Declarations twoServices() {
-  Declarations Set;
-  Set.m_tenants = {{TenantId("censo"), sha256Hex("secret")}};
-  Set.m_domains = {{DomainId("curico"), "cl", {}},
-                   {DomainId("talca"), "cl", {}}};
-  Service Fee;
-  Fee.m_name = ServiceId("fee");
-  Fee.m_tenant = TenantId("censo");
-  Fee.m_deadline = std::chrono::seconds(10);
-  Service Herd = Fee;
-  Herd.m_name = ServiceId("herd");
-  Herd.m_keySource = KeySource::PathSegment;
-  Herd.m_keySegment = 1;
-  Herd.m_keyName = "1";
-  Herd.m_partitions = 16;
-  Set.m_services = {Fee, Herd};
-  Set.m_routes = {{"fees", TenantId("censo"), "/fees", ServiceId("fee")},
-                  {"herds", TenantId("censo"), "/herds", ServiceId("herd")}};
-  return Set;
-}
-
 void startAll(Deployment &System) {
   System.startStore();
   for (const char *Domain : {"curico", "talca"}) {
-    Upstream Row;
-    Row.m_domain = DomainId(Domain);
-    Row.m_slots = 4;
-    Row.m_name = UpstreamId("fee-" + std::string(Domain));
-    Row.m_service = ServiceId("fee");
-    System.startUpstream(Row, false);
-    Row.m_name = UpstreamId("herd-" + std::string(Domain));
-    Row.m_service = ServiceId("herd");
-    System.startUpstream(Row, true);
+    const std::string Suffix = std::string("-") + Domain;
+    System.startUpstream(sampleUpstream("fee" + Suffix, "fee", Domain), false);
+    System.startUpstream(sampleUpstream("herd" + Suffix, "herd", Domain), true);
     System.startHost(std::string(Domain) + "-1", Domain);
     System.startHost(std::string(Domain) + "-2", Domain);
   }
@@ -57,9 +29,7 @@
 HttpResponse send(const Endpoint &Host, int Number) {
   std::string Target =
       Number % 2 ? "/fees" : "/herds/" + std::to_string(Number % 40);
-  return callOnce(Host,
-                  {"POST", Target, {{"Authorization", "Bearer secret"}}, "10"},
-                  std::chrono::seconds(20));
+  return callAsTenant(Host, "POST", Target, "10", std::chrono::seconds(20));
 }
 
 bool allServed(Deployment &System) {
@@ -122,7 +92,10 @@
 BOOST_AUTO_TEST_CASE(a_rolling_restart_cuts_no_request) {
   Deployment System;
   startAll(System);
-  BOOST_REQUIRE(System.publish(twoServices()));
+  Declarations Set = sampleSet(16);
+  for (Service &Each : Set.m_services)
+    Each.m_deadline = std::chrono::seconds(10);
+  BOOST_REQUIRE(System.publish(Set));
   BOOST_REQUIRE(waitUntil([&] { return allServed(System); }));
   std::vector<std::string> Names;
   for (const auto &[Name, Host] : System.m_hosts)
