cmake: no -Wuninitialized under the sanitizers

Cause: the sanitized build stopped in Boost.Histogram's headers on a false report of GCC 12. Change: the warning is off in that build only; the plain build keeps it as an error.

--- a/src/cmake/CompilerOptions.cmake
+++ b/src/cmake/CompilerOptions.cmake
@@ -12,8 +12,8 @@
 add_compile_options(-Wall -Wextra -Werror -Wno-restrict
                     -Wno-missing-field-initializers)
 if(BURDOCKPULLEY_SANITIZE)
-  # GCC 12 reports -Wmaybe-uninitialized falsely under the sanitizers.
-  add_compile_options(-Wno-maybe-uninitialized
+  # GCC 12 reports uninitialized values falsely under the sanitizers.
+  add_compile_options(-Wno-maybe-uninitialized -Wno-uninitialized
                       -fsanitize=address,undefined -fno-sanitize-recover=all
                       -fno-omit-frame-pointer -O1)
   add_link_options(-fsanitize=address,undefined)
