configuration: take out the coordinator's key

Cause: the read-through found CoordinatorKey without a user since coordinators are ranked hosts and need no lease in the store. Change: the constant is gone; behaviour is as before. Conclusion: dead code only.

--- a/src/include/burdockpulley/configuration.h
+++ b/src/include/burdockpulley/configuration.h
@@ -18,7 +18,6 @@
 constexpr const char *LivePrefix = "/burdockpulley/live/";
 constexpr const char *ConfigRootKey = "/burdockpulley/live/config";
 constexpr const char *OwnershipPrefix = "/burdockpulley/live/ownership/";
-constexpr const char *CoordinatorKey = "/burdockpulley/live/coordinator";
 constexpr const char *ArchivePrefix = "/burdockpulley/archive/";
 constexpr const char *HistoryPrefix = "/burdockpulley/history/";
 
