--- a/src/libhost/admin_driver.cpp
+++ b/src/libhost/admin_driver.cpp
@@ -44,7 +44,7 @@
 AdminDriver::AdminDriver(event_base *Base, AdminSources Sources)
     : m_sources(std::move(Sources)),
       m_server(Base, [this](HttpRequest &&Request, auto Responder) {
-        Responder->send(answer(Request, steadyNow()));
+        Responder->send(answer(Request, bootClockNow()));
       }) {}
 
 HttpResponse AdminDriver::answer(const HttpRequest &Request, Instant Now) {
--- a/src/libhost/clock.cpp
+++ b/src/libhost/clock.cpp
@@ -4,16 +4,11 @@
 
 namespace burdockpulley {
 
-Instant steadyNow() {
-  auto SinceBoot = std::chrono::steady_clock::now().time_since_epoch();
-  return Instant(std::chrono::duration_cast<Duration>(SinceBoot));
-}
-
 RepeatingTimer::RepeatingTimer(event_base *Base, Duration Interval,
                                std::function<void(Instant)> Tick)
     : m_tick(std::move(Tick)) {
   auto Fire = [](int, short, void *Self) {
-    static_cast<RepeatingTimer *>(Self)->m_tick(steadyNow());
+    static_cast<RepeatingTimer *>(Self)->m_tick(bootClockNow());
   };
   m_event = event_new(Base, -1, EV_PERSIST, Fire, this);
   timeval Period{Interval.count() / 1'000'000, Interval.count() % 1'000'000};
--- a/src/libhost/clock.h
+++ b/src/libhost/clock.h
@@ -1,7 +1,7 @@
 #ifndef BURDOCKPULLEY_LIBHOST_CLOCK_H
 #define BURDOCKPULLEY_LIBHOST_CLOCK_H
 
-#include "burdockpulley/types.h"
+#include "burdockpulley/clock.h"
 
 #include <functional>
 #include <memory>
@@ -11,10 +11,6 @@
 
 namespace burdockpulley {
 
-/// Reads the steady clock. Only adapters call it; code that decides takes the
-/// time as an argument.
-Instant steadyNow();
-
 /// Calls a function at a fixed interval on the loop's thread.
 /// Thread safety: none.
 class RepeatingTimer {
--- a/src/libhost/entry_host.cpp
+++ b/src/libhost/entry_host.cpp
@@ -104,7 +104,7 @@
     return true;
   }
 
-  void stop() { m_stop.stop(steadyNow()); }
+  void stop() { m_stop.stop(bootClockNow()); }
 
   void onMessage(const HostId &From, wire::Message &&Message) override {
     m_metrics.onPeerMessage();
@@ -116,15 +116,15 @@
             Answer.__set_forwardReply(std::move(Reply));
             m_peers.send(From, Answer);
           },
-          steadyNow());
+          bootClockNow());
     else if (Message.__isset.forwardReply)
-      m_front.onReply(std::move(Message.forwardReply), steadyNow());
+      m_front.onReply(std::move(Message.forwardReply), bootClockNow());
     else if (Message.__isset.forwardCancel)
       m_keeper.cancel(From, Message.forwardCancel.id);
     else if (Message.__isset.ledger)
-      m_ledger.onMessage(From, Message.ledger, steadyNow());
+      m_ledger.onMessage(From, Message.ledger, bootClockNow());
     else if (Message.__isset.member)
-      m_members.onMessage(From, Message.member, steadyNow());
+      m_members.onMessage(From, Message.member, bootClockNow());
     else if (Message.__isset.configPull)
       m_spread.onPull(From, Message.configPull);
     else if (Message.__isset.configPush)
@@ -145,7 +145,7 @@
 
   void onPeerLost(const HostId &Peer) override {
     m_keeper.onPeerLost(Peer);
-    m_front.onPeerLost(Peer, steadyNow());
+    m_front.onPeerLost(Peer, bootClockNow());
     m_stop.onPeerLost(Peer);
   }
 
@@ -158,7 +158,7 @@
           Peers[Host.m_name] = Host.m_peerAddress;
     m_peers.setPeers(std::move(Peers));
     m_spread.onTablesChanged();
-    m_members.onTablesChanged(steadyNow());
+    m_members.onTablesChanged(bootClockNow());
     m_ownership.wake();
   }
 
@@ -168,7 +168,7 @@
       return Responder->send(healthAnswer(Request.m_target, ready()));
     if (m_stop.stopping())
       Responder->closeAfter();
-    m_front.onRequest(std::move(Request), std::move(Responder), steadyNow());
+    m_front.onRequest(std::move(Request), std::move(Responder), bootClockNow());
   }
 
   std::unique_ptr<Store> openStore(event_base *Base,
@@ -179,7 +179,7 @@
     logEvent(Severity::Warning, "embedded-store",
              {{"warning", "NOT FOR PRODUCTION: nothing that is published or "
                           "granted outlives this process"}});
-    auto Embedded = std::make_unique<EmbeddedStore>(Base, steadyNow);
+    auto Embedded = std::make_unique<EmbeddedStore>(Base, bootClockNow);
     m_embedded = &Embedded->state();
     return Embedded;
   }
--- a/src/libhost/front_driver.cpp
+++ b/src/libhost/front_driver.cpp
@@ -231,7 +231,7 @@
   switch (Answer.m_result) {
   case Result::Run:
     Row.m_ledgerAttempt = Answer.m_attempt;
-    return attempt(Id, steadyNow());
+    return attempt(Id, bootClockNow());
   case Result::Done:
     Answer.m_stored.m_headers.push_back({"X-Burdockpulley-Replayed", "true"});
     return finish(Id, Outcome::Answered, Answer.m_stored);
@@ -294,7 +294,7 @@
   beginHop(Row, Now);
   if (Row.m_keeper == m_state.m_settings.m_host) {
     auto Done = [this](wire::ForwardReply &&Reply) {
-      onReply(std::move(Reply), steadyNow());
+      onReply(std::move(Reply), bootClockNow());
     };
     return m_keeper.serve(Row.m_keeper, wire::ForwardRequest(Forward),
                           std::move(Done), Now);
@@ -478,12 +478,13 @@
       std::move(Found->second.m_responder);
   if (m_state.m_observer)
     m_state.m_observer->onRequestEnded(Found->second.m_service, toString(Value),
-                                       steadyNow() - Found->second.m_started);
+                                       bootClockNow() -
+                                           Found->second.m_started);
   if (m_state.m_tracer) {
     Span &Whole = Found->second.m_span;
     Whole.m_outcome = toString(Value);
     Whole.m_failed = Value != Outcome::Answered || Response.m_status >= 500;
-    m_state.m_tracer->record(std::move(Whole), steadyNow());
+    m_state.m_tracer->record(std::move(Whole), bootClockNow());
   }
   m_bytes -= Found->second.m_bytes;
   endInLedger(Found->second, Value, Response);
--- a/src/libhost/keeper_driver.cpp
+++ b/src/libhost/keeper_driver.cpp
@@ -173,7 +173,7 @@
         traceEnd(Hop, Error, Status);
         Done(Error == HttpError::None ? answer(Id, std::move(Response))
                                       : failure(Id, Error));
-        onEnd(Name, Error, Status, Sent, steadyNow());
+        onEnd(Name, Error, Status, Sent, bootClockNow());
       },
       Reuse);
 }
@@ -183,7 +183,7 @@
     return;
   Hop.m_failed = Error != HttpError::None || Status >= 500;
   Hop.m_outcome = Error == HttpError::None ? "answered" : "failed";
-  m_state.m_tracer->record(std::move(Hop), steadyNow());
+  m_state.m_tracer->record(std::move(Hop), bootClockNow());
 }
 
 void KeeperDriver::onEnd(const UpstreamId &Name, HttpError Error, int Status,
--- a/src/libhost/ledger_driver.cpp
+++ b/src/libhost/ledger_driver.cpp
@@ -49,7 +49,7 @@
 // The civil clock is read once: later steps of it do not reach the ledger.
 LedgerDriver::LedgerDriver(event_base *Base, const HostState &State,
                            PeerNetwork &Peers)
-    : m_state(State), m_peers(Peers), m_startInstant(steadyNow()),
+    : m_state(State), m_peers(Peers), m_startInstant(bootClockNow()),
       m_startWall(wallClock()), m_ledger(m_startWall),
       m_random(stableHash(State.m_settings.m_host.value())),
       m_timer(Base, SweepInterval, [this](Instant Now) { sweep(Now); }) {}
--- a/src/libhost/metered_store.cpp
+++ b/src/libhost/metered_store.cpp
@@ -11,7 +11,7 @@
     const auto *Error = std::get_if<StoreError>(&Reply);
     m_metrics.onStoreCall(Call, Error ? toString(*Error) : "answered");
     if (!Error)
-      m_lastAnswer = steadyNow();
+      m_lastAnswer = bootClockNow();
     Done(Reply);
   };
 }
--- a/src/libhost/ownership_driver.cpp
+++ b/src/libhost/ownership_driver.cpp
@@ -37,7 +37,7 @@
           m_absentHosts, m_state.m_tablesSeen};
 }
 
-void OwnershipDriver::wake() { tick(steadyNow()); }
+void OwnershipDriver::wake() { tick(bootClockNow()); }
 
 void OwnershipDriver::tick(Instant Now) {
   // Nothing is decided before the store has been read once.
@@ -57,7 +57,7 @@
 }
 
 void OwnershipDriver::onContact(Instant Began) {
-  m_keeping.onContact(Began, steadyNow());
+  m_keeping.onContact(Began, bootClockNow());
 }
 
 std::size_t OwnershipDriver::coordinatorRank() const {
@@ -151,7 +151,7 @@
 
 void OwnershipDriver::onAnswer(const HostId &From,
                                wire::VersionAnswer &&Answer) {
-  Instant Now = steadyNow();
+  Instant Now = bootClockNow();
   for (wire::SeenEntry &Each : Answer.entries) {
     StoreEntry Entry{std::move(Each.key), std::move(Each.value),
                      StoreVersion(Each.version)};
@@ -195,7 +195,7 @@
   if (!Answered)
     return m_keeping.onGrantFailure(Name, Order.m_epoch, Order.m_sequence);
   m_keeping.onGrantAnswer(Name, Order.m_epoch, Order.m_sequence, Answer,
-                          steadyNow());
+                          bootClockNow());
   // The first order of an epoch only learns the stamp, and a list that was
   // not taken has to follow at once; releases wait for answers as well.
   bool More = Answer.m_refusal != GrantRefusal::None || Order.m_full;
--- a/src/libhost/store_follower.cpp
+++ b/src/libhost/store_follower.cpp
@@ -21,7 +21,7 @@
   m_reading = true;
   StoreVersion Since(m_seen.value() + 1);
   // Whoever acts on what was read counts from before the send.
-  Instant Began = steadyNow();
+  Instant Began = bootClockNow();
   m_store.read({LivePrefix, true, Since},
                [this, Began](const StoreReply<StoreRange> &Reply) {
                  m_reading = false;
@@ -40,7 +40,7 @@
     if (Entry.m_key == ConfigRootKey)
       onRoot(Entry);
     else if (!m_state.m_ownership.apply(Entry))
-      m_state.m_keepers.apply(Entry, steadyNow());
+      m_state.m_keepers.apply(Entry, bootClockNow());
   }
   if (!Range.m_entries.empty())
     m_changed();
--- a/src/libhost/table_spread.cpp
+++ b/src/libhost/table_spread.cpp
@@ -149,7 +149,7 @@
   for (const wire::TableEntry &Each : Newer.entries) {
     StoreEntry Entry{Each.key, Each.value, StoreVersion(Each.version)};
     Changed |= m_state.m_ownership.apply(Entry) ||
-               m_state.m_keepers.apply(Entry, steadyNow());
+               m_state.m_keepers.apply(Entry, bootClockNow());
   }
   if (Changed)
     m_changed();
--- a/src/libhttp/http_client.cpp
+++ b/src/libhttp/http_client.cpp
@@ -1,5 +1,6 @@
 #include "evhttp_glue.h"
 
+#include "burdockpulley/clock.h"
 #include <event2/bufferevent.h>
 #include <strings.h>
 #include <sys/socket.h>
@@ -29,11 +30,6 @@
 /// A connection idle for longer may just be closed by the server.
 constexpr Duration RecentUse{2'000'000};
 
-Instant loopTime() {
-  auto SinceBoot = std::chrono::steady_clock::now().time_since_epoch();
-  return Instant(std::chrono::duration_cast<Duration>(SinceBoot));
-}
-
 int descriptorOf(evhttp_connection *Connection) {
   return bufferevent_getfd(evhttp_connection_get_bufferevent(Connection));
 }
@@ -124,7 +120,7 @@
 
 void HttpClient::call(HttpRequest &&Request, Duration Timeout, Callback Done,
                       Reuse Allowed) {
-  Waiting Next{std::move(Request), loopTime() + Timeout, std::move(Done),
+  Waiting Next{std::move(Request), bootClockNow() + Timeout, std::move(Done),
                Allowed};
   if (m_busy < m_maxConnections)
     start(std::move(Next));
@@ -142,7 +138,7 @@
 evhttp_connection *HttpClient::takeConnection(Reuse Allowed) {
   while (!m_idle.empty()) {
     Idle Last = m_idle.back();
-    bool Recent = loopTime() - Last.m_since <= RecentUse;
+    bool Recent = bootClockNow() - Last.m_since <= RecentUse;
     if (Allowed == Reuse::RecentlyUsed && !Recent)
       break;
     m_idle.pop_back();
@@ -154,7 +150,7 @@
 }
 
 void HttpClient::start(Waiting &&Next) {
-  Duration Left = Next.m_deadline - loopTime();
+  Duration Left = Next.m_deadline - bootClockNow();
   if (Left <= Duration())
     return Next.m_done(HttpError::ConnectFailed, {});
   evhttp_connection *Connection = takeConnection(Next.m_reuse);
@@ -242,7 +238,7 @@
                   strcasecmp(Persistence.c_str(), "close") != 0 &&
                   !hasStrayInput(Connection);
   if (Reusable)
-    m_idle.push_back({Connection, loopTime()});
+    m_idle.push_back({Connection, bootClockNow()});
   else if (Connection)
     closeLater(Connection);
   m_calls.erase(std::find(m_calls.begin(), m_calls.end(), Finished));
--- a/src/libpeer/peer_network.cpp
+++ b/src/libpeer/peer_network.cpp
@@ -1,5 +1,6 @@
 #include "peer_connection.h"
 
+#include "burdockpulley/clock.h"
 #include "peer_types.h"
 
 #include <event2/event.h>
@@ -18,11 +19,6 @@
 constexpr Duration MaxRetryDelay{2'000'000};
 constexpr unsigned MaxDoublings = 6;
 
-Instant networkNow() {
-  auto SinceBoot = std::chrono::steady_clock::now().time_since_epoch();
-  return Instant(std::chrono::duration_cast<Duration>(SinceBoot));
-}
-
 } // namespace
 
 PeerNetwork::PeerNetwork(event_base *Base, wire::Hello Self, Handler &Owner)
@@ -89,7 +85,7 @@
 detail::PeerConnection *PeerNetwork::open(const HostId &Peer,
                                           const Endpoint &Where) {
   auto Failed = m_backoff.find(Where);
-  if (Failed != m_backoff.end() && networkNow() < Failed->second.m_notBefore)
+  if (Failed != m_backoff.end() && bootClockNow() < Failed->second.m_notBefore)
     return nullptr;
   m_connections.push_back(
       std::make_unique<detail::PeerConnection>(*this, Peer, Where));
@@ -204,7 +200,7 @@
         MaxRetryDelay);
     double Jitter = std::uniform_real_distribution<>(0.5, 1)(m_random);
     Failed.m_notBefore =
-        networkNow() +
+        bootClockNow() +
         Duration(static_cast<Duration::rep>(Delay.count() * Jitter));
   }
   auto Found =
--- a/src/standins/fault_link.cpp
+++ b/src/standins/fault_link.cpp
@@ -65,7 +65,7 @@
   evbuffer *Input = bufferevent_get_input(Side);
   std::string Bytes(evbuffer_get_length(Input), '\0');
   evbuffer_remove(Input, Bytes.data(), Bytes.size());
-  Instant Now = standinNow();
+  Instant Now = bootClockNow();
   Which.m_held.push_back({Now + Link->m_faults.m_latency, std::move(Bytes)});
   Link->advance(Now);
 }
@@ -78,7 +78,7 @@
     return;
   bool FromCaller = Side == Link->m_toTarget.m_from;
   (FromCaller ? Link->m_toTarget : Link->m_toCaller).m_finished = true;
-  Link->advance(standinNow());
+  Link->advance(bootClockNow());
 }
 
 void FaultLink::advance(Instant Now) {
--- a/src/standins/fault_proxy.cpp
+++ b/src/standins/fault_proxy.cpp
@@ -101,7 +101,7 @@
   }
 
   void advance() {
-    Instant Now = standinNow();
+    Instant Now = bootClockNow();
     for (auto &Link : m_links)
       Link->advance(Now);
     std::erase_if(m_links, [](const auto &Link) { return Link->ended(); });
--- a/src/standins/standin.h
+++ b/src/standins/standin.h
@@ -1,7 +1,7 @@
 #ifndef BURDOCKPULLEY_STANDINS_STANDIN_H
 #define BURDOCKPULLEY_STANDINS_STANDIN_H
 
-#include "burdockpulley/types.h"
+#include "burdockpulley/clock.h"
 
 #include <cstdio>
 #include <fstream>
@@ -10,11 +10,6 @@
 
 namespace burdockpulley {
 
-inline Instant standinNow() {
-  auto SinceBoot = std::chrono::steady_clock::now().time_since_epoch();
-  return Instant(std::chrono::duration_cast<Duration>(SinceBoot));
-}
-
 /// Writes the bound ports where the starter of the process looks for them.
 inline void writePortFile(const std::string &Path,
                           std::initializer_list<std::uint16_t> Ports) {
--- a/src/standins/store_faults.cpp
+++ b/src/standins/store_faults.cpp
@@ -51,7 +51,7 @@
   StoreVersion Before = DropKeyVersion();
   HttpResponse Response;
   Response.m_status = answerEtcdCall(m_state, Request.m_target, Request.m_body,
-                                     standinNow(), Response.m_body);
+                                     bootClockNow(), Response.m_body);
   if (m_dropAnswers > 0 && DropKeyVersion() != Before) {
     --m_dropAnswers;
     m_dropped.push_back(std::move(Responder));
--- a/src/standins/upstream_standin.cpp
+++ b/src/standins/upstream_standin.cpp
@@ -70,7 +70,7 @@
     GrantOrder Order;
     if (!decodeOrder(Request.m_body, Order))
       return Responder.send(HttpResponse{400, {}, ""});
-    Duration Clock = standinNow().time_since_epoch();
+    Duration Clock = bootClockNow().time_since_epoch();
     GrantAnswer Answer;
     Answer.m_refusal = m_guard.apply(Order, Clock);
     Answer.m_stamp = {m_guard.boot(), Clock};
@@ -95,7 +95,7 @@
   bool owned(const HttpRequest &Request) const {
     FencingToken Token(number(Request.header("X-Burdockpulley-Token")));
     return m_guard.owns(partitionOf(Request), Token,
-                        standinNow().time_since_epoch());
+                        bootClockNow().time_since_epoch());
   }
 
   static void refuse(HttpResponder &Responder) {
@@ -123,7 +123,7 @@
       ++m_busy[partitionOf(Request)];
       m_grantLog << "run " << partitionOf(Request).value() << " "
                  << Request.header("X-Burdockpulley-Token") << " "
-                 << standinNow().time_since_epoch().count() << std::endl;
+                 << bootClockNow().time_since_epoch().count() << std::endl;
     }
     timeval Time{m_options.m_serviceTime.count() / 1'000'000,
                  m_options.m_serviceTime.count() % 1'000'000};
