--- a/src/build-scripts/install-packages.sh
+++ b/src/build-scripts/install-packages.sh
@@ -4,7 +4,7 @@
 
 PACKAGES=(
   g++ cmake ninja-build make clang-format-14 clang-tidy-14
-  libevent-dev libthrift-dev prometheus-cpp-dev libcxxopts-dev
+  libevent-dev libhttp-parser-dev libthrift-dev prometheus-cpp-dev libcxxopts-dev
   libgoogle-glog-dev libboost1.81-dev libboost-test1.81-dev librapidcheck-dev
   libyaml-cpp-dev libxxhash-dev nlohmann-json3-dev libssl-dev gnuplot-nox
 )
--- a/src/burdockpulleyd/main.cpp
+++ b/src/burdockpulleyd/main.cpp
@@ -1,10 +1,13 @@
 #include "burdockpulley/entry_host.h"
 #include "burdockpulley/event_log.h"
+#include "burdockpulley/gateway_host.h"
+#include "platform/platform.h"
 
 #include <event2/event.h>
 
 #include <csignal>
 #include <cstdio>
+#include <string_view>
 
 using namespace burdockpulley;
 
@@ -46,22 +49,64 @@
   return Code;
 }
 
-} // namespace
+void onGatewaySignal(int Number, short, void *Host) {
+  auto *Which = static_cast<GatewayHost *>(Host);
+  if (Number == SIGHUP)
+    Which->reload();
+  else
+    Which->stop();
+}
 
-int main(int Count, char **Arguments) {
-  std::signal(SIGPIPE, SIG_IGN);
-  SettingsOutcome Outcome = readSettings(Count, Arguments);
-  if (!Outcome.m_help.empty()) {
-    std::fputs(Outcome.m_help.c_str(), stdout);
+int runGateway(const GatewaySettings &Settings) {
+  openEventLog(Settings.m_host.value());
+  bufferEventLog();
+  event_base *Base = newLoop();
+  int Code = 0;
+  {
+    GatewayHost Host(Base, Settings,
+                     platform::makeStore(Base, Settings.m_store),
+                     platform::makeDialect());
+    constexpr int Signals[] = {SIGTERM, SIGINT, SIGHUP};
+    event *Events[std::size(Signals)];
+    for (std::size_t I = 0; I < std::size(Signals); ++I) {
+      Events[I] = evsignal_new(Base, Signals[I], onGatewaySignal, &Host);
+      event_add(Events[I], nullptr);
+    }
+    if (Host.start())
+      event_base_dispatch(Base);
+    else
+      Code = 1;
+    for (event *Each : Events)
+      event_free(Each);
+  }
+  event_base_free(Base);
+  return Code;
+}
+
+/// Prints help, faults or settings, or runs the program with the settings.
+template <class Outcome, class Run>
+int proceed(const Outcome &Read, Run RunWith) {
+  if (!Read.m_help.empty()) {
+    std::fputs(Read.m_help.c_str(), stdout);
     return 0;
   }
-  for (const std::string &Fault : Outcome.m_faults)
+  for (const std::string &Fault : Read.m_faults)
     std::fprintf(stderr, "burdockpulleyd: %s\n", Fault.c_str());
-  if (!Outcome.m_faults.empty())
+  if (!Read.m_faults.empty())
     return UsageExit;
-  if (Outcome.m_print) {
-    std::fputs(toString(Outcome.m_settings).c_str(), stdout);
+  if (Read.m_print) {
+    std::fputs(toString(Read.m_settings).c_str(), stdout);
     return 0;
   }
-  return run(Outcome.m_settings);
+  return RunWith(Read.m_settings);
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  std::signal(SIGPIPE, SIG_IGN);
+  constexpr std::string_view RegistryMode = "registry";
+  if (Count > 1 && Arguments[1] == RegistryMode)
+    return proceed(readGatewaySettings(Count - 1, Arguments + 1), runGateway);
+  return proceed(readSettings(Count, Arguments), run);
 }
--- a/src/include/burdockpulley/event_log.h
+++ b/src/include/burdockpulley/event_log.h
@@ -29,11 +29,21 @@
 };
 
 /// Sets up the process log: one line of key=value pairs an event, on standard
-/// error. \p Process names the process in each line.
+/// output. \p Process names the process in each line.
+///
+/// Writing never blocks: lines that the reader does not take in time are
+/// dropped, as are lines beyond a rate, and their number is logged.
 /// Precondition: called once, before the first logEvent().
 /// Thread safety: not safe; call it from main().
 void openEventLog(std::string_view Process);
 
+/// Lines are kept from now on until flushEventLog() is called, or there are
+/// enough of them for one write. Thread safety: as openEventLog().
+void bufferEventLog();
+
+/// Writes the lines kept so far. Thread safety: safe.
+void flushEventLog();
+
 /// Writes one event. A value with blanks or quotes is quoted.
 /// Thread safety: safe.
 void logEvent(Severity Level, std::string_view Event,
--- a/src/include/burdockpulley/store.h
+++ b/src/include/burdockpulley/store.h
@@ -22,6 +22,8 @@
   Refused,      ///< Refused as a wrong call: it has not taken effect.
   BadAnswer,    ///< Answered with something that can not be read.
   LeaseExpired, ///< The lease is not there any more.
+  Unavailable,  ///< The store says that it has done nothing.
+  Compacted,    ///< The history that was asked for is not kept any more.
 };
 
 /// Name of an error as it stands in logs.
@@ -114,6 +116,31 @@
   virtual void keepAlive(StoreLease Lease, StoreCallback<StoreLease> Done) = 0;
 };
 
+/// One change of a key, in the order of the store's versions.
+struct StoreEvent {
+  StoreEntry m_entry; ///< Without a value when the key was removed.
+  bool m_removed = false;
+};
+
+/// Answer to a watch.
+struct StoreEvents {
+  std::vector<StoreEvent> m_events;
+  StoreVersion m_version; ///< Where the next watch goes on.
+};
+
+/// A store that tells what has changed, so that hosts need not poll.
+/// Thread safety: none; all calls come from the loop's thread.
+class WatchedStore : public Store {
+public:
+  /// Waits up to \p Wait for changes of keys with a prefix that came after a
+  /// version. StoreError::Compacted: read everything again.
+  virtual void watch(const std::string &Prefix, StoreVersion After,
+                     Duration Wait, StoreCallback<StoreEvents> Done) = 0;
+
+  /// Ends a lease; its keys are deleted.
+  virtual void endLease(StoreLease Lease, StoreCallback<StoreLease> Done) = 0;
+};
+
 } // namespace burdockpulley
 
 #endif
--- a/src/include/burdockpulley/types.h
+++ b/src/include/burdockpulley/types.h
@@ -83,6 +83,11 @@
 /// Thread safety: safe.
 bool parseEndpoint(const std::string &Text, Endpoint &Where);
 
+/// Reads a time with its unit, 250ms or 1.5s. False, and \p Value left alone,
+/// when \p Text is anything else or negative.
+/// Thread safety: safe.
+bool parseDuration(const std::string &Text, Duration &Value);
+
 } // namespace burdockpulley
 
 template <class Tag, class Rep>
--- /dev/null
+++ b/src/include/burdockpulley/upstream_registry.h
@@ -0,0 +1,121 @@
+#ifndef BURDOCKPULLEY_UPSTREAM_REGISTRY_H
+#define BURDOCKPULLEY_UPSTREAM_REGISTRY_H
+
+#include "burdockpulley/types.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace burdockpulley {
+
+/// Tells two starts of an upstream apart that go by one id: the wall-clock
+/// millisecond of the start, as the upstream itself says.
+using UpstreamBirth = Strong<struct UpstreamBirthTag, std::int64_t>;
+
+/// What an upstream has registered about itself.
+struct UpstreamRecord {
+  UpstreamId m_id;
+  ServiceId m_service;
+  Endpoint m_address;
+  DomainId m_domain;
+  std::uint32_t m_slots = 1;
+  bool m_draining = false;
+  Duration m_coldLeft; ///< How much longer it is cold.
+  UpstreamBirth m_birth;
+  std::uint64_t m_sequence = 0; ///< Grows with each heartbeat of a start.
+};
+
+/// What an upstream said of its load in an answer.
+struct LoadReport {
+  std::uint32_t m_running = 0;
+  std::uint32_t m_waiting = 0;
+  double m_slowness = 1; ///< How many times longer work takes just now.
+};
+
+/// One upstream as this host sees it.
+struct UpstreamRow {
+  UpstreamRecord m_record;
+  bool m_registered = true;   ///< False once its record is gone.
+  Instant m_leftAt;           ///< When it was first seen draining or gone.
+  Instant m_coldUntil;        ///< As its heartbeats say.
+  Instant m_assumedColdUntil; ///< As this host has reason to fear.
+  /// Set by a refused or failed connection: not used until a heartbeat that
+  /// came later shows that it lives, or some time has passed.
+  bool m_unreachable = false;
+  Instant m_unreachableSince;
+  std::uint32_t m_failuresInRow = 0;
+
+  std::uint32_t m_outstanding = 0;     ///< Requests of this host at it.
+  std::uint32_t m_peerOutstanding = 0; ///< Requests of all other hosts at it.
+  LoadReport m_report;
+  Instant m_reportAt;
+  double m_speed = 1; ///< Time that work takes, relative to its peers.
+  std::uint32_t m_speedSamples = 0;
+
+  bool leaving() const { return !m_registered || m_record.m_draining; }
+  bool cold(Instant Now) const {
+    return Now < m_coldUntil || Now < m_assumedColdUntil;
+  }
+};
+
+/// The upstreams that have registered, and what this host knows of each.
+///
+/// A record that vanished while the store was in trouble may come back; until
+/// the time for that is over it is kept (see holdRemovals()).
+/// Thread safety: none.
+class UpstreamRegistry {
+public:
+  enum class Change { None, Joined, Restarted, Draining, Updated };
+
+  /// A record was written.
+  Change onRecord(const UpstreamRecord &Record, Instant Now);
+
+  /// A record was removed. Returns the row, or null when there was none.
+  UpstreamRow *onRemoved(const UpstreamId &Which, Instant Now);
+
+  /// The store lost records that may come back: removals until \p Until are
+  /// carried out then, if the record has not returned.
+  void holdRemovals(Instant Until) { m_holdUntil = Until; }
+
+  /// Carries out held removals whose time has come, gives unreachable
+  /// upstreams another try, and forgets those that are long gone. Returns
+  /// those that are gone now.
+  std::vector<UpstreamId> sweep(Instant Now);
+
+  /// Takes a failure domain out of service or back in. Its upstreams may have
+  /// become cold meanwhile: they are taken to be so for \p ColdTime.
+  void setDomainOut(const DomainId &Domain, bool Out, Duration ColdTime,
+                    Instant Now);
+  bool domainOut(const DomainId &Domain) const {
+    return m_domainsOut.count(Domain) != 0;
+  }
+  const std::set<DomainId> &domainsOut() const { return m_domainsOut; }
+
+  /// A connection to the upstream was refused or broke off.
+  void onUnreachable(const UpstreamId &Which, Instant Now);
+
+  /// True when new requests may be sent to it.
+  bool usable(const UpstreamRow &Row) const {
+    return !Row.leaving() && !Row.m_unreachable &&
+           !domainOut(Row.m_record.m_domain);
+  }
+
+  UpstreamRow *find(const UpstreamId &Which);
+  const UpstreamRow *find(const UpstreamId &Which) const;
+  std::vector<UpstreamRow *> ofService(const ServiceId &Service);
+  std::map<UpstreamId, UpstreamRow> &rows() { return m_rows; }
+  const std::map<UpstreamId, UpstreamRow> &rows() const { return m_rows; }
+
+private:
+  std::map<UpstreamId, UpstreamRow> m_rows;
+  std::map<UpstreamId, Instant> m_heldRemovals;
+  std::set<DomainId> m_domainsOut;
+  Instant m_holdUntil;
+};
+
+} // namespace burdockpulley
+
+#endif
--- /dev/null
+++ b/src/include/burdockpulley/upstream_selection.h
@@ -0,0 +1,77 @@
+#ifndef BURDOCKPULLEY_UPSTREAM_SELECTION_H
+#define BURDOCKPULLEY_UPSTREAM_SELECTION_H
+
+#include "burdockpulley/upstream_registry.h"
+
+#include <random>
+#include <set>
+#include <span>
+#include <string>
+
+namespace burdockpulley {
+
+/// How long the requests of each route take at an upstream of usual speed.
+/// Thread safety: none.
+class ServiceTimes {
+public:
+  /// A request has been answered after \p Spent at an upstream whose speed and
+  /// momentary slowness together are \p Factor.
+  void onAnswer(const std::string &Route, Duration Spent, double Factor);
+
+  /// The expected time; \p Guess when nothing has been observed.
+  Duration expected(const std::string &Route, Duration Guess) const;
+
+private:
+  struct Row {
+    double m_micros = 0;
+    std::uint32_t m_samples = 0;
+  };
+  std::map<std::string, Row, std::less<>> m_rows;
+};
+
+/// What placing one request depends on.
+struct SelectionRequest {
+  Duration m_workTime;     ///< Expected at an upstream of usual speed.
+  std::size_t m_bytes = 0; ///< Request and expected answer.
+  DomainId m_domain;       ///< Failure domain of this host.
+  const std::set<UpstreamId> *m_tried = nullptr; ///< Not to be used again.
+};
+
+/// Where a request goes, or that it has to wait.
+struct Selection {
+  UpstreamRow *m_row = nullptr; ///< Null when no upstream has room.
+  Duration m_finish;            ///< Expected time until its answer.
+  bool m_anyUsable = false;     ///< Some upstream may be used once it has room.
+};
+
+/// How many times longer than usual work takes at an upstream just now.
+/// Thread safety: safe.
+double slownessFactor(const UpstreamRow &Row, Instant Now);
+
+/// Expected time until an answer of \p Row, without the way there.
+/// Thread safety: safe.
+Duration expectedFinish(const UpstreamRow &Row, Duration WorkTime, Instant Now);
+
+/// True when an upstream has a slot free or all but free, so that a request
+/// sent now does not wait in a queue that knows no urgency.
+/// Thread safety: safe.
+bool hasRoom(const UpstreamRow &Row);
+
+/// Chooses the usable upstream with the least expected finish among those that
+/// have room. Distance and bytes between failure domains count as time.
+///
+/// It answers uneven load: upstreams differ in speed, and some are slowed for
+/// moments by neighbours, while others of the service stand idle.
+/// Thread safety: safe.
+Selection selectUpstream(const UpstreamRegistry &Registry,
+                         std::span<UpstreamRow *const> Rows,
+                         const SelectionRequest &Request, Instant Now);
+
+/// Takes in what an answer shows of an upstream's speed.
+/// Thread safety: none.
+void observeSpeed(UpstreamRow &Row, Duration Spent, Duration Expected,
+                  Instant Now);
+
+} // namespace burdockpulley
+
+#endif
--- a/src/libbase/types.cpp
+++ b/src/libbase/types.cpp
@@ -27,4 +27,23 @@
   return true;
 }
 
+bool parseDuration(const std::string &Text, Duration &Value) {
+  double Number = 0;
+  const char *TextEnd = Text.data() + Text.size();
+  auto [End, Error] = std::from_chars(Text.data(), TextEnd, Number);
+  if (Error != std::errc() || Number < 0)
+    return false;
+  std::string_view Unit(End, static_cast<std::size_t>(TextEnd - End));
+  constexpr double MicrosPerMillisecond = 1e3;
+  constexpr double MicrosPerSecond = 1e6;
+  constexpr double MaxMicros = 1e15;
+  double Scale = Unit == "ms"  ? MicrosPerMillisecond
+                 : Unit == "s" ? MicrosPerSecond
+                               : 0;
+  if (Scale == 0 || Number * Scale > MaxMicros)
+    return false;
+  Value = Duration(static_cast<std::int64_t>(Number * Scale));
+  return true;
+}
+
 } // namespace burdockpulley
--- /dev/null
+++ b/src/libgateway/gateway_metrics.cpp
@@ -0,0 +1,91 @@
+#include "gateway_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace burdockpulley {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries LatencyBuckets = {
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5};
+
+prometheus::Gauge &gauge(prometheus::Registry &Registry, const char *Name,
+                         const char *Help) {
+  return prometheus::BuildGauge().Name(Name).Help(Help).Register(Registry).Add(
+      {});
+}
+
+prometheus::Family<prometheus::Counter> &
+counter(prometheus::Registry &Registry, const char *Name, const char *Help) {
+  return prometheus::BuildCounter().Name(Name).Help(Help).Register(Registry);
+}
+
+} // namespace
+
+GatewayMetrics::GatewayMetrics()
+    : m_requests(counter(m_registry, "burdockpulley_gateway_requests_total",
+                         "Callers' requests by route and outcome")),
+      m_seconds(prometheus::BuildHistogram()
+                    .Name("burdockpulley_gateway_request_seconds")
+                    .Help("Time from a request's arrival to its answer")
+                    .Register(m_registry)),
+      m_attempts(counter(m_registry, "burdockpulley_gateway_attempts_total",
+                         "Attempts at upstreams by service and end")),
+      m_storeCalls(counter(m_registry,
+                           "burdockpulley_gateway_store_calls_total",
+                           "Calls to the platform's store by result")),
+      m_rejected(gauge(m_registry, "burdockpulley_gateway_rejected_datagrams",
+                       "Datagrams dropped because no host has made them")),
+      m_revision(gauge(m_registry, "burdockpulley_gateway_config_revision",
+                       "Configuration in force on this host")),
+      m_waiting(gauge(m_registry, "burdockpulley_gateway_requests_waiting",
+                      "Requests that wait for room at an upstream")),
+      m_coordinating(gauge(m_registry, "burdockpulley_gateway_coordinating",
+                           "One while this host gives out keys")),
+      m_storeContactAge(gauge(m_registry,
+                              "burdockpulley_gateway_store_contact_seconds",
+                              "Time since the store answered; -1 is never")) {}
+
+void GatewayMetrics::onRequestEnded(const std::string &Route,
+                                    std::string_view Outcome, Duration Time) {
+  m_requests.Add({{"route", Route}, {"outcome", std::string(Outcome)}})
+      .Increment();
+  m_seconds.Add({{"route", Route}}, LatencyBuckets)
+      .Observe(std::chrono::duration<double>(Time).count());
+}
+
+void GatewayMetrics::onAttempt(const ServiceId &Service, std::string_view End) {
+  m_attempts.Add({{"service", Service.value()}, {"end", std::string(End)}})
+      .Increment();
+}
+
+void GatewayMetrics::onStoreCall(std::string_view Call,
+                                 std::string_view Result) {
+  m_storeCalls
+      .Add({{"call", std::string(Call)}, {"result", std::string(Result)}})
+      .Increment();
+}
+
+void GatewayMetrics::setRejectedDatagrams(std::uint64_t Count) {
+  m_rejected.Set(static_cast<double>(Count));
+}
+
+void GatewayMetrics::setRevision(Revision Number) {
+  m_revision.Set(static_cast<double>(Number.value()));
+}
+
+void GatewayMetrics::setWaiting(std::size_t Requests) {
+  m_waiting.Set(static_cast<double>(Requests));
+}
+
+void GatewayMetrics::setCoordinating(bool Yes) { m_coordinating.Set(Yes); }
+
+void GatewayMetrics::setStoreContactAge(double Seconds) {
+  m_storeContactAge.Set(Seconds);
+}
+
+std::string GatewayMetrics::text() const {
+  return prometheus::TextSerializer().Serialize(m_registry.Collect());
+}
+
+} // namespace burdockpulley
--- /dev/null
+++ b/src/libgateway/gateway_settings.cpp
@@ -0,0 +1,110 @@
+#include "burdockpulley/gateway_settings.h"
+
+#include "burdockpulley/settings_reader.h"
+
+namespace burdockpulley {
+
+namespace {
+
+cxxopts::Options describeFlags() {
+  using Text = std::string;
+  cxxopts::Options Options(
+      "burdockpulleyd registry",
+      "Entry host that finds upstreams in the platform's registry. Each flag "
+      "can be given as an\nenvironment variable too: --peer-listen is "
+      "BURDOCKPULLEY_PEER_LISTEN.");
+  auto Add = Options.add_options();
+  Add("host", "name of this host", cxxopts::value<Text>());
+  Add("failure-domain", "failure domain of this host", cxxopts::value<Text>());
+  Add("listen", "address for callers, IP:PORT", cxxopts::value<Text>());
+  Add("ready-listen", "address for the balancer's question, IP:PORT",
+      cxxopts::value<Text>());
+  Add("peer-listen", "UDP address for the other hosts, IP:PORT",
+      cxxopts::value<Text>());
+  Add("metrics-listen", "address for metrics, IP:PORT", cxxopts::value<Text>());
+  Add("store", "address of the platform's store, IP:PORT",
+      cxxopts::value<Text>());
+  Add("descriptors", "files and sockets that may be open",
+      cxxopts::value<Text>());
+  Add("drain", "time until a leaving upstream gets no new work",
+      cxxopts::value<Text>());
+  Add("stop-time", "time from SIGTERM until the process is killed",
+      cxxopts::value<Text>());
+  Add("max-hold", "longest time for which an upstream takes keys",
+      cxxopts::value<Text>());
+  Add("retry-ratio", "repeats for each request, of all hosts",
+      cxxopts::value<Text>());
+  Add("retry-window", "time over which repeats are counted",
+      cxxopts::value<Text>());
+  Add("retry-allowance", "repeats beside the ratio, of all hosts",
+      cxxopts::value<Text>());
+  Add("print-settings", "print the settings and end");
+  Add("help", "print this and end");
+  return Options;
+}
+
+void readAll(detail::SettingsReader &Reader, GatewaySettings &Settings) {
+  Settings.m_host = HostId(Reader.text("host", true));
+  Settings.m_domain = DomainId(Reader.text("failure-domain", true));
+  Settings.m_listen = Reader.endpoint("listen");
+  Settings.m_readyListen = Reader.endpoint("ready-listen");
+  Settings.m_peerListen = Reader.endpoint("peer-listen");
+  Settings.m_metricsListen = Reader.endpoint("metrics-listen", false);
+  Settings.m_store = Reader.endpoint("store");
+  Reader.number("descriptors", Settings.m_descriptors);
+  Reader.duration("drain", Settings.m_drain);
+  Reader.duration("stop-time", Settings.m_stopTime);
+  Reader.duration("max-hold", Settings.m_maxHold);
+  Reader.number("retry-ratio", Settings.m_retryRatio);
+  Reader.duration("retry-window", Settings.m_retryWindow);
+  Reader.number("retry-allowance", Settings.m_retryAllowance);
+}
+
+std::string milliseconds(Duration Time) {
+  return std::to_string(Time.count() / 1000) + "ms";
+}
+
+} // namespace
+
+GatewaySettingsOutcome readGatewaySettings(int Count, char **Arguments) {
+  GatewaySettingsOutcome Outcome;
+  cxxopts::Options Options = describeFlags();
+  try {
+    cxxopts::ParseResult Flags = Options.parse(Count, Arguments);
+    if (Flags.count("help")) {
+      Outcome.m_help = Options.help();
+      return Outcome;
+    }
+    detail::SettingsReader Reader(Flags, Outcome.m_faults);
+    readAll(Reader, Outcome.m_settings);
+    Outcome.m_print = Flags.count("print-settings") != 0;
+    for (const std::string &Extra : Flags.unmatched())
+      Outcome.m_faults.push_back("unknown argument " + Extra);
+  } catch (const cxxopts::exceptions::exception &Problem) {
+    Outcome.m_faults.push_back(Problem.what());
+  }
+  return Outcome;
+}
+
+std::string toString(const GatewaySettings &Settings) {
+  std::string Metrics = Settings.m_metricsListen.m_address.empty()
+                            ? ""
+                            : toString(Settings.m_metricsListen);
+  return "host=" + Settings.m_host.value() +
+         "\nfailure-domain=" + Settings.m_domain.value() +
+         "\nlisten=" + toString(Settings.m_listen) +
+         "\nready-listen=" + toString(Settings.m_readyListen) +
+         "\npeer-listen=" + toString(Settings.m_peerListen) +
+         "\nmetrics-listen=" + Metrics +
+         "\nstore=" + toString(Settings.m_store) +
+         "\ndescriptors=" + std::to_string(Settings.m_descriptors) +
+         "\ndrain=" + milliseconds(Settings.m_drain) +
+         "\nstop-time=" + milliseconds(Settings.m_stopTime) +
+         "\nmax-hold=" + milliseconds(Settings.m_maxHold) +
+         "\nretry-ratio=" + std::to_string(Settings.m_retryRatio) +
+         "\nretry-window=" + milliseconds(Settings.m_retryWindow) +
+         "\nretry-allowance=" + std::to_string(Settings.m_retryAllowance) +
+         "\n";
+}
+
+} // namespace burdockpulley
--- /dev/null
+++ b/src/libgateway/gateway_state.h
@@ -0,0 +1,40 @@
+#ifndef BURDOCKPULLEY_LIBGATEWAY_GATEWAY_STATE_H
+#define BURDOCKPULLEY_LIBGATEWAY_GATEWAY_STATE_H
+
+#include "burdockpulley/gateway_settings.h"
+#include "burdockpulley/key_owners.h"
+#include "burdockpulley/peer_loads.h"
+#include "burdockpulley/platform_dialect.h"
+#include "burdockpulley/route_table.h"
+#include "burdockpulley/upstream_registry.h"
+#include "gateway_metrics.h"
+
+struct event_base;
+
+namespace burdockpulley {
+
+/// The tables that the parts of one entry host share.
+/// Thread safety: none; they belong to the loop's thread.
+struct GatewayState {
+  GatewayState(event_base *Base, GatewaySettings Settings,
+               PlatformDialect &Dialect)
+      : m_base(Base), m_settings(std::move(Settings)), m_dialect(Dialect),
+        m_peerLoads(m_registry) {}
+
+  event_base *m_base;
+  GatewaySettings m_settings;
+  PlatformDialect &m_dialect;
+  UpstreamRegistry m_registry;
+  RouteTable m_routes;
+  KeyOwners m_owners;
+  PeerLoads m_peerLoads;
+  GatewayMetrics m_metrics;
+  bool m_stopping = false;
+
+  /// Hosts that share budgets, with this one.
+  std::size_t hosts() const { return m_peerLoads.hosts() + 1; }
+};
+
+} // namespace burdockpulley
+
+#endif
--- /dev/null
+++ b/src/libgateway/key_coordinator.cpp
@@ -0,0 +1,442 @@
+#include "burdockpulley/key_coordinator.h"
+
+#include <algorithm>
+
+namespace burdockpulley {
+
+namespace {
+
+/// A token that was refused is raised by so much at once.
+constexpr std::uint64_t SupersededStep = 64;
+/// Owners from which keys are moved at the same time, as a share of all.
+constexpr double MovingShare = 0.2;
+/// Moves at the same time, at the least.
+constexpr std::size_t MinMoves = 2;
+
+} // namespace
+
+KeyCoordinator::KeyCoordinator(ServiceId Service, Settings Chosen)
+    : m_service(std::move(Service)), m_settings(Chosen) {}
+
+FencingToken KeyCoordinator::nextToken() {
+  m_lastToken = FencingToken(m_lastToken.value() + 1);
+  return m_lastToken;
+}
+
+void KeyCoordinator::takeOver(const std::optional<KeyTable> &Stored,
+                              Instant Now) {
+  m_holdings.clear();
+  m_replacements.clear();
+  m_writing = false;
+  changed();
+  if (!Stored) {
+    Holding All;
+    All.m_range.m_last = ShardKeyCount - 1;
+    All.m_phase = Phase::Free;
+    m_holdings.push_back(All);
+    return;
+  }
+  m_version = Stored->m_version;
+  m_lastToken = Stored->m_lastToken;
+  Duration Longest(static_cast<std::int64_t>(
+      static_cast<double>(m_settings.m_longHold.count()) *
+      (1 + m_settings.m_clockSlack)));
+  for (const KeyRange &Range : Stored->m_ranges) {
+    Holding Each;
+    Each.m_range = Range;
+    if (Range.m_owner.value().empty()) {
+      Each.m_phase = Phase::Free;
+    } else {
+      Each.m_raise = true;
+      Each.m_serving = true;
+      Each.m_heldUntil = Now + Longest + m_settings.m_deliverySlack;
+      Each.m_doubtUntil = Each.m_heldUntil;
+    }
+    m_holdings.push_back(std::move(Each));
+  }
+}
+
+KeyCoordinator::Orders KeyCoordinator::tick(const KeyCandidates &Candidates,
+                                            const KeyLoad &Load,
+                                            bool StoreInReach, Instant Now) {
+  Orders Out;
+  for (Holding &Each : m_holdings)
+    advance(Each, Candidates, Now);
+  if (StoreInReach && !m_writing) {
+    if (Now - m_lastPlan >= m_settings.m_planEvery) {
+      m_lastPlan = Now;
+      mergeHoldings();
+      planRebalance(Candidates, Load, Now);
+    }
+    Out.m_write = planWrite(Candidates, Load, Now);
+    m_writing = Out.m_write.has_value();
+  }
+  for (Holding &Each : m_holdings)
+    issue(Each, StoreInReach, Out, Now);
+  return Out;
+}
+
+void KeyCoordinator::makeFree(Holding &Which) {
+  Which.m_phase = Phase::Free;
+  Which.m_raise = false;
+  Which.m_confirmed = false;
+  Which.m_released = false;
+  Which.m_moveWanted = false;
+  Which.m_order = OrderNumber();
+  Which.m_heldUntil = Which.m_doubtUntil = Instant();
+  if (Which.m_serving)
+    changed();
+  Which.m_serving = false;
+}
+
+void KeyCoordinator::startRelease(Holding &Which, Instant Now) {
+  if (Which.m_order.value() != 0)
+    return; // How the grant in flight ends has to be known first.
+  if (Which.m_heldUntil == Instant()) {
+    makeFree(Which); // Nothing has ever been sent to this owner.
+    return;
+  }
+  // An unanswered grant could take effect after the release. A higher token
+  // that the owner confirms rules that out.
+  if (Which.m_doubtUntil > Now && !Which.m_raise && Which.m_confirmed) {
+    Which.m_raise = true;
+    return;
+  }
+  if (Which.m_raise || Which.m_doubtUntil > Now)
+    return;
+  Which.m_phase = Phase::Releasing;
+  Which.m_released = false;
+  Which.m_order = OrderNumber();
+  Which.m_lastSent = Instant();
+  if (Which.m_serving)
+    changed();
+  Which.m_serving = false;
+}
+
+void KeyCoordinator::advance(Holding &Which, const KeyCandidates &Candidates,
+                             Instant Now) {
+  if (Which.m_phase == Phase::Free)
+    return;
+  auto Found = Candidates.find(Which.m_range.m_owner);
+  const KeyCandidate *Owner =
+      Found == Candidates.end() ? nullptr : &Found->second;
+  bool Dead = Owner && (Owner->m_dead ||
+                        Owner->m_birth.value() > Which.m_range.m_birth.value());
+  bool Granted = Which.m_heldUntil != Instant();
+  bool Expired = Granted && Now >= Which.m_heldUntil;
+  bool OutOfReach = !Granted && Which.m_order.value() == 0 &&
+                    Now - Which.m_since > m_settings.m_confirmTime;
+  if (Dead || Expired || OutOfReach) {
+    if (!Which.m_released)
+      Which.m_range.m_handover.clear();
+    return makeFree(Which);
+  }
+  if (Which.m_phase == Phase::Releasing) {
+    if (Which.m_released && Now >= Which.m_doubtUntil)
+      makeFree(Which);
+    return;
+  }
+  bool MustLeave = !Owner || Owner->m_mustLeave;
+  if (MustLeave || Which.m_moveWanted)
+    startRelease(Which, Now);
+}
+
+void KeyCoordinator::issue(Holding &Which, bool StoreInReach, Orders &Out,
+                           Instant Now) {
+  if (Which.m_phase == Phase::Free || Which.m_order.value() != 0)
+    return;
+  Duration Since = Now - Which.m_lastSent;
+  if (Which.m_phase == Phase::Releasing) {
+    if (Which.m_released || Since < m_settings.m_retryEvery)
+      return;
+    Which.m_order = OrderNumber(++m_nextOrder);
+    Which.m_lastSent = Now;
+    Out.m_releases.push_back({Which.m_order, Which.m_range});
+    return;
+  }
+  if (Which.m_raise)
+    return;
+  bool Lengthen = !StoreInReach && !Which.m_longHold && Which.m_confirmed;
+  Duration Pause =
+      Which.m_confirmed ? m_settings.m_renewEvery : m_settings.m_retryEvery;
+  if (Since < Pause && !Lengthen)
+    return;
+  Duration Hold = StoreInReach ? m_settings.m_hold : m_settings.m_longHold;
+  GrantOrder Order;
+  Order.m_number = Which.m_order = OrderNumber(++m_nextOrder);
+  Order.m_range = Which.m_range;
+  Order.m_hold = Hold;
+  Order.m_first = !Which.m_confirmed;
+  Which.m_longHold = !StoreInReach;
+  Which.m_lastSent = Now;
+  Which.m_before = Which.m_heldUntil;
+  Duration Longest(static_cast<std::int64_t>(static_cast<double>(Hold.count()) *
+                                             (1 + m_settings.m_clockSlack)));
+  Which.m_heldUntil =
+      std::max(Which.m_heldUntil, Now + Longest + m_settings.m_deliverySlack);
+  Out.m_grants.push_back(std::move(Order));
+}
+
+KeyCoordinator::Holding *KeyCoordinator::byOrder(OrderNumber Number) {
+  for (Holding &Each : m_holdings)
+    if (Each.m_order == Number)
+      return &Each;
+  return nullptr;
+}
+
+void KeyCoordinator::onGrant(OrderNumber Number, GrantOutcome Outcome,
+                             Instant) {
+  Holding *Which = byOrder(Number);
+  if (!Which || Which->m_phase != Phase::Held)
+    return;
+  Which->m_order = OrderNumber();
+  switch (Outcome) {
+  case GrantOutcome::Granted:
+    // Lower tokens are refused from now on, so older doubts are over.
+    if (!Which->m_confirmed)
+      Which->m_doubtUntil = Instant();
+    if (!Which->m_serving)
+      changed();
+    Which->m_confirmed = Which->m_serving = true;
+    return;
+  case GrantOutcome::Unanswered:
+    Which->m_doubtUntil = std::max(Which->m_doubtUntil, Which->m_heldUntil);
+    break;
+  case GrantOutcome::Superseded:
+    m_lastToken = FencingToken(m_lastToken.value() + SupersededStep);
+    Which->m_heldUntil = Which->m_before;
+    break;
+  case GrantOutcome::NotSent:
+    Which->m_heldUntil = Which->m_before;
+    // The first grant under a token may be sent again on any connection, if
+    // nothing of it has left.
+    if (!Which->m_confirmed)
+      return;
+    break;
+  case GrantOutcome::Dead:
+    Which->m_range.m_handover.clear();
+    return makeFree(*Which);
+  }
+  Which->m_raise = true;
+}
+
+void KeyCoordinator::onRelease(OrderNumber Number, bool Answered,
+                               const std::string &Handover, Instant) {
+  Holding *Which = byOrder(Number);
+  if (!Which || Which->m_phase != Phase::Releasing)
+    return;
+  Which->m_order = OrderNumber();
+  if (!Answered)
+    return;
+  Which->m_released = true;
+  Which->m_range.m_handover = Handover;
+}
+
+std::vector<KeyRange> KeyCoordinator::ownedRanges() const {
+  std::vector<KeyRange> Owned;
+  for (const Holding &Each : m_holdings)
+    if (Each.m_phase != Phase::Free)
+      Owned.push_back(Each.m_range);
+  return Owned;
+}
+
+void KeyCoordinator::mergeHoldings() {
+  std::vector<Holding> Merged;
+  for (Holding &Each : m_holdings) {
+    Holding *Last = Merged.empty() ? nullptr : &Merged.back();
+    bool Quiet = Each.m_phase == Phase::Held && Each.m_confirmed &&
+                 !Each.m_raise && !Each.m_moveWanted &&
+                 Each.m_order.value() == 0;
+    bool LastQuiet = Last && Last->m_phase == Phase::Held &&
+                     Last->m_confirmed && !Last->m_raise &&
+                     !Last->m_moveWanted && Last->m_order.value() == 0;
+    bool Joins = Quiet && LastQuiet &&
+                 Last->m_range.m_owner == Each.m_range.m_owner &&
+                 Last->m_range.m_birth == Each.m_range.m_birth &&
+                 Last->m_range.m_token == Each.m_range.m_token;
+    if (!Joins) {
+      Merged.push_back(std::move(Each));
+      continue;
+    }
+    Last->m_range.m_last = Each.m_range.m_last;
+    Last->m_heldUntil = std::max(Last->m_heldUntil, Each.m_heldUntil);
+    Last->m_doubtUntil = std::max(Last->m_doubtUntil, Each.m_doubtUntil);
+    Last->m_lastSent = std::min(Last->m_lastSent, Each.m_lastSent);
+  }
+  m_holdings = std::move(Merged);
+}
+
+void KeyCoordinator::planRebalance(const KeyCandidates &Candidates,
+                                   const KeyLoad &Load, Instant Now) {
+  std::size_t Moving = 0;
+  std::vector<KeyRange> Settled;
+  for (const Holding &Each : m_holdings) {
+    bool Still = Each.m_phase == Phase::Held && Each.m_confirmed &&
+                 !Each.m_raise && !Each.m_moveWanted &&
+                 Each.m_order.value() == 0 && Each.m_doubtUntil <= Now;
+    Moving += Still ? 0 : 1;
+    if (Still)
+      Settled.push_back(Each.m_range);
+  }
+  auto Allowed = std::max(
+      MinMoves, static_cast<std::size_t>(
+                    static_cast<double>(Candidates.size()) * MovingShare));
+  if (Moving >= Allowed)
+    return;
+  for (const KeyPlacement &Move :
+       planMoves(Settled, Candidates, Load, Allowed - Moving))
+    splitAt(Move);
+}
+
+void KeyCoordinator::splitAt(const KeyPlacement &Move) {
+  for (std::size_t At = 0; At < m_holdings.size(); ++At) {
+    Holding &Whole = m_holdings[At];
+    if (Whole.m_range.m_first != Move.m_first ||
+        Whole.m_range.m_last < Move.m_last)
+      continue;
+    Holding Rest = Whole;
+    Whole.m_range.m_last = Move.m_last;
+    Whole.m_moveWanted = true;
+    Whole.m_moveTo = Move.m_owner;
+    if (Rest.m_range.m_last == Move.m_last)
+      return;
+    Rest.m_range.m_first = Move.m_last + 1;
+    m_holdings.insert(m_holdings.begin() + static_cast<std::ptrdiff_t>(At) + 1,
+                      Rest);
+    return;
+  }
+}
+
+void KeyCoordinator::placeFree(const KeyCandidates &Candidates,
+                               const KeyLoad &Load) {
+  std::vector<KeyRange> Free;
+  std::vector<KeyPlacement> Placed;
+  for (const Holding &Each : m_holdings) {
+    if (Each.m_phase != Phase::Free)
+      continue;
+    auto Target = Candidates.find(Each.m_moveTo);
+    if (Target != Candidates.end() && Target->second.m_receives)
+      Placed.push_back(
+          {Each.m_range.m_first, Each.m_range.m_last, Each.m_moveTo});
+    else
+      Free.push_back(Each.m_range);
+  }
+  if (!Free.empty())
+    for (const KeyPlacement &Each :
+         placeFreeKeys(Free, ownedRanges(), Candidates, Load))
+      Placed.push_back(Each);
+  for (std::size_t At = 0; At < m_holdings.size(); ++At) {
+    const Holding &Old = m_holdings[At];
+    if (Old.m_phase != Phase::Free)
+      continue;
+    Replacement Made{At, {}};
+    for (const KeyPlacement &Each : Placed) {
+      std::uint32_t First = std::max(Each.m_first, Old.m_range.m_first);
+      std::uint32_t Last = std::min(Each.m_last, Old.m_range.m_last);
+      if (First > Last)
+        continue;
+      const KeyCandidate &Owner = Candidates.find(Each.m_owner)->second;
+      Holding New;
+      New.m_range = {First,         Last,        Each.m_owner,
+                     Owner.m_birth, nextToken(), Old.m_range.m_handover};
+      Made.m_with.push_back(std::move(New));
+    }
+    if (Made.m_with.empty())
+      continue;
+    std::sort(Made.m_with.begin(), Made.m_with.end(),
+              [](const Holding &Left, const Holding &Right) {
+                return Left.m_range.m_first < Right.m_range.m_first;
+              });
+    m_replacements.push_back(std::move(Made));
+  }
+}
+
+std::optional<KeyTable>
+KeyCoordinator::planWrite(const KeyCandidates &Candidates, const KeyLoad &Load,
+                          Instant) {
+  m_replacements.clear();
+  placeFree(Candidates, Load);
+  for (std::size_t At = 0; At < m_holdings.size(); ++At) {
+    const Holding &Old = m_holdings[At];
+    if (Old.m_phase != Phase::Held || !Old.m_raise)
+      continue;
+    auto Owner = Candidates.find(Old.m_range.m_owner);
+    Holding New = Old;
+    New.m_raise = false;
+    New.m_confirmed = false;
+    New.m_order = OrderNumber();
+    New.m_range.m_token = nextToken();
+    New.m_range.m_handover.clear();
+    New.m_lastSent = Instant();
+    if (Owner != Candidates.end())
+      New.m_range.m_birth = Owner->second.m_birth;
+    m_replacements.push_back({At, {std::move(New)}});
+  }
+  if (m_replacements.empty())
+    return std::nullopt;
+  KeyTable Table;
+  Table.m_service = m_service;
+  Table.m_version = m_version + 1;
+  for (std::size_t At = 0; At < m_holdings.size(); ++At) {
+    auto Found = std::find_if(
+        m_replacements.begin(), m_replacements.end(),
+        [At](const Replacement &Each) { return Each.m_index == At; });
+    if (Found == m_replacements.end()) {
+      Table.m_ranges.push_back(m_holdings[At].m_range);
+      if (m_holdings[At].m_phase == Phase::Free)
+        Table.m_ranges.back().m_owner = UpstreamId();
+    } else {
+      for (const Holding &Each : Found->m_with)
+        Table.m_ranges.push_back(Each.m_range);
+    }
+  }
+  Table.m_lastToken = m_lastToken;
+  return Table;
+}
+
+void KeyCoordinator::onWritten(Instant Now) {
+  if (!m_writing)
+    return;
+  m_writing = false;
+  ++m_version;
+  std::vector<Holding> Next;
+  for (std::size_t At = 0; At < m_holdings.size(); ++At) {
+    auto Found = std::find_if(
+        m_replacements.begin(), m_replacements.end(),
+        [At](const Replacement &Each) { return Each.m_index == At; });
+    if (Found == m_replacements.end())
+      Next.push_back(std::move(m_holdings[At]));
+    else
+      for (Holding &Each : Found->m_with) {
+        Each.m_since = Now;
+        Next.push_back(std::move(Each));
+      }
+  }
+  m_holdings = std::move(Next);
+  m_replacements.clear();
+  changed();
+}
+
+KeyTable KeyCoordinator::view() const {
+  KeyTable Table;
+  Table.m_service = m_service;
+  Table.m_version = m_version;
+  Table.m_lastToken = m_lastToken;
+  for (const Holding &Each : m_holdings) {
+    Table.m_ranges.push_back(Each.m_range);
+    KeyRange &Range = Table.m_ranges.back();
+    Range.m_handover.clear();
+    if (!Each.m_serving)
+      Range.m_owner = UpstreamId();
+  }
+  return Table;
+}
+
+bool KeyCoordinator::settled() const {
+  return std::all_of(m_holdings.begin(), m_holdings.end(),
+                     [](const Holding &Each) {
+                       return Each.m_phase == Phase::Held && Each.m_confirmed;
+                     });
+}
+
+} // namespace burdockpulley
--- /dev/null
+++ b/src/libgateway/peer_gossip.h
@@ -0,0 +1,82 @@
+#ifndef BURDOCKPULLEY_LIBGATEWAY_PEER_GOSSIP_H
+#define BURDOCKPULLEY_LIBGATEWAY_PEER_GOSSIP_H
+
+#include "burdockpulley/types.h"
+#include "gateway_types.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+struct event;
+struct event_base;
+
+namespace burdockpulley {
+
+/// Datagrams between the hosts of one deployment. Each carries a code made
+/// with a key that only hosts read; others are dropped. They may be lost.
+/// Thread safety: none; it belongs to the loop's thread.
+class PeerGossip {
+public:
+  using Handler =
+      std::function<void(const HostId &From, const wire::Datagram &)>;
+
+  /// Precondition: \p Base outlives the object.
+  PeerGossip(event_base *Base, HostId Self, Handler Handle);
+  ~PeerGossip();
+  PeerGossip(const PeerGossip &) = delete;
+  PeerGossip &operator=(const PeerGossip &) = delete;
+
+  /// False when the address can not be had.
+  bool listen(const Endpoint &Where);
+
+  /// Nothing is sent or taken until the key is known.
+  void setKey(const std::string &Key) { m_key = Key; }
+  bool hasKey() const { return !m_key.empty(); }
+
+  void addPeer(const HostId &Host, const Endpoint &Where);
+  /// The store does not list the host any more. It stays a peer for as long as
+  /// it is heard of: its record may be gone because the store was.
+  void unlistPeer(const HostId &Host);
+  /// Forgets hosts that are neither listed nor heard of.
+  void sweep(Instant Now);
+  std::size_t peers() const { return m_peers.size(); }
+
+  void send(const HostId &To, wire::Datagram Message);
+  void sendAll(wire::Datagram Message);
+
+  /// Datagrams dropped because they were not made by a host.
+  std::uint64_t rejected() const { return m_rejected; }
+
+private:
+  struct Peer {
+    Endpoint m_where;
+    std::int64_t m_lastSequence = 0;
+    bool m_listed = true;
+    Instant m_heard;
+  };
+
+  std::string seal(wire::Datagram &Message);
+  void sendBytes(const Endpoint &To, const std::string &Bytes);
+  void receive();
+  void take(std::string_view Bytes);
+  bool genuine(std::string_view Bytes) const;
+  std::string code(std::string_view Bytes) const;
+
+  event_base *m_base;
+  HostId m_self;
+  Handler m_handle;
+  int m_socket = -1;
+  event *m_event = nullptr;
+  std::string m_key;
+  std::int64_t m_sequence;
+  std::map<HostId, Peer> m_peers;
+  std::vector<char> m_buffer;
+  std::uint64_t m_rejected = 0;
+};
+
+} // namespace burdockpulley
+
+#endif
--- /dev/null
+++ b/src/libgateway/peer_loads.cpp
@@ -0,0 +1,82 @@
+#include "burdockpulley/peer_loads.h"
+
+#include "burdockpulley/hashing.h"
+
+namespace burdockpulley {
+
+namespace {
+
+/// Hosts tell their load several times a second.
+constexpr Duration HostLifetime{1'500'000};
+
+} // namespace
+
+ShortName shortName(const std::string &Name) {
+  return ShortName(static_cast<std::int32_t>(stableHash(Name)));
+}
+
+UpstreamRow *PeerLoads::rowOf(ShortName Upstream) {
+  auto Found = m_names.find(Upstream);
+  if (Found != m_names.end())
+    if (UpstreamRow *Row = m_registry.find(Found->second))
+      return Row;
+  m_names.clear();
+  for (const auto &[Id, Row] : m_registry.rows())
+    m_names[shortName(Id.value())] = Id;
+  Found = m_names.find(Upstream);
+  return Found == m_names.end() ? nullptr : m_registry.find(Found->second);
+}
+
+void PeerLoads::count(const PeerLoad &Load, int Sign) {
+  for (const PeerUpstreamLoad &Each : Load.m_upstreams) {
+    UpstreamRow *Row = Each.m_outstanding ? rowOf(Each.m_upstream) : nullptr;
+    if (!Row)
+      continue;
+    if (Sign > 0)
+      Row->m_peerOutstanding += Each.m_outstanding;
+    else
+      Row->m_peerOutstanding -=
+          std::min(Row->m_peerOutstanding, Each.m_outstanding);
+  }
+}
+
+void PeerLoads::onLoad(const HostId &Host, PeerLoad Told, Instant Now) {
+  Row &Which = m_hosts[Host];
+  count(Which.m_load, -1);
+  for (const PeerUpstreamLoad &Each : Told.m_upstreams) {
+    if (!Each.m_reported)
+      continue;
+    UpstreamRow *Known = rowOf(Each.m_upstream);
+    if (!Known || Now - Each.m_reportAge <= Known->m_reportAt)
+      continue;
+    Known->m_report = Each.m_report;
+    Known->m_reportAt = Now - Each.m_reportAge;
+  }
+  Which.m_load = std::move(Told);
+  Which.m_heard = Now;
+  count(Which.m_load, 1);
+}
+
+void PeerLoads::expire(Instant Now) {
+  for (auto Each = m_hosts.begin(); Each != m_hosts.end();) {
+    if (Now - Each->second.m_heard <= HostLifetime) {
+      ++Each;
+      continue;
+    }
+    count(Each->second.m_load, -1);
+    Each = m_hosts.erase(Each);
+  }
+}
+
+std::uint32_t PeerLoads::waiting(const ServiceId &Service) const {
+  ShortName Name = shortName(Service.value());
+  std::uint32_t Sum = 0;
+  for (const auto &[Host, Each] : m_hosts) {
+    auto Found = Each.m_load.m_waiting.find(Name);
+    if (Found != Each.m_load.m_waiting.end())
+      Sum += Found->second;
+  }
+  return Sum;
+}
+
+} // namespace burdockpulley
--- /dev/null
+++ b/src/libgateway/peer_news.cpp
@@ -0,0 +1,206 @@
+#include "peer_news.h"
+
+#include "burdockpulley/clock.h"
+#include "burdockpulley/event_log.h"
+#include "burdockpulley/thrift_codec.h"
+#include "key_table_wire.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace burdockpulley {
+
+namespace {
+
+/// Load is told this often; less often when there are many hosts, so that a
+/// host's messages grow no faster than their number.
+constexpr Duration NewsEvery{40'000};
+constexpr Duration NewsPerHost{4'000};
+constexpr Duration KeyUseEvery{200'000};
+/// The table is told again in case a datagram was lost, at the most at this
+/// rate of bytes.
+constexpr Duration TableEvery{1'000'000};
+constexpr double TableBytesPerSecond = 200e3;
+/// A coordinator that is silent for longer may be gone.
+constexpr Duration CoordinatorSilence{400'000};
+/// Reports older than this are not worth telling.
+constexpr Duration FreshReport{200'000};
+constexpr double Percent = 100;
+
+std::int32_t count(std::size_t Number) {
+  return static_cast<std::int32_t>(Number);
+}
+
+PeerUpstreamLoad fromWire(const wire::UpstreamNews &News) {
+  PeerUpstreamLoad Load;
+  Load.m_upstream = ShortName(News.upstream);
+  Load.m_outstanding =
+      static_cast<std::uint32_t>(std::max(News.outstanding, 0));
+  Load.m_reported = News.__isset.reportAgeMillis;
+  if (!Load.m_reported)
+    return Load;
+  Load.m_report.m_running = static_cast<std::uint32_t>(News.running);
+  Load.m_report.m_waiting = static_cast<std::uint32_t>(News.waiting);
+  Load.m_report.m_slowness = News.slownessPercent / Percent;
+  Load.m_reportAge = std::chrono::milliseconds(News.reportAgeMillis);
+  return Load;
+}
+
+} // namespace
+
+PeerNews::PeerNews(GatewayState &State, RequestRelay &Relay,
+                   CoordinatorDriver &Coordinator)
+    : m_state(State), m_relay(Relay), m_coordinator(Coordinator),
+      m_gossip(State.m_base, State.m_settings.m_host,
+               [this](const HostId &From, const wire::Datagram &Message) {
+                 onMessage(From, Message);
+               }) {
+  Relay.m_onSuspicion = [this](Fingerprint Request, const UpstreamId &Where) {
+    wire::Datagram Message;
+    wire::CrashNews News;
+    News.fingerprint = static_cast<std::int64_t>(Request.value());
+    News.upstream = Where.value();
+    Message.__set_crash(News);
+    m_gossip.sendAll(std::move(Message));
+  };
+}
+
+Duration PeerNews::newsInterval() const {
+  return std::max<Duration>(NewsEvery,
+                            NewsPerHost * static_cast<int>(m_gossip.peers()));
+}
+
+void PeerNews::tick(Instant Now) {
+  if (m_coordinator.coordinator() != m_watched) {
+    m_watched = m_coordinator.coordinator();
+    m_coordinatorHeard = Now;
+  }
+  if (!m_gossip.hasKey())
+    return;
+  if (Now >= m_nextNews) {
+    m_nextNews = Now + newsInterval();
+    tellLoad(Now);
+  }
+  if (Now >= m_nextKeyUse) {
+    m_nextKeyUse = Now + KeyUseEvery;
+    tellKeyUse();
+  }
+  if (m_coordinator.coordinating() && Now >= m_nextTable) {
+    double Bytes = static_cast<double>(m_tableBytes * m_gossip.peers());
+    m_nextTable =
+        Now + std::max(TableEvery, Duration(static_cast<std::int64_t>(
+                                       Bytes / TableBytesPerSecond * 1e6)));
+    for (const auto &[Service, Known] : m_state.m_owners.all())
+      tellTable(Known.m_table, Known.m_step);
+  }
+}
+
+void PeerNews::tellLoad(Instant Now) {
+  wire::Datagram Message;
+  wire::HostNews News;
+  News.stopping = m_state.m_stopping;
+  News.coordinatorEpoch = m_coordinator.epoch();
+  for (const auto &[Id, Row] : m_state.m_registry.rows()) {
+    bool Fresh = Now - Row.m_reportAt < FreshReport;
+    if (Row.m_outstanding == 0 && !Fresh)
+      continue;
+    wire::UpstreamNews Each;
+    Each.upstream = shortName(Id.value()).value();
+    Each.outstanding = static_cast<std::int32_t>(Row.m_outstanding);
+    if (Fresh) {
+      Each.__set_running(static_cast<std::int32_t>(Row.m_report.m_running));
+      Each.__set_waiting(static_cast<std::int32_t>(Row.m_report.m_waiting));
+      Each.__set_slownessPercent(
+          static_cast<std::int32_t>(Row.m_report.m_slowness * Percent));
+      Each.__set_reportAgeMillis(
+          static_cast<std::int32_t>((Now - Row.m_reportAt).count() / 1000));
+    }
+    News.upstreams.push_back(std::move(Each));
+  }
+  for (const auto &[Service, Waiting] : m_relay.waitingByService()) {
+    wire::QueueNews Each;
+    Each.serviceHash = shortName(Service.value()).value();
+    Each.waiting = static_cast<std::int32_t>(Waiting);
+    News.queues.push_back(Each);
+  }
+  Message.__set_news(std::move(News));
+  m_gossip.sendAll(std::move(Message));
+}
+
+void PeerNews::tellKeyUse() {
+  auto Use = m_relay.takeKeyUse();
+  for (const auto &[Service, Counts] : Use.m_counts) {
+    if (m_coordinator.coordinating()) {
+      for (const auto &[Key, Count] : Counts)
+        m_coordinator.onKeyLoad(Service, Key, Count);
+      continue;
+    }
+    wire::KeyLoadNews News;
+    News.serviceName = Service.value();
+    for (const auto &[Key, Count] : Counts) {
+      wire::KeyCount Each;
+      Each.key = count(Key);
+      Each.count = count(Count);
+      News.counts.push_back(Each);
+    }
+    wire::Datagram Message;
+    Message.__set_load(std::move(News));
+    m_gossip.send(m_coordinator.coordinator(), std::move(Message));
+  }
+}
+
+void PeerNews::tellTable(const KeyTable &Table, std::uint32_t Step) {
+  wire::Datagram Message;
+  wire::KeyTableRecord Record = toWire(Table);
+  Record.__set_step(static_cast<std::int32_t>(Step));
+  m_tableBytes = encodeThrift(Record).size();
+  Message.__set_table(std::move(Record));
+  m_gossip.sendAll(std::move(Message));
+}
+
+bool PeerNews::coordinatorSilent(Instant Now) const {
+  return !m_watched.value().empty() && !m_coordinator.coordinating() &&
+         Now - m_coordinatorHeard > CoordinatorSilence + newsInterval();
+}
+
+void PeerNews::onMessage(const HostId &From, const wire::Datagram &Message) {
+  Instant Now = bootClockNow();
+  if (Message.__isset.news)
+    onNews(From, Message.news, Now);
+  if (Message.__isset.load)
+    onLoad(Message.load);
+  if (Message.__isset.table) {
+    auto Table = burdockpulley::fromWire(Message.table);
+    if (Table && m_state.m_owners.apply(
+                     *Table, static_cast<std::uint32_t>(Message.table.step)))
+      m_onChange();
+  }
+  if (Message.__isset.crash)
+    m_relay.suspects().onSuspicion(
+        Fingerprint(static_cast<std::uint64_t>(Message.crash.fingerprint)),
+        UpstreamId(Message.crash.upstream), Now);
+}
+
+void PeerNews::onNews(const HostId &From, const wire::HostNews &News,
+                      Instant Now) {
+  if (From == m_watched)
+    m_coordinatorHeard = Now;
+  PeerLoad Load;
+  for (const wire::UpstreamNews &Each : News.upstreams)
+    Load.m_upstreams.push_back(fromWire(Each));
+  for (const wire::QueueNews &Each : News.queues)
+    Load.m_waiting[ShortName(Each.serviceHash)] =
+        static_cast<std::uint32_t>(std::max(Each.waiting, 0));
+  m_state.m_peerLoads.onLoad(From, std::move(Load), Now);
+  if (m_relay.waiting() > 0)
+    m_onChange();
+}
+
+void PeerNews::onLoad(const wire::KeyLoadNews &News) {
+  for (const wire::KeyCount &Each : News.counts)
+    m_coordinator.onKeyLoad(ServiceId(News.serviceName),
+                            static_cast<std::uint32_t>(Each.key),
+                            static_cast<std::uint32_t>(Each.count));
+}
+
+} // namespace burdockpulley
--- /dev/null
+++ b/src/libgateway/peer_news.h
@@ -0,0 +1,64 @@
+#ifndef BURDOCKPULLEY_LIBGATEWAY_PEER_NEWS_H
+#define BURDOCKPULLEY_LIBGATEWAY_PEER_NEWS_H
+
+#include "coordinator_driver.h"
+#include "gateway_state.h"
+#include "peer_gossip.h"
+#include "request_relay.h"
+
+namespace burdockpulley {
+
+/// What this host tells the others, and what it makes of what they tell: load
+/// of upstreams, who serves which keys, how keys are used, and requests that
+/// crash upstreams.
+/// Thread safety: none; it belongs to the loop's thread.
+class PeerNews {
+public:
+  /// Precondition: the arguments outlive the object.
+  PeerNews(GatewayState &State, RequestRelay &Relay,
+           CoordinatorDriver &Coordinator);
+
+  bool listen(const Endpoint &Where) { return m_gossip.listen(Where); }
+  void setKey(const std::string &Key) { m_gossip.setKey(Key); }
+  void addPeer(const HostId &Host, const Endpoint &Where) {
+    m_gossip.addPeer(Host, Where);
+  }
+  void unlistPeer(const HostId &Host) { m_gossip.unlistPeer(Host); }
+  std::uint64_t rejected() const { return m_gossip.rejected(); }
+
+  /// Call it many times a second.
+  void tick(Instant Now);
+  void sweep(Instant Now) { m_gossip.sweep(Now); }
+
+  /// Passes on who serves which keys.
+  void tellTable(const KeyTable &Table, std::uint32_t Step);
+
+  /// True when another host coordinates and has not been heard of lately.
+  bool coordinatorSilent(Instant Now) const;
+
+  /// Called when waiting requests may find room or an owner now.
+  std::function<void()> m_onChange;
+
+private:
+  void onMessage(const HostId &From, const wire::Datagram &Message);
+  void onNews(const HostId &From, const wire::HostNews &News, Instant Now);
+  void onLoad(const wire::KeyLoadNews &News);
+  void tellLoad(Instant Now);
+  void tellKeyUse();
+  Duration newsInterval() const;
+
+  GatewayState &m_state;
+  RequestRelay &m_relay;
+  CoordinatorDriver &m_coordinator;
+  PeerGossip m_gossip;
+  Instant m_nextNews;
+  Instant m_nextKeyUse;
+  Instant m_nextTable;
+  std::size_t m_tableBytes = 0;
+  HostId m_watched; ///< The coordinator whose news are awaited.
+  Instant m_coordinatorHeard;
+};
+
+} // namespace burdockpulley
+
+#endif
--- /dev/null
+++ b/src/libgateway/registry_follower.cpp
@@ -0,0 +1,152 @@
+#include "registry_follower.h"
+
+#include "burdockpulley/clock.h"
+#include "burdockpulley/event_log.h"
+
+#include <algorithm>
+
+namespace burdockpulley {
+
+namespace {
+
+/// Pause between the calls; with the time that a call takes it stays well
+/// below the time in which a leaving upstream has to be noticed.
+constexpr Duration Pace{700'000};
+constexpr Duration HurriedPace{150'000};
+/// How long a watch waits when nothing happens.
+constexpr Duration WatchTime{500'000};
+/// Pause after a failed call, for each failure in a row up to a limit.
+constexpr Duration RetryPause{150'000};
+constexpr std::uint32_t MaxRetryPauses = 4;
+constexpr Duration ReloadPause{1'000'000};
+
+} // namespace
+
+RegistryFollower::RegistryFollower(WatchedStore &Source, Listener &Target)
+    : m_source(Source), m_target(Target) {}
+
+void RegistryFollower::tick(Instant Now) {
+  if (m_calling)
+    return;
+  bool Hurried = Now < m_hurryUntil && m_failures == 0 && m_loaded &&
+                 Now + Pace - HurriedPace >= m_nextCall;
+  if (Now < m_nextCall && !Hurried)
+    return;
+  m_calling = true;
+  if (m_reload)
+    load(Now);
+  else
+    watch(Now);
+}
+
+void RegistryFollower::load(Instant Now) {
+  StoreQuery Everything;
+  Everything.m_prefix = true;
+  m_source.read(Everything, [this, Now](const StoreReply<StoreRange> &Reply) {
+    onLoaded(Reply, Now);
+  });
+}
+
+void RegistryFollower::onLoaded(const StoreReply<StoreRange> &Reply,
+                                Instant Began) {
+  m_calling = false;
+  Instant Now = bootClockNow();
+  if (const auto *Why = std::get_if<StoreError>(&Reply))
+    return onFailure(*Why, Now);
+  const auto &Range = std::get<StoreRange>(Reply);
+  onSuccess(Began, Now);
+  m_reload = false;
+  m_version = Range.m_version;
+  auto Before = std::move(m_known);
+  m_known.clear();
+  for (const StoreEntry &Entry : Range.m_entries)
+    m_known[Entry.m_key] = Entry.m_modified;
+  for (const auto &[Key, Version] : Before)
+    if (!m_known.count(Key))
+      m_target.onRemoval(Key, m_version, Now);
+  for (const StoreEntry &Entry : Range.m_entries) {
+    auto Old = Before.find(Entry.m_key);
+    if (Old == Before.end() || Old->second < Entry.m_modified)
+      m_target.onEntry(Entry, Now);
+  }
+  logEvent(Severity::Info, "registry_loaded",
+           {{"entries", Range.m_entries.size()},
+            {"store_version", m_version.value()}});
+  m_loaded = true;
+  m_nextCall = Now + Pace;
+}
+
+void RegistryFollower::watch(Instant Now) {
+  m_source.watch("", m_version, WatchTime,
+                 [this, Now](const StoreReply<StoreEvents> &Reply) {
+                   onChanges(Reply, Now);
+                 });
+}
+
+void RegistryFollower::onChanges(const StoreReply<StoreEvents> &Reply,
+                                 Instant Began) {
+  m_calling = false;
+  Instant Now = bootClockNow();
+  if (const auto *Why = std::get_if<StoreError>(&Reply)) {
+    if (*Why != StoreError::Compacted)
+      return onFailure(*Why, Now);
+    logEvent(Severity::Warning, "registry_history_lost",
+             {{"store_version", m_version.value()}});
+    m_reload = true;
+    m_nextCall = Now;
+    return;
+  }
+  const auto &Changes = std::get<StoreEvents>(Reply);
+  onSuccess(Began, Now);
+  m_nextCall = Now + Pace;
+  if (Changes.m_events.empty() && Changes.m_version > m_version) {
+    // Something changed, and the watch does not say what.
+    logEvent(Severity::Warning, "registry_watch_silent",
+             {{"store_version", m_version.value()},
+              {"told_version", Changes.m_version.value()}});
+    m_reload = true;
+    m_nextCall = Now;
+  }
+  for (const StoreEvent &Event : Changes.m_events) {
+    if (!Event.m_removed) {
+      apply(Event.m_entry, Now);
+      continue;
+    }
+    auto Known = m_known.find(Event.m_entry.m_key);
+    if (Known == m_known.end() || Event.m_entry.m_modified < Known->second)
+      continue;
+    m_known.erase(Known);
+    m_target.onRemoval(Event.m_entry.m_key, Event.m_entry.m_modified, Now);
+  }
+  m_version = std::max(m_version, Changes.m_version);
+}
+
+void RegistryFollower::apply(const StoreEntry &Entry, Instant Now) {
+  StoreVersion &Known = m_known[Entry.m_key];
+  if (Entry.m_modified <= Known)
+    return;
+  Known = Entry.m_modified;
+  m_target.onEntry(Entry, Now);
+}
+
+void RegistryFollower::onSuccess(Instant Began, Instant Now) {
+  m_failures = 0;
+  m_lastContact = Began;
+  if (m_inReach)
+    return;
+  m_inReach = true;
+  m_target.onStoreRegained(Now);
+}
+
+void RegistryFollower::onFailure(StoreError Why, Instant Now) {
+  m_failures = std::min(m_failures + 1, MaxRetryPauses);
+  m_nextCall = Now + (m_loaded ? RetryPause * m_failures : RetryPause);
+  if (m_reload && m_loaded)
+    m_nextCall = std::max(m_nextCall, Now + ReloadPause / MaxRetryPauses);
+  if (!m_inReach)
+    return;
+  m_inReach = false;
+  m_target.onStoreLost(Why, Now);
+}
+
+} // namespace burdockpulley
--- /dev/null
+++ b/src/libgateway/upstream_registry.cpp
@@ -0,0 +1,132 @@
+#include "burdockpulley/upstream_registry.h"
+
+#include <algorithm>
+
+namespace burdockpulley {
+
+namespace {
+
+/// Heartbeats are some time old when they are read; added to what they say of
+/// the time that an upstream is cold.
+constexpr Duration ColdMargin{700'000};
+/// Without heartbeats, an unreachable upstream is tried again after this time;
+/// it may have restarted meanwhile, so it is taken to be cold for as long.
+constexpr Duration UnreachableTime{2'500'000};
+/// How long a row outlives its record, for requests still running at it.
+constexpr Duration ForgetAfter{30'000'000};
+
+} // namespace
+
+UpstreamRegistry::Change
+UpstreamRegistry::onRecord(const UpstreamRecord &Record, Instant Now) {
+  m_heldRemovals.erase(Record.m_id);
+  auto [Found, New] = m_rows.try_emplace(Record.m_id);
+  UpstreamRow &Row = Found->second;
+  bool Restarted = !New && Row.m_record.m_birth != Record.m_birth;
+  if (Restarted && Record.m_birth < Row.m_record.m_birth)
+    return Change::None; // A late write of an earlier start.
+  bool WasLeaving = !New && Row.leaving();
+  if (Restarted) {
+    std::uint32_t Outstanding = Row.m_outstanding;
+    Row = UpstreamRow();
+    Row.m_outstanding = Outstanding;
+  }
+  bool NewBeat =
+      New || Restarted || Record.m_sequence != Row.m_record.m_sequence;
+  Row.m_record = Record;
+  Row.m_registered = true;
+  if (NewBeat && Now > Row.m_unreachableSince)
+    Row.m_unreachable = false;
+  Instant ColdUntil = Record.m_coldLeft > Duration()
+                          ? Now + Record.m_coldLeft + ColdMargin
+                          : Instant();
+  Row.m_coldUntil = ColdUntil;
+  if (Row.leaving() && !WasLeaving) {
+    Row.m_leftAt = Now;
+    return Change::Draining;
+  }
+  if (New)
+    return Change::Joined;
+  return Restarted ? Change::Restarted : Change::Updated;
+}
+
+UpstreamRow *UpstreamRegistry::onRemoved(const UpstreamId &Which, Instant Now) {
+  UpstreamRow *Row = find(Which);
+  if (!Row || !Row->m_registered)
+    return nullptr;
+  if (Now < m_holdUntil) {
+    m_heldRemovals[Which] = m_holdUntil;
+    return nullptr;
+  }
+  if (!Row->leaving())
+    Row->m_leftAt = Now;
+  Row->m_registered = false;
+  return Row;
+}
+
+std::vector<UpstreamId> UpstreamRegistry::sweep(Instant Now) {
+  std::vector<UpstreamId> Gone;
+  for (auto Each = m_heldRemovals.begin(); Each != m_heldRemovals.end();) {
+    if (Now < Each->second) {
+      ++Each;
+      continue;
+    }
+    Gone.push_back(Each->first);
+    Each = m_heldRemovals.erase(Each);
+  }
+  for (const UpstreamId &Which : Gone)
+    onRemoved(Which, Now);
+  for (auto &[Id, Row] : m_rows)
+    if (Row.m_unreachable && Now - Row.m_unreachableSince > UnreachableTime) {
+      Row.m_unreachable = false;
+      Row.m_assumedColdUntil = Now + UnreachableTime;
+    }
+  std::erase_if(m_rows, [Now](const auto &Entry) {
+    const UpstreamRow &Row = Entry.second;
+    return !Row.m_registered && Row.m_outstanding == 0 &&
+           Now - Row.m_leftAt > ForgetAfter;
+  });
+  return Gone;
+}
+
+void UpstreamRegistry::setDomainOut(const DomainId &Domain, bool Out,
+                                    Duration ColdTime, Instant Now) {
+  if (Out) {
+    m_domainsOut.insert(Domain);
+    return;
+  }
+  if (m_domainsOut.erase(Domain) == 0)
+    return;
+  for (auto &[Id, Row] : m_rows)
+    if (Row.m_record.m_domain == Domain)
+      Row.m_assumedColdUntil = Now + ColdTime;
+}
+
+void UpstreamRegistry::onUnreachable(const UpstreamId &Which, Instant Now) {
+  UpstreamRow *Row = find(Which);
+  if (!Row)
+    return;
+  Row->m_unreachable = true;
+  Row->m_unreachableSince = Now;
+}
+
+UpstreamRow *UpstreamRegistry::find(const UpstreamId &Which) {
+  auto Found = m_rows.find(Which);
+  return Found == m_rows.end() ? nullptr : &Found->second;
+}
+
+const UpstreamRow *UpstreamRegistry::find(const UpstreamId &Which) const {
+  auto Found = m_rows.find(Which);
+  return Found == m_rows.end() ? nullptr : &Found->second;
+}
+
+std::vector<UpstreamRow *>
+UpstreamRegistry::ofService(const ServiceId &Service) {
+  std::vector<UpstreamRow *> Rows;
+  for (auto &[Id, Row] : m_rows)
+    if (Row.m_record.m_service == Service)
+      Rows.push_back(&Row);
+  return Rows;
+}
+
+} // namespace burdockpulley
--- /dev/null
+++ b/src/libgateway/upstream_selection.cpp
@@ -0,0 +1,119 @@
+#include "burdockpulley/upstream_selection.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace burdockpulley {
+
+namespace {
+
+/// Weight of one answer in the mean of a route's service time.
+constexpr double ServiceTimeWeight = 0.05;
+/// Weight of one answer in an upstream's speed.
+constexpr double SpeedWeight = 0.06;
+/// Answers until an upstream's own speed is believed in full.
+constexpr std::uint32_t SpeedWarmUp = 12;
+constexpr double MinSpeed = 0.3;
+constexpr double MaxSpeed = 20;
+/// One answer moves the speed by no more than this ratio of it.
+constexpr double MaxSpeedSample = 6;
+/// Neighbours change within fractions of a second; an older report says
+/// nothing of them any more.
+constexpr Duration ReportLifetime{250'000};
+/// Work at a cold upstream takes about so many times longer.
+constexpr double ColdFactor = 2;
+/// What is queued behind full slots, so that a slot is not idle for the time
+/// that news of its being free takes.
+constexpr std::uint32_t QueueAhead = 1;
+/// Upstreams slow down as they fill up.
+constexpr double FullSlowdown = 0.3;
+/// Cost of another failure domain, as time: the way there and back, and the
+/// price of bytes between domains.
+constexpr Duration CrossDomainTime{2'000};
+constexpr double CrossDomainMicrosPerByte = 0.6;
+
+} // namespace
+
+void ServiceTimes::onAnswer(const std::string &Route, Duration Spent,
+                            double Factor) {
+  Row &Which = m_rows[Route];
+  double Usual = static_cast<double>(Spent.count()) / std::max(Factor, 0.1);
+  ++Which.m_samples;
+  double Weight = std::max(ServiceTimeWeight, 1.0 / Which.m_samples);
+  Which.m_micros += (Usual - Which.m_micros) * Weight;
+}
+
+Duration ServiceTimes::expected(const std::string &Route,
+                                Duration Guess) const {
+  auto Found = m_rows.find(Route);
+  if (Found == m_rows.end())
+    return Guess;
+  return Duration(static_cast<std::int64_t>(Found->second.m_micros));
+}
+
+double slownessFactor(const UpstreamRow &Row, Instant Now) {
+  double Momentary =
+      Now - Row.m_reportAt < ReportLifetime ? Row.m_report.m_slowness : 1;
+  return Row.m_speed * Momentary * (Row.cold(Now) ? ColdFactor : 1);
+}
+
+Duration expectedFinish(const UpstreamRow &Row, Duration WorkTime,
+                        Instant Now) {
+  double Slots = std::max(1U, Row.m_record.m_slots);
+  double Outstanding = Row.m_outstanding + Row.m_peerOutstanding;
+  double Ahead = std::max(0.0, Outstanding + 1 - Slots) / Slots;
+  double Full = std::min(1.0, Outstanding / Slots);
+  double Work = static_cast<double>(WorkTime.count()) *
+                slownessFactor(Row, Now) * (1 + FullSlowdown * Full);
+  return Duration(static_cast<std::int64_t>(Work * (1 + Ahead)));
+}
+
+bool hasRoom(const UpstreamRow &Row) {
+  return Row.m_outstanding + Row.m_peerOutstanding <
+         std::max(1U, Row.m_record.m_slots) + QueueAhead;
+}
+
+Selection selectUpstream(const UpstreamRegistry &Registry,
+                         std::span<UpstreamRow *const> Rows,
+                         const SelectionRequest &Request, Instant Now) {
+  Selection Best;
+  Duration BestCost = Duration::max();
+  for (UpstreamRow *Row : Rows) {
+    if (!Registry.usable(*Row) ||
+        (Request.m_tried && Request.m_tried->count(Row->m_record.m_id)))
+      continue;
+    Best.m_anyUsable = true;
+    if (!hasRoom(*Row))
+      continue;
+    Duration Finish = expectedFinish(*Row, Request.m_workTime, Now);
+    Duration Cost = Finish;
+    if (Row->m_record.m_domain != Request.m_domain)
+      Cost +=
+          CrossDomainTime +
+          Duration(static_cast<std::int64_t>(
+              static_cast<double>(Request.m_bytes) * CrossDomainMicrosPerByte));
+    if (Cost >= BestCost)
+      continue;
+    BestCost = Cost;
+    Best.m_row = Row;
+    Best.m_finish = Finish;
+  }
+  return Best;
+}
+
+void observeSpeed(UpstreamRow &Row, Duration Spent, Duration Expected,
+                  Instant Now) {
+  if (Expected <= Duration())
+    return;
+  double Known = slownessFactor(Row, Now) / Row.m_speed;
+  double Sample = static_cast<double>(Spent.count()) /
+                  (static_cast<double>(Expected.count()) * Known);
+  Sample = std::clamp(Sample, MinSpeed, Row.m_speed * MaxSpeedSample);
+  ++Row.m_speedSamples;
+  double Weight =
+      std::max(SpeedWeight, 1.0 / (Row.m_speedSamples + SpeedWarmUp));
+  Row.m_speed = std::clamp(Row.m_speed + (Sample - Row.m_speed) * Weight,
+                           MinSpeed, MaxSpeed);
+}
+
+} // namespace burdockpulley
--- /dev/null
+++ b/src/libgateway/wait_queue.cpp
@@ -0,0 +1,85 @@
+#include "burdockpulley/wait_queue.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace burdockpulley {
+
+namespace {
+
+/// Bounds of the time after which a refused caller is told to come back.
+constexpr Duration MinRetryAfter{50'000};
+constexpr Duration MaxRetryAfter{1'000'000};
+/// Service times vary: a request whose deadline leaves at least this share of
+/// the expected time has a fair chance to be answered.
+constexpr double NeededTimeShare = 0.6;
+
+Duration scaled(Duration Time, double Factor) {
+  return Duration(
+      static_cast<std::int64_t>(static_cast<double>(Time.count()) * Factor));
+}
+
+bool meetsGoal(const WaitingRequest &Request, Instant Now) {
+  return Now + scaled(Request.m_workTime, NeededTimeShare) < Request.m_goal;
+}
+
+auto rank(const WaitingRequest &Request, Instant Now) {
+  return std::make_tuple(Request.m_priority, !meetsGoal(Request, Now),
+                         Request.m_goal, Request.m_number);
+}
+
+} // namespace
+
+Duration WaitQueue::expectedWait(const WaitingRequest &Request,
+                                 const ServiceCapacity &Capacity,
+                                 Instant Now) const {
+  Duration Ahead =
+      scaled(Request.m_workTime, static_cast<double>(Capacity.m_waiting));
+  for (const auto &[Number, Each] : m_waiting)
+    if (rank(Each, Now) < rank(Request, Now))
+      Ahead += Each.m_workTime;
+  return scaled(Ahead, 1 / std::max(Capacity.m_slots, 1.0));
+}
+
+std::optional<Refusal> WaitQueue::offer(const WaitingRequest &Request,
+                                        const ServiceCapacity &Capacity,
+                                        Instant Now) {
+  Duration Wait = expectedWait(Request, Capacity, Now);
+  Instant End = Now + Wait + scaled(Request.m_workTime, NeededTimeShare);
+  if (End < Request.m_deadline) {
+    m_waiting[Request.m_number] = Request;
+    return std::nullopt;
+  }
+  Duration RetryAfter = std::max(Wait / 2, Request.m_workTime / 2);
+  return Refusal{std::clamp(RetryAfter, MinRetryAfter, MaxRetryAfter)};
+}
+
+std::vector<RequestNumber> WaitQueue::order(Instant Now) const {
+  std::vector<const WaitingRequest *> Rows;
+  for (const auto &[Number, Each] : m_waiting)
+    Rows.push_back(&Each);
+  std::sort(Rows.begin(), Rows.end(),
+            [Now](const WaitingRequest *Left, const WaitingRequest *Right) {
+              return rank(*Left, Now) < rank(*Right, Now);
+            });
+  std::vector<RequestNumber> Numbers;
+  for (const WaitingRequest *Each : Rows)
+    Numbers.push_back(Each->m_number);
+  return Numbers;
+}
+
+std::vector<RequestNumber> WaitQueue::giveUp(Instant Now) {
+  std::vector<RequestNumber> Lost;
+  for (const auto &[Number, Each] : m_waiting)
+    if (Now + scaled(Each.m_workTime, NeededTimeShare) >= Each.m_deadline)
+      Lost.push_back(Number);
+  for (RequestNumber Number : Lost)
+    m_waiting.erase(Number);
+  return Lost;
+}
+
+bool WaitQueue::remove(RequestNumber Number) {
+  return m_waiting.erase(Number) != 0;
+}
+
+} // namespace burdockpulley
--- a/src/libhost/front_driver.h
+++ b/src/libhost/front_driver.h
@@ -1,7 +1,7 @@
 #ifndef BURDOCKPULLEY_LIBHOST_FRONT_DRIVER_H
 #define BURDOCKPULLEY_LIBHOST_FRONT_DRIVER_H
 
-#include "clock.h"
+#include "burdockpulley/repeating_timer.h"
 #include "error_answer.h"
 #include "host_state.h"
 #include "keeper_driver.h"
--- a/src/libhost/keeper_driver.h
+++ b/src/libhost/keeper_driver.h
@@ -1,7 +1,7 @@
 #ifndef BURDOCKPULLEY_LIBHOST_KEEPER_DRIVER_H
 #define BURDOCKPULLEY_LIBHOST_KEEPER_DRIVER_H
 
-#include "clock.h"
+#include "burdockpulley/repeating_timer.h"
 #include "host_state.h"
 #include "load_driver.h"
 #include "upstream_pool.h"
--- a/src/libhost/ledger_driver.h
+++ b/src/libhost/ledger_driver.h
@@ -1,7 +1,7 @@
 #ifndef BURDOCKPULLEY_LIBHOST_LEDGER_DRIVER_H
 #define BURDOCKPULLEY_LIBHOST_LEDGER_DRIVER_H
 
-#include "clock.h"
+#include "burdockpulley/repeating_timer.h"
 #include "host_state.h"
 
 #include "burdockpulley/idempotency_ledger.h"
--- a/src/libhost/metered_store.cpp
+++ b/src/libhost/metered_store.cpp
@@ -1,6 +1,6 @@
 #include "metered_store.h"
 
-#include "clock.h"
+#include "burdockpulley/repeating_timer.h"
 
 namespace burdockpulley {
 
--- a/src/libhost/settings.cpp
+++ b/src/libhost/settings.cpp
@@ -1,77 +1,21 @@
 #include "burdockpulley/settings.h"
 
-#include <cxxopts.hpp>
-
-#include <cstdlib>
-#include <sstream>
+#include "burdockpulley/settings_reader.h"
 
 namespace burdockpulley {
 
 namespace {
 
-/// Takes values from flags or the environment and collects the faults.
-class SettingsReader {
-public:
-  SettingsReader(const cxxopts::ParseResult &Flags,
-                 std::vector<std::string> &Faults)
-      : m_flags(Flags), m_faults(Faults) {}
-
-  std::string text(const std::string &Name, bool Required) {
-    if (m_flags.count(Name))
-      return m_flags[Name].as<std::string>();
-    const char *Value = std::getenv(variable(Name).c_str());
-    if (Value)
-      return Value;
-    if (Required)
-      m_faults.push_back("--" + Name + " (or " + variable(Name) +
-                         ") is missing");
-    return "";
-  }
-
-  Endpoint endpoint(const std::string &Name, bool Required = true) {
-    Endpoint Where;
-    std::string Text = text(Name, Required);
-    if (!Text.empty() && !parseEndpoint(Text, Where))
-      m_faults.push_back("--" + Name + " is " + Text +
-                         "; write IP-ADDRESS:PORT");
-    return Where;
-  }
-
-  std::vector<Endpoint> endpoints(const std::string &Name) {
-    std::vector<Endpoint> All;
-    std::stringstream Text(text(Name, false));
-    for (std::string Part; std::getline(Text, Part, ',');) {
-      Endpoint Where;
-      if (parseEndpoint(Part, Where))
-        All.push_back(Where);
-      else
-        m_faults.push_back("--" + Name + " has " + Part +
-                           "; write IP-ADDRESS:PORT,...");
-    }
-    return All;
-  }
-
-  /// Reads the store's address, or that it is inside the process.
-  void platform(HostSettings &Settings) {
-    Settings.m_embedded = text("platform", false) == "embedded";
-    if (!Settings.m_embedded)
-      Settings.m_platform = endpoint("platform");
-    else if (Settings.m_adminListen.m_address.empty())
-      m_faults.push_back("--platform embedded needs --admin-listen, where the "
-                         "command line reaches the store");
-  }
-
-private:
-  static std::string variable(const std::string &Name) {
-    std::string Variable = "BURDOCKPULLEY_";
-    for (char Letter : Name)
-      Variable += Letter == '-' ? '_' : static_cast<char>(std::toupper(Letter));
-    return Variable;
-  }
-
-  const cxxopts::ParseResult &m_flags;
-  std::vector<std::string> &m_faults;
-};
+/// Reads the store's address, or that it is inside the process.
+void readPlatform(detail::SettingsReader &Reader, HostSettings &Settings,
+                  std::vector<std::string> &Faults) {
+  Settings.m_embedded = Reader.text("platform", false) == "embedded";
+  if (!Settings.m_embedded)
+    Settings.m_platform = Reader.endpoint("platform");
+  else if (Settings.m_adminListen.m_address.empty())
+    Faults.push_back("--platform embedded needs --admin-listen, where the "
+                     "command line reaches the store");
+}
 
 cxxopts::Options describeFlags() {
   cxxopts::Options Options(
@@ -116,7 +60,7 @@
       Outcome.m_help = Options.help();
       return Outcome;
     }
-    SettingsReader Reader(Flags, Outcome.m_faults);
+    detail::SettingsReader Reader(Flags, Outcome.m_faults);
     HostSettings &Settings = Outcome.m_settings;
     Settings.m_host = HostId(Reader.text("host", true));
     Settings.m_domain = DomainId(Reader.text("failure-domain", true));
@@ -124,7 +68,7 @@
     Settings.m_peerListen = Reader.endpoint("peer-listen");
     Settings.m_adminListen = Reader.endpoint("admin-listen", false);
     Settings.m_traceEndpoint = Reader.endpoint("trace-endpoint", false);
-    Reader.platform(Settings);
+    readPlatform(Reader, Settings, Outcome.m_faults);
     Settings.m_seeds = Reader.endpoints("seeds");
     Settings.m_peerKeys = Reader.text("peer-keys", false);
     Settings.m_portFile = Reader.text("port-file", false);
--- a/src/libhost/table_spread.h
+++ b/src/libhost/table_spread.h
@@ -1,7 +1,7 @@
 #ifndef BURDOCKPULLEY_LIBHOST_TABLE_SPREAD_H
 #define BURDOCKPULLEY_LIBHOST_TABLE_SPREAD_H
 
-#include "clock.h"
+#include "burdockpulley/repeating_timer.h"
 #include "host_state.h"
 
 #include "burdockpulley/peer.h"
--- a/src/libhost/trace_exporter.h
+++ b/src/libhost/trace_exporter.h
@@ -2,8 +2,8 @@
 #define BURDOCKPULLEY_LIBHOST_TRACE_EXPORTER_H
 
 #include "burdockpulley/http.h"
+#include "burdockpulley/repeating_timer.h"
 #include "burdockpulley/trace.h"
-#include "clock.h"
 
 namespace burdockpulley {
 
--- /dev/null
+++ b/src/libhttp/caller_listener.cpp
@@ -0,0 +1,143 @@
+#include "burdockpulley/caller_listener.h"
+
+#include "burdockpulley/clock.h"
+#include "caller_connection.h"
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace burdockpulley {
+
+namespace {
+
+constexpr int AcceptBacklog = 1024;
+
+sockaddr_in socketAddress(const Endpoint &Where) {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Where.m_port);
+  inet_pton(AF_INET, Where.m_address.c_str(), &Address.sin_addr);
+  return Address;
+}
+
+std::string toText(const sockaddr *Address) {
+  char Text[INET_ADDRSTRLEN] = "";
+  if (Address->sa_family == AF_INET)
+    inet_ntop(AF_INET,
+              &reinterpret_cast<const sockaddr_in *>(Address)->sin_addr, Text,
+              sizeof(Text));
+  return Text;
+}
+
+} // namespace
+
+Exchange::Exchange(detail::CallerConnection *Connection, HttpRequest &&Request,
+                   Instant Arrived)
+    : m_connection(Connection), m_request(std::move(Request)),
+      m_arrived(Arrived) {}
+
+Exchange::~Exchange() {
+  if (m_connection)
+    m_connection->abandon();
+}
+
+void Exchange::answer(const HttpResponse &Response) {
+  detail::CallerConnection *Connection = m_connection;
+  m_connection = nullptr;
+  m_gone = nullptr;
+  if (Connection)
+    Connection->answer(Response);
+}
+
+void Exchange::leave() {
+  m_connection = nullptr;
+  // The callback may drop the last reference to this exchange.
+  auto Gone = std::move(m_gone);
+  if (Gone)
+    Gone();
+}
+
+CallerListener::CallerListener(event_base *Base, std::size_t MaxConnections,
+                               Handler Handle)
+    : m_base(Base), m_maxConnections(MaxConnections),
+      m_handle(std::move(Handle)) {}
+
+CallerListener::~CallerListener() {
+  if (m_listener)
+    evconnlistener_free(m_listener);
+  while (!m_connections.empty())
+    remove(*m_connections.begin());
+}
+
+std::uint16_t CallerListener::listen(const Endpoint &Where) {
+  sockaddr_in Address = socketAddress(Where);
+  m_listener = evconnlistener_new_bind(
+      m_base,
+      [](evconnlistener *, evutil_socket_t Descriptor, sockaddr *From, int,
+         void *Self) {
+        static_cast<CallerListener *>(Self)->accept(Descriptor, toText(From));
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+      AcceptBacklog, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+  if (!m_listener)
+    return 0;
+  socklen_t Size = sizeof(Address);
+  getsockname(evconnlistener_get_fd(m_listener),
+              reinterpret_cast<sockaddr *>(&Address), &Size);
+  return ntohs(Address.sin_port);
+}
+
+void CallerListener::setLimits(const CallerLimits &Limits) {
+  m_limits = Limits;
+}
+
+void CallerListener::accept(int Descriptor, const std::string &Peer) {
+  int On = 1;
+  setsockopt(Descriptor, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+  bufferevent *Stream =
+      bufferevent_socket_new(m_base, Descriptor, BEV_OPT_CLOSE_ON_FREE);
+  if (!Stream) {
+    evutil_closesocket(Descriptor);
+    return;
+  }
+  m_connections.insert(
+      new detail::CallerConnection(*this, Stream, Peer, bootClockNow()));
+  if (m_connections.size() >= m_maxConnections)
+    evconnlistener_disable(m_listener);
+}
+
+void CallerListener::remove(detail::CallerConnection *Connection) {
+  if (m_connections.erase(Connection) == 0)
+    return;
+  delete Connection;
+  if (m_listener && m_connections.size() < m_maxConnections)
+    evconnlistener_enable(m_listener);
+}
+
+void CallerListener::sweep(Instant Now) {
+  std::vector<detail::CallerConnection *> All(m_connections.begin(),
+                                              m_connections.end());
+  for (detail::CallerConnection *Each : All)
+    Each->sweep(Now);
+}
+
+std::size_t CallerListener::busy() const {
+  std::size_t Count = 0;
+  for (const detail::CallerConnection *Each : m_connections)
+    Count += Each->busy() ? 1 : 0;
+  return Count;
+}
+
+std::size_t CallerListener::bodyBytes() const {
+  std::size_t Sum = 0;
+  for (const detail::CallerConnection *Each : m_connections)
+    Sum += Each->bodyBytes();
+  return Sum;
+}
+
+} // namespace burdockpulley
--- /dev/null
+++ b/src/libhttp/channel.cpp
@@ -0,0 +1,265 @@
+#include "channel.h"
+
+#include "burdockpulley/clock.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <charconv>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <strings.h>
+
+#include <algorithm>
+
+namespace burdockpulley::detail {
+
+namespace {
+
+constexpr std::size_t MaxAnswerHeaderBytes = 64 << 10;
+/// Kept connections are given up this long before the server would close
+/// them, so that a request does not cross the close.
+constexpr Duration IdleMargin{500'000};
+
+/// The idle time that a Keep-Alive header announces; zero when it does not.
+Duration announcedIdleTime(std::string_view KeepAlive) {
+  constexpr std::string_view Name = "timeout=";
+  std::size_t At = KeepAlive.find(Name);
+  if (At == KeepAlive.npos)
+    return {};
+  long Seconds = 0;
+  const char *From = KeepAlive.data() + At + Name.size();
+  std::from_chars(From, KeepAlive.data() + KeepAlive.size(), Seconds);
+  return std::chrono::seconds(Seconds);
+}
+
+std::string encode(const HttpRequest &Request) {
+  std::string Bytes;
+  Bytes.reserve(512 + Request.m_body.size());
+  Bytes += Request.m_method + " " + Request.m_target + " HTTP/1.1\r\n";
+  for (const HttpHeader &Header : Request.m_headers) {
+    Bytes += Header.m_name;
+    Bytes += ": ";
+    Bytes += Header.m_value;
+    Bytes += "\r\n";
+  }
+  bool NeedsLength = !Request.m_body.empty() || Request.m_method == "POST" ||
+                     Request.m_method == "PUT" || Request.m_method == "PATCH";
+  if (NeedsLength)
+    Bytes +=
+        "Content-Length: " + std::to_string(Request.m_body.size()) + "\r\n";
+  Bytes += "\r\n";
+  Bytes += Request.m_body;
+  return Bytes;
+}
+
+} // namespace
+
+Channel::Channel(ChannelPool &Owner, event_base *Base)
+    : m_owner(Owner), m_base(Base),
+      m_timer(evtimer_new(
+          Base,
+          [](int, short, void *Self) {
+            static_cast<Channel *>(Self)->onTimer();
+          },
+          this)),
+      m_parser(MessageParser::Kind::Response,
+               {MaxAnswerHeaderBytes, Owner.m_settings.m_maxAnswerBytes}),
+      m_idleLimit(Owner.m_settings.m_idleTimeout) {}
+
+Channel::~Channel() {
+  event_free(m_timer);
+  if (m_stream)
+    bufferevent_free(m_stream);
+}
+
+void Channel::start(ChannelCallId Call, const HttpRequest &Request,
+                    const std::string &EchoId, Duration Timeout,
+                    ChannelPool::Callback Done, Instant Now) {
+  m_call = Call;
+  m_echoId = EchoId;
+  m_done = std::move(Done);
+  m_started = Now;
+  m_deadline = Now + Timeout;
+  m_parser.reset();
+  if (Request.m_method == "HEAD")
+    m_parser.expectNoBody();
+  if (!m_stream)
+    connect();
+  std::string Bytes = encode(Request);
+  if (m_stream)
+    bufferevent_write(m_stream, Bytes.data(), Bytes.size());
+  Duration First = m_connected
+                       ? Timeout
+                       : std::min(Timeout, m_owner.m_settings.m_connectTimeout);
+  arm(m_stream ? First : Duration());
+}
+
+void Channel::connect() {
+  const Endpoint &Server = m_owner.m_server;
+  m_stream = bufferevent_socket_new(m_base, -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb(
+      m_stream,
+      [](bufferevent *, void *Self) {
+        static_cast<Channel *>(Self)->onReadable();
+      },
+      nullptr,
+      [](bufferevent *, short What, void *Self) {
+        auto *Each = static_cast<Channel *>(Self);
+        if (What & BEV_EVENT_CONNECTED)
+          Each->onConnected();
+        else
+          Each->onEnd(What);
+      },
+      this);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Server.m_port);
+  inet_pton(AF_INET, Server.m_address.c_str(), &Address.sin_addr);
+  bufferevent_enable(m_stream, EV_READ | EV_WRITE);
+  if (bufferevent_socket_connect(m_stream,
+                                 reinterpret_cast<sockaddr *>(&Address),
+                                 sizeof(Address)) == 0)
+    return;
+  m_refused = errno == ECONNREFUSED;
+  bufferevent_free(m_stream);
+  m_stream = nullptr;
+}
+
+void Channel::onConnected() {
+  m_connected = true;
+  int Descriptor = bufferevent_getfd(m_stream);
+  int On = 1;
+  setsockopt(Descriptor, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+  auto Silence = std::chrono::duration_cast<std::chrono::milliseconds>(
+      m_owner.m_settings.m_silenceTimeout);
+  unsigned Milliseconds = static_cast<unsigned>(Silence.count());
+  setsockopt(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &Milliseconds,
+             sizeof(Milliseconds));
+  if (m_done)
+    arm(m_deadline - bootClockNow());
+}
+
+void Channel::arm(Duration Left) {
+  constexpr std::int64_t MicrosPerSecond = 1'000'000;
+  std::int64_t Micros = std::max<std::int64_t>(Left.count(), 0);
+  timeval Wait{Micros / MicrosPerSecond, Micros % MicrosPerSecond};
+  evtimer_add(m_timer, &Wait);
+}
+
+void Channel::onTimer() {
+  if (!m_done)
+    return;
+  bool Connecting = !m_connected;
+  end(Connecting ? ChannelError::ConnectFailed : ChannelError::TimedOut, false);
+}
+
+void Channel::onReadable() {
+  evbuffer *Input = bufferevent_get_input(m_stream);
+  if (!m_done) {
+    // Nobody waits for these bytes; they belong to no request.
+    m_dead = true;
+    m_owner.release(this, false);
+    return;
+  }
+  while (evbuffer_get_length(Input) > 0) {
+    std::size_t Size = evbuffer_get_contiguous_space(Input);
+    auto *Bytes = reinterpret_cast<char *>(evbuffer_pullup(Input, Size));
+    std::size_t Used = m_parser.feed(Bytes, Size);
+    evbuffer_drain(Input, Used);
+    if (m_parser.state() == MessageParser::State::Failed)
+      return end(ChannelError::BadAnswer, false);
+    if (m_parser.state() != MessageParser::State::Complete)
+      continue;
+    onAnswer();
+    if (!m_done)
+      return;
+  }
+}
+
+void Channel::onAnswer() {
+  HttpResponse Response;
+  Response.m_status = m_parser.m_status;
+  Response.m_headers = std::move(m_parser.m_headers);
+  Response.m_body = std::move(m_parser.m_body);
+  if (!m_echoId.empty()) {
+    std::string_view Echo = Response.header(m_owner.m_settings.m_echoHeader);
+    if (Echo != m_echoId) {
+      // A second answer to an earlier request; the one waited for follows it.
+      m_suspect = true;
+      bool MayFollow = m_parser.keepAlive() && !Echo.empty();
+      m_parser.reset();
+      if (!MayFollow)
+        end(ChannelError::BadAnswer, false);
+      return;
+    }
+  }
+  evbuffer *Input = bufferevent_get_input(m_stream);
+  evbuffer *Output = bufferevent_get_output(m_stream);
+  bool Clean = evbuffer_get_length(Input) == 0 &&
+               evbuffer_get_length(Output) == 0 && !m_suspect;
+  m_announcedEnd = !m_parser.keepAlive();
+  bool Reusable = Clean && m_parser.keepAlive();
+  Duration Announced = announcedIdleTime(Response.header("Keep-Alive"));
+  if (Announced > Duration())
+    m_idleLimit = std::min(m_owner.m_settings.m_idleTimeout,
+                           std::max(Duration(), Announced - IdleMargin));
+  ChannelResult Result;
+  Result.m_response = std::move(Response);
+  Result.m_sent = true;
+  Instant Now = bootClockNow();
+  Result.m_spent = Now - m_started;
+  evtimer_del(m_timer);
+  m_idleSince = Now;
+  m_idleUntil = Now + m_idleLimit;
+  auto Done = std::exchange(m_done, nullptr);
+  m_owner.release(this, Reusable);
+  Done(std::move(Result));
+}
+
+void Channel::onEnd(short What) {
+  if (!m_done) {
+    m_dead = true;
+    bool Expected = m_announcedEnd;
+    m_owner.release(this, false);
+    if (!Expected && m_owner.m_onUnexpectedEnd)
+      m_owner.m_onUnexpectedEnd();
+    return;
+  }
+  if (!m_connected) {
+    m_refused = errno == ECONNREFUSED;
+    return end(ChannelError::ConnectFailed, false);
+  }
+  if (What & BEV_EVENT_EOF) {
+    m_parser.finish();
+    if (m_parser.state() == MessageParser::State::Complete) {
+      m_suspect = true; // The stream has ended; it is not used again.
+      return onAnswer();
+    }
+  }
+  end(ChannelError::Interrupted, false);
+}
+
+void Channel::drop() {
+  m_done = nullptr;
+  evtimer_del(m_timer);
+  m_dead = true;
+}
+
+void Channel::end(ChannelError Error, bool Reusable) {
+  ChannelResult Result;
+  Result.m_error = Error;
+  Result.m_sent = m_connected;
+  Result.m_refused = m_refused;
+  Result.m_spent = bootClockNow() - m_started;
+  evtimer_del(m_timer);
+  m_dead = !Reusable;
+  auto Done = std::exchange(m_done, nullptr);
+  m_owner.release(this, Reusable);
+  Done(std::move(Result));
+}
+
+} // namespace burdockpulley::detail
--- /dev/null
+++ b/src/libhttp/channel_pool.cpp
@@ -0,0 +1,130 @@
+#include "burdockpulley/channel_pool.h"
+
+#include "burdockpulley/clock.h"
+#include "channel.h"
+
+#include <event2/event.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace burdockpulley {
+
+namespace {
+
+/// A connection used within this share of its idle limit is not about to be
+/// closed by the server.
+constexpr int RecentShare = 2;
+
+} // namespace
+
+const char *toString(ChannelError Error) {
+  switch (Error) {
+  case ChannelError::None:
+    return "none";
+  case ChannelError::ConnectFailed:
+    return "connect-failed";
+  case ChannelError::Interrupted:
+    return "interrupted";
+  case ChannelError::BadAnswer:
+    return "bad-answer";
+  case ChannelError::TimedOut:
+    return "timed-out";
+  }
+  return "unknown";
+}
+
+ChannelPool::ChannelPool(event_base *Base, const Endpoint &Server,
+                         ChannelPoolSettings Settings)
+    : m_base(Base), m_server(Server), m_settings(std::move(Settings)),
+      m_refusing(evtimer_new(
+          Base,
+          [](evutil_socket_t, short, void *Self) {
+            static_cast<ChannelPool *>(Self)->endRefused();
+          },
+          this)) {}
+
+ChannelPool::~ChannelPool() { event_free(m_refusing); }
+
+void ChannelPool::endRefused() {
+  auto Calls = std::exchange(m_refused, {});
+  for (auto &[Call, Done] : Calls) {
+    ChannelResult Result;
+    Result.m_error = ChannelError::ConnectFailed;
+    Done(std::move(Result));
+  }
+}
+
+detail::Channel *ChannelPool::take(Reuse Allowed, Instant Now) {
+  while (!m_idle.empty()) {
+    detail::Channel *Last = m_idle.back();
+    bool Recent = Now - Last->idleSince() <= Last->idleLimit() / RecentShare;
+    if (Last->dead() || Last->idleTooLong(Now)) {
+      m_idle.pop_back();
+      Last->drop();
+      continue;
+    }
+    if (Allowed == Reuse::RecentlyUsed && !Recent)
+      break;
+    m_idle.pop_back();
+    return Last;
+  }
+  if (Allowed == Reuse::Required)
+    return nullptr;
+  ++m_made;
+  m_channels.push_back(std::make_unique<detail::Channel>(*this, m_base));
+  return m_channels.back().get();
+}
+
+ChannelCallId ChannelPool::call(const HttpRequest &Request,
+                                const std::string &EchoId, Duration Timeout,
+                                Reuse Allowed, Callback Done) {
+  Instant Now = bootClockNow();
+  ChannelCallId Call(++m_nextCall);
+  detail::Channel *Which = take(Allowed, Now);
+  if (!Which) {
+    m_refused.emplace_back(Call, std::move(Done));
+    timeval AtOnce{0, 0};
+    evtimer_add(m_refusing, &AtOnce);
+    return Call;
+  }
+  m_calls[Call] = Which;
+  Which->start(Call, Request, EchoId, Timeout, std::move(Done), Now);
+  return Call;
+}
+
+void ChannelPool::cancel(ChannelCallId Call) {
+  std::erase_if(m_refused,
+                [Call](const auto &Each) { return Each.first == Call; });
+  auto Found = m_calls.find(Call);
+  if (Found == m_calls.end())
+    return;
+  detail::Channel *Which = Found->second;
+  m_calls.erase(Found);
+  Which->drop();
+  // Not called from the channel's own callbacks, so it may go at once: the
+  // server sees the close and stops the work.
+  std::erase_if(m_channels,
+                [Which](const auto &Each) { return Each.get() == Which; });
+}
+
+void ChannelPool::release(detail::Channel *Which, bool Reusable) {
+  m_calls.erase(Which->callId());
+  std::erase(m_idle, Which);
+  if (Reusable && m_channels.size() <= m_settings.m_maxConnections)
+    m_idle.push_back(Which);
+  else
+    Which->drop();
+}
+
+void ChannelPool::sweep(Instant Now) {
+  for (const auto &Each : m_channels)
+    if (std::find(m_idle.begin(), m_idle.end(), Each.get()) != m_idle.end() &&
+        Each->idleTooLong(Now))
+      Each->drop();
+  std::erase_if(m_idle,
+                [](const detail::Channel *Each) { return Each->dead(); });
+  std::erase_if(m_channels, [](const auto &Each) { return Each->dead(); });
+}
+
+} // namespace burdockpulley
--- a/src/libhost/clock.cpp
+++ b/src/libhttp/repeating_timer.cpp
@@ -1,4 +1,4 @@
-#include "clock.h"
+#include "burdockpulley/repeating_timer.h"
 
 #include <event2/event.h>
 
--- a/src/libstore/etcd_codec.cpp
+++ b/src/libstore/etcd_codec.cpp
@@ -8,30 +8,6 @@
 namespace burdockpulley {
 namespace detail {
 
-std::string encodeBase64(std::string_view Bytes) {
-  std::string Text(4 * ((Bytes.size() + 2) / 3) + 1, '\0');
-  int Size =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Text.data()),
-                      reinterpret_cast<const unsigned char *>(Bytes.data()),
-                      static_cast<int>(Bytes.size()));
-  Text.resize(Size);
-  return Text;
-}
-
-std::string decodeBase64(std::string_view Text) {
-  std::string Bytes(3 * (Text.size() / 4) + 3, '\0');
-  int Size =
-      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Bytes.data()),
-                      reinterpret_cast<const unsigned char *>(Text.data()),
-                      static_cast<int>(Text.size()));
-  if (Size < 0)
-    return "";
-  for (std::size_t I = Text.size(); I > 0 && Text[I - 1] == '='; --I)
-    --Size;
-  Bytes.resize(Size);
-  return Bytes;
-}
-
 std::string prefixEnd(std::string Prefix) {
   while (!Prefix.empty() && Prefix.back() == '\xff')
     Prefix.pop_back();
--- a/src/libstore/etcd_codec.h
+++ b/src/libstore/etcd_codec.h
@@ -1,6 +1,7 @@
-#ifndef BURDOCKPULLEY_LIBPLATFORM_ETCD_CODEC_H
-#define BURDOCKPULLEY_LIBPLATFORM_ETCD_CODEC_H
+#ifndef BURDOCKPULLEY_LIBSTORE_ETCD_CODEC_H
+#define BURDOCKPULLEY_LIBSTORE_ETCD_CODEC_H
 
+#include "burdockpulley/base64.h"
 #include "burdockpulley/store.h"
 
 #include <nlohmann/json_fwd.hpp>
@@ -17,10 +18,6 @@
 constexpr const char *LeaseGrantPath = "/v3/lease/grant";
 constexpr const char *LeaseKeepAlivePath = "/v3/lease/keepalive";
 
-std::string encodeBase64(std::string_view Bytes);
-/// Reads base64; wrong characters give an empty string.
-std::string decodeBase64(std::string_view Text);
-
 /// The end of the range of keys that start with a prefix.
 std::string prefixEnd(std::string Prefix);
 
--- a/src/libstore/etcd_server.cpp
+++ b/src/libstore/etcd_server.cpp
@@ -18,8 +18,8 @@
 
 json answerRange(const StoreState &State, const json &Call) {
   StoreQuery Query;
-  Query.m_key = detail::decodeBase64(Call.value("key", ""));
-  std::string End = detail::decodeBase64(Call.value("range_end", ""));
+  Query.m_key = decodeBase64(Call.value("key", ""));
+  std::string End = decodeBase64(Call.value("range_end", ""));
   Query.m_prefix = !End.empty();
   Query.m_modifiedSince =
       StoreVersion(detail::readInt64(Call, "min_mod_revision"));
@@ -27,8 +27,8 @@
   json Entries = json::array();
   for (const StoreEntry &Entry : Range.m_entries)
     Entries.push_back(
-        {{"key", detail::encodeBase64(Entry.m_key)},
-         {"value", detail::encodeBase64(Entry.m_value)},
+        {{"key", encodeBase64(Entry.m_key)},
+         {"value", encodeBase64(Entry.m_value)},
          {"mod_revision", std::to_string(Entry.m_modified.value())}});
   return {{"header", header(Range.m_version)}, {"kvs", Entries}};
 }
@@ -38,8 +38,8 @@
   Write.m_delete = Operation.contains("requestDeleteRange");
   const json &Body =
       Operation.at(Write.m_delete ? "requestDeleteRange" : "requestPut");
-  Write.m_key = detail::decodeBase64(Body.value("key", ""));
-  Write.m_value = detail::decodeBase64(Body.value("value", ""));
+  Write.m_key = decodeBase64(Body.value("key", ""));
+  Write.m_value = decodeBase64(Body.value("value", ""));
   Write.m_lease = StoreLease(detail::readInt64(Body, "lease"));
   return Write;
 }
@@ -48,7 +48,7 @@
   StoreTransaction Change;
   for (const json &Condition : Call.value("compare", json::array()))
     Change.m_conditions.push_back(
-        {detail::decodeBase64(Condition.value("key", "")),
+        {decodeBase64(Condition.value("key", "")),
          StoreVersion(detail::readInt64(Condition, "mod_revision"))});
   for (const json &Operation : Call.value("success", json::array()))
     Change.m_writes.push_back(decodeWrite(Operation));
--- a/src/libstore/etcd_store.cpp
+++ b/src/libstore/etcd_store.cpp
@@ -14,9 +14,9 @@
 constexpr std::uint32_t MaxConnections = 4;
 
 json encodeQuery(const StoreQuery &Query) {
-  json Call = {{"key", detail::encodeBase64(Query.m_key)}};
+  json Call = {{"key", encodeBase64(Query.m_key)}};
   if (Query.m_prefix)
-    Call["range_end"] = detail::encodeBase64(detail::prefixEnd(Query.m_key));
+    Call["range_end"] = encodeBase64(detail::prefixEnd(Query.m_key));
   if (Query.m_modifiedSince.value() > 0)
     Call["min_mod_revision"] = std::to_string(Query.m_modifiedSince.value());
   return Call;
@@ -24,10 +24,9 @@
 
 json encodeWrite(const StoreWrite &Write) {
   if (Write.m_delete)
-    return {
-        {"requestDeleteRange", {{"key", detail::encodeBase64(Write.m_key)}}}};
-  json Put = {{"key", detail::encodeBase64(Write.m_key)},
-              {"value", detail::encodeBase64(Write.m_value)}};
+    return {{"requestDeleteRange", {{"key", encodeBase64(Write.m_key)}}}};
+  json Put = {{"key", encodeBase64(Write.m_key)},
+              {"value", encodeBase64(Write.m_value)}};
   if (Write.m_lease.value() != 0)
     Put["lease"] = std::to_string(Write.m_lease.value());
   return {{"requestPut", Put}};
@@ -37,7 +36,7 @@
   json Call = {{"compare", json::array()}, {"success", json::array()}};
   for (const StoreCondition &Condition : Change.m_conditions)
     Call["compare"].push_back(
-        {{"key", detail::encodeBase64(Condition.m_key)},
+        {{"key", encodeBase64(Condition.m_key)},
          {"target", "MOD"},
          {"result", "EQUAL"},
          {"mod_revision", std::to_string(Condition.m_modified.value())}});
@@ -61,8 +60,8 @@
     return Range;
   for (const json &Entry : *Entries)
     Range.m_entries.push_back(
-        {detail::decodeBase64(Entry.value("key", "")),
-         detail::decodeBase64(Entry.value("value", "")),
+        {decodeBase64(Entry.value("key", "")),
+         decodeBase64(Entry.value("value", "")),
          StoreVersion(detail::readInt64(Entry, "mod_revision"))});
   return Range;
 }
--- a/src/libstore/store.cpp
+++ b/src/libstore/store.cpp
@@ -14,6 +14,10 @@
     return "bad-answer";
   case StoreError::LeaseExpired:
     return "lease-expired";
+  case StoreError::Unavailable:
+    return "unavailable";
+  case StoreError::Compacted:
+    return "compacted";
   }
   return "unknown";
 }
