gateway: elect a coordinator when the store has none yet

Cause: a host learned who coordinates from the key's events only; where the key had never been written, there was none and nobody ran for the office.

--- a/src/libgateway/coordinator_driver.cpp
+++ b/src/libgateway/coordinator_driver.cpp
@@ -20,6 +20,8 @@
 constexpr Duration ReachableTime{1'100'000};
 /// Candidates wait for a random time up to this, so that few collide.
 constexpr Duration MaxElectionDelay{150'000};
+/// The same when hosts start, which they may all do at once.
+constexpr Duration MaxFirstElectionDelay{600'000};
 constexpr Duration ElectionRetry{400'000};
 constexpr Duration WriteRetry{150'000};
 constexpr Duration GrantTimeout{400'000};
@@ -86,11 +88,21 @@
   }
   if (m_epoch != 0)
     lose("office-empty");
-  std::uniform_int_distribution<std::int64_t> Delay(0,
-                                                    MaxElectionDelay.count());
+  delayElection(MaxElectionDelay, Now);
+}
+
+void CoordinatorDriver::delayElection(Duration Most, Instant Now) {
+  std::uniform_int_distribution<std::int64_t> Delay(0, Most.count());
   m_runAt = Now + Duration(Delay(m_random));
 }
 
+void CoordinatorDriver::onRegistryLoaded(Instant Now) {
+  if (m_known)
+    return;
+  m_known = true;
+  delayElection(MaxFirstElectionDelay, Now);
+}
+
 void CoordinatorDriver::onKeyLoad(const ServiceId &Service, std::uint32_t Key,
                                   std::uint32_t Count) {
   auto Found = m_offices.find(Service);
--- a/src/libgateway/coordinator_driver.h
+++ b/src/libgateway/coordinator_driver.h
@@ -55,6 +55,9 @@
   /// \p Version; empty for nobody.
   void onCoordinatorKnown(const HostId &Who, StoreVersion Version, Instant Now);
 
+  /// All that the store holds is known now.
+  void onRegistryLoaded(Instant Now);
+
   /// What hosts have counted. Ignored while another host coordinates.
   void onKeyLoad(const ServiceId &Service, std::uint32_t Key,
                  std::uint32_t Count);
@@ -88,6 +91,7 @@
   };
 
   void runForOffice(Instant Now);
+  void delayElection(Duration Most, Instant Now);
   void onLease(const StoreReply<StoreLease> &Reply, Instant Began);
   void onElected(const StoreReply<StoreCommit> &Reply, Instant Began);
   void readTables();
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -143,6 +143,8 @@
 
   void tick(Instant Now) {
     m_follower.tick(Now);
+    if (m_follower.loaded())
+      m_coordinator.onRegistryLoaded(Now);
     m_coordinator.tick(Now);
     m_news.tick(Now);
     m_registration.tick(m_follower.loaded() && m_follower.inReach(), Now);
