http: reset connections whose call was given up; stop listening at a stop

Cause: a renewal that timed out while a zone was cut off stayed in the socket's send queue after close(), and reached its upstream when the cut healed, 3 s after its keys had been given to another owner. And a stopping host went on taking connections for as long as the balancer, short of ready hosts, sent them, and gave up what it had taken. Change: a channel given up in mid-call is closed with SO_LINGER 0, at once; 2.7 s after SIGTERM the listener and idle connections are closed. Conclusion: what was sent and given up must be torn out of the network.

--- a/src/include/burdockpulley/attempt_policy.h
+++ b/src/include/burdockpulley/attempt_policy.h
@@ -31,8 +31,8 @@
   std::uint32_t m_sent = 0; ///< Attempts that reached an upstream.
   std::uint32_t m_maxAttempts = 1;
   bool m_otherUpstream = false; ///< One that was not tried may run it.
-  Duration m_left;              ///< Until the deadline.
-  Duration m_workTime;          ///< Expected at an upstream.
+  Duration m_left{};            ///< Until the deadline.
+  Duration m_workTime{};        ///< Expected at an upstream.
 };
 
 /// What to do after an attempt.
--- a/src/include/burdockpulley/caller_listener.h
+++ b/src/include/burdockpulley/caller_listener.h
@@ -82,6 +82,9 @@
   /// From now on each answer ends its connection.
   void closeAfterAnswers() { m_closeAfterAnswers = true; }
 
+  /// Takes no more connections, and closes those without a request.
+  void stopListening();
+
   /// Closes connections that were idle or too slow for longer than the limits
   /// allow. Call it a few times a second.
   void sweep(Instant Now);
--- a/src/include/burdockpulley/channel_pool.h
+++ b/src/include/burdockpulley/channel_pool.h
@@ -40,7 +40,7 @@
   bool m_sent = false;    ///< Bytes may have reached the server.
   bool m_refused = false; ///< The server's port refused the connection.
   HttpResponse m_response;
-  Duration m_spent; ///< From the call to its end.
+  Duration m_spent{}; ///< From the call to its end.
 };
 
 /// Settings of a pool.
@@ -108,6 +108,8 @@
   detail::Channel *take(Reuse Allowed, Instant Now);
   void release(detail::Channel *Which, bool Reusable);
   void endRefused();
+  void reap();
+  void reapSoon();
 
   event_base *m_base;
   Endpoint m_server;
@@ -119,7 +121,7 @@
   std::map<ChannelCallId, detail::Channel *> m_calls;
   /// Calls that need a kept connection and found none.
   std::vector<std::pair<ChannelCallId, Callback>> m_refused;
-  event *m_refusing;
+  event *m_soon; ///< Frees ended connections, and ends m_refused.
 };
 
 } // namespace burdockpulley
--- a/src/include/burdockpulley/key_coordinator.h
+++ b/src/include/burdockpulley/key_coordinator.h
@@ -16,7 +16,7 @@
 struct GrantOrder {
   OrderNumber m_number;
   KeyRange m_range;
-  Duration m_hold;
+  Duration m_hold{};
   /// True for the first grant under a token. A renewal must not open a new
   /// connection: another start of the upstream might be behind it.
   bool m_first = false;
--- a/src/include/burdockpulley/peer_loads.h
+++ b/src/include/burdockpulley/peer_loads.h
@@ -20,7 +20,7 @@
   std::uint32_t m_outstanding = 0; ///< The host's requests at it.
   bool m_reported = false;         ///< The rest is there.
   LoadReport m_report;             ///< Newest that the host has seen.
-  Duration m_reportAge;
+  Duration m_reportAge{};
 };
 
 /// All that one host tells of its load.
--- a/src/include/burdockpulley/route_table.h
+++ b/src/include/burdockpulley/route_table.h
@@ -24,8 +24,8 @@
   std::string m_host;
   std::string m_prefix;         ///< Begins and ends with a slash.
   bool m_idempotent = false;    ///< May run more than once.
-  Duration m_timeout;           ///< Longest time until the final answer.
-  Duration m_latencyGoal;       ///< Answers within it are worth most.
+  Duration m_timeout{};         ///< Longest time until the final answer.
+  Duration m_latencyGoal{};     ///< Answers within it are worth most.
   std::uint32_t m_priority = 0; ///< Zero is the most urgent.
   std::uint32_t m_maxAttempts = 1;
   std::vector<RouteTarget> m_targets;
@@ -36,10 +36,10 @@
   ServiceId m_name;
   std::string m_healthPath;
   std::uint32_t m_connectionLimit = 0; ///< Per upstream, over all callers.
-  Duration m_coldStart;                ///< How long a start stays cold.
+  Duration m_coldStart{};              ///< How long a start stays cold.
   double m_coldRate = 0; ///< Requests a second that a cold upstream bears.
   bool m_keyed = false;  ///< Each key is owned by one upstream.
-  Duration m_warmUp;     ///< How long keys without a handover are slow.
+  Duration m_warmUp{};   ///< How long keys without a handover are slow.
 };
 
 /// One published configuration as entry hosts use it.
--- a/src/include/burdockpulley/upstream_registry.h
+++ b/src/include/burdockpulley/upstream_registry.h
@@ -23,7 +23,7 @@
   DomainId m_domain;
   std::uint32_t m_slots = 1;
   bool m_draining = false;
-  Duration m_coldLeft; ///< How much longer it is cold.
+  Duration m_coldLeft{}; ///< How much longer it is cold.
   UpstreamBirth m_birth;
   std::uint64_t m_sequence = 0; ///< Grows with each heartbeat of a start.
 };
--- a/src/include/burdockpulley/upstream_selection.h
+++ b/src/include/burdockpulley/upstream_selection.h
@@ -31,7 +31,7 @@
 
 /// What placing one request depends on.
 struct SelectionRequest {
-  Duration m_workTime;     ///< Expected at an upstream of usual speed.
+  Duration m_workTime{};   ///< Expected at an upstream of usual speed.
   std::size_t m_bytes = 0; ///< Request and expected answer.
   DomainId m_domain;       ///< Failure domain of this host.
   const std::set<UpstreamId> *m_tried = nullptr; ///< Not to be used again.
@@ -40,7 +40,7 @@
 /// Where a request goes, or that it has to wait.
 struct Selection {
   UpstreamRow *m_row = nullptr; ///< Null when no upstream has room.
-  Duration m_finish;            ///< Expected time until its answer.
+  Duration m_finish{};          ///< Expected time until its answer.
   bool m_anyUsable = false;     ///< Some upstream may be used once it has room.
 };
 
--- a/src/include/burdockpulley/wait_queue.h
+++ b/src/include/burdockpulley/wait_queue.h
@@ -18,7 +18,7 @@
 struct WaitingRequest {
   RequestNumber m_number;
   std::uint32_t m_priority = 0; ///< Zero is the most urgent.
-  Duration m_workTime;          ///< Expected once it is sent.
+  Duration m_workTime{};        ///< Expected once it is sent.
   Instant m_goal;               ///< Answers until then are worth most.
   Instant m_deadline;           ///< Answers after it are worth nothing.
 };
@@ -31,7 +31,7 @@
 
 /// A refusal, and when another try has a chance.
 struct Refusal {
-  Duration m_retryAfter;
+  Duration m_retryAfter{};
 };
 
 /// Requests of one service that wait at this host because no upstream has
--- a/src/libgateway/coordinator_driver.h
+++ b/src/libgateway/coordinator_driver.h
@@ -22,7 +22,7 @@
   struct Order {
     HttpRequest m_request;
     ChannelPool::Reuse m_reuse;
-    Duration m_timeout;
+    Duration m_timeout{};
     std::function<bool()> m_allowed; ///< Asked right before it is sent.
     ChannelPool::Callback m_done;
   };
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -170,6 +170,9 @@
 
   void checkStop(Instant Now) {
     Duration Spent = Now - m_stopBegan;
+    // The balancer may send callers on when too few other hosts are ready.
+    if (Spent >= LeaveBalancerTime)
+      m_callers.stopListening();
     bool Idle = m_relay.inFlight() == 0 && m_callers.busy() == 0;
     bool Late = Spent >= m_state.m_settings.m_stopTime - StopMargin;
     if (!Late && (!Idle || Spent < LeaveBalancerTime))
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -73,7 +73,7 @@
     Instant m_arrived;
     Instant m_goal;
     Instant m_deadline;
-    Duration m_workTime;
+    Duration m_workTime{};
 
     UpstreamId m_upstream; ///< Where it is, or was last.
     bool m_sent = false;
--- a/src/libhttp/caller_connection.cpp
+++ b/src/libhttp/caller_connection.cpp
@@ -75,6 +75,12 @@
   bufferevent_free(m_stream);
 }
 
+bool CallerConnection::idle() const {
+  return !busy() && !m_closing &&
+         evbuffer_get_length(bufferevent_get_input(m_stream)) == 0 &&
+         evbuffer_get_length(bufferevent_get_output(m_stream)) == 0;
+}
+
 std::size_t CallerConnection::bodyBytes() const {
   return m_parser.m_body.size() +
          (m_exchange ? m_exchange->request().m_body.size() : 0);
--- a/src/libhttp/caller_listener.cpp
+++ b/src/libhttp/caller_listener.cpp
@@ -92,6 +92,18 @@
   return ntohs(Address.sin_port);
 }
 
+void CallerListener::stopListening() {
+  if (!m_listener)
+    return;
+  evconnlistener_free(m_listener);
+  m_listener = nullptr;
+  std::vector<detail::CallerConnection *> All(m_connections.begin(),
+                                              m_connections.end());
+  for (detail::CallerConnection *Each : All)
+    if (Each->idle())
+      remove(Each);
+}
+
 void CallerListener::setLimits(const CallerLimits &Limits) {
   m_limits = Limits;
 }
--- a/src/libhttp/channel.cpp
+++ b/src/libhttp/channel.cpp
@@ -12,6 +12,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 
@@ -72,8 +73,20 @@
 
 Channel::~Channel() {
   event_free(m_timer);
-  if (m_stream)
-    bufferevent_free(m_stream);
+  closeStream();
+}
+
+void Channel::closeStream() {
+  if (!m_stream)
+    return;
+  if (m_abort) {
+    // Bytes that are still on their way must not arrive any more.
+    linger Reset{1, 0};
+    setsockopt(bufferevent_getfd(m_stream), SOL_SOCKET, SO_LINGER, &Reset,
+               sizeof(Reset));
+  }
+  bufferevent_free(m_stream);
+  m_stream = nullptr;
 }
 
 void Channel::start(ChannelCallId Call, const HttpRequest &Request,
@@ -244,6 +257,7 @@
 }
 
 void Channel::drop() {
+  m_abort |= m_done != nullptr;
   m_done = nullptr;
   evtimer_del(m_timer);
   m_dead = true;
@@ -257,6 +271,7 @@
   Result.m_spent = bootClockNow() - m_started;
   evtimer_del(m_timer);
   m_dead = !Reusable;
+  m_abort = !Reusable;
   auto Done = std::exchange(m_done, nullptr);
   m_owner.release(this, Reusable);
   Done(std::move(Result));
--- a/src/libhttp/channel.h
+++ b/src/libhttp/channel.h
@@ -40,6 +40,7 @@
   void onAnswer();
   void arm(Duration Left);
   void end(ChannelError Error, bool Reusable);
+  void closeStream();
 
   ChannelPool &m_owner;
   event_base *m_base;
@@ -53,11 +54,12 @@
   Instant m_deadline;
   Instant m_idleSince;
   Instant m_idleUntil;
-  Duration m_idleLimit;
+  Duration m_idleLimit{};
   bool m_connected = false;
   bool m_refused = false;
   bool m_suspect = false; ///< Bytes came that belong to no call.
   bool m_dead = false;
+  bool m_abort = false; ///< A call was given up: the connection is reset.
   bool m_announcedEnd = false;
 };
 
--- a/src/libhttp/channel_pool.cpp
+++ b/src/libhttp/channel_pool.cpp
@@ -37,14 +37,16 @@
 ChannelPool::ChannelPool(event_base *Base, const Endpoint &Server,
                          ChannelPoolSettings Settings)
     : m_base(Base), m_server(Server), m_settings(std::move(Settings)),
-      m_refusing(evtimer_new(
+      m_soon(evtimer_new(
           Base,
           [](evutil_socket_t, short, void *Self) {
-            static_cast<ChannelPool *>(Self)->endRefused();
+            auto *Pool = static_cast<ChannelPool *>(Self);
+            Pool->reap();
+            Pool->endRefused();
           },
           this)) {}
 
-ChannelPool::~ChannelPool() { event_free(m_refusing); }
+ChannelPool::~ChannelPool() { event_free(m_soon); }
 
 void ChannelPool::endRefused() {
   auto Calls = std::exchange(m_refused, {});
@@ -84,8 +86,7 @@
   detail::Channel *Which = take(Allowed, Now);
   if (!Which) {
     m_refused.emplace_back(Call, std::move(Done));
-    timeval AtOnce{0, 0};
-    evtimer_add(m_refusing, &AtOnce);
+    reapSoon();
     return Call;
   }
   m_calls[Call] = Which;
@@ -115,6 +116,19 @@
     m_idle.push_back(Which);
   else
     Which->drop();
+  if (Which->dead())
+    reapSoon();
+}
+
+void ChannelPool::reap() {
+  std::erase_if(m_idle,
+                [](const detail::Channel *Each) { return Each->dead(); });
+  std::erase_if(m_channels, [](const auto &Each) { return Each->dead(); });
+}
+
+void ChannelPool::reapSoon() {
+  timeval AtOnce{0, 0};
+  evtimer_add(m_soon, &AtOnce);
 }
 
 void ChannelPool::sweep(Instant Now) {
@@ -122,9 +136,7 @@
     if (std::find(m_idle.begin(), m_idle.end(), Each.get()) != m_idle.end() &&
         Each->idleTooLong(Now))
       Each->drop();
-  std::erase_if(m_idle,
-                [](const detail::Channel *Each) { return Each->dead(); });
-  std::erase_if(m_channels, [](const auto &Each) { return Each->dead(); });
+  reap();
 }
 
 } // namespace burdockpulley
