gateway: move several ranges a plan, and count requests that wait at peers

Change: a plan cuts as many pieces as may move at once, from the busiest to the least busy; what counts as busy is a share of an owner's time; hosts tell what waits for each owner; neighbouring ranges of one owner are joined when the table is written anyway.

--- a/src/include/burdockpulley/key_coordinator.h
+++ b/src/include/burdockpulley/key_coordinator.h
@@ -64,7 +64,7 @@
     Duration m_deliverySlack = std::chrono::milliseconds(300);
     /// How long an upstream that nothing reaches keeps keys reserved.
     Duration m_confirmTime = std::chrono::milliseconds(700);
-    Duration m_planEvery = std::chrono::milliseconds(400);
+    Duration m_planEvery = std::chrono::milliseconds(250);
   };
 
   struct Orders {
@@ -82,8 +82,9 @@
   void takeOver(const std::optional<KeyTable> &Stored, Instant Now);
 
   /// What is to be done now. Call it many times a second.
+  /// \p BusyRate: see MoveLimits.
   Orders tick(const KeyCandidates &Candidates, const KeyLoad &Load,
-              bool StoreInReach, Instant Now);
+              double BusyRate, bool StoreInReach, Instant Now);
 
   void onGrant(OrderNumber Number, GrantOutcome Outcome, Instant Now);
   /// A release was answered, with the handover; or not, when \p Answered is
@@ -131,7 +132,8 @@
   void makeFree(Holding &Which);
   void issue(Holding &Which, bool StoreInReach, Orders &Out, Instant Now);
   void planRebalance(const KeyCandidates &Candidates, const KeyLoad &Load,
-                     Instant Now);
+                     double BusyRate, Instant Now);
+  void planMerges();
   void splitAt(const KeyPlacement &Move);
   std::optional<KeyTable> planWrite(const KeyCandidates &Candidates,
                                     const KeyLoad &Load, Instant Now);
--- a/src/include/burdockpulley/key_planner.h
+++ b/src/include/burdockpulley/key_planner.h
@@ -64,13 +64,23 @@
                                         const KeyCandidates &Candidates,
                                         const KeyLoad &Load);
 
+/// Bounds of planMoves().
+struct MoveLimits {
+  std::size_t m_moves = 0; ///< Placements at the most.
+  /// Requests a second, for each unit of capacity, below which no owner counts
+  /// as busy.
+  double m_busyRate = 0;
+};
+
 /// Chooses keys to move from busy owners to idle ones. It answers keys that
 /// become hot together, and upstreams that join with nothing to do. Each
-/// placement lies within one range of \p Owned; there are at most \p MaxMoves.
+/// placement is the beginning of a range of \p Owned, or follows another
+/// placement in it.
 /// Thread safety: safe.
 std::vector<KeyPlacement> planMoves(const std::vector<KeyRange> &Owned,
                                     const KeyCandidates &Candidates,
-                                    const KeyLoad &Load, std::size_t MaxMoves);
+                                    const KeyLoad &Load,
+                                    const MoveLimits &Limits);
 
 } // namespace burdockpulley
 
--- a/src/include/burdockpulley/peer_loads.h
+++ b/src/include/burdockpulley/peer_loads.h
@@ -18,6 +18,7 @@
 struct PeerUpstreamLoad {
   ShortName m_upstream;
   std::uint32_t m_outstanding = 0; ///< The host's requests at it.
+  std::uint32_t m_waiting = 0;     ///< Those that wait for it at the host.
   bool m_reported = false;         ///< The rest is there.
   LoadReport m_report;             ///< Newest that the host has seen.
   Duration m_reportAge{};
--- a/src/include/burdockpulley/upstream_registry.h
+++ b/src/include/burdockpulley/upstream_registry.h
@@ -50,6 +50,8 @@
 
   std::uint32_t m_outstanding = 0;     ///< Requests of this host at it.
   std::uint32_t m_peerOutstanding = 0; ///< Requests of all other hosts at it.
+  std::uint32_t m_waiting = 0;         ///< Requests at this host for its keys.
+  std::uint32_t m_peerWaiting = 0;     ///< The same at all other hosts.
   LoadReport m_report;
   Instant m_reportAt;
   double m_speed = 1; ///< Time that work takes, relative to its peers.
--- a/src/libgateway/coordinator_driver.cpp
+++ b/src/libgateway/coordinator_driver.cpp
@@ -24,6 +24,9 @@
 constexpr Duration MaxFirstElectionDelay{600'000};
 constexpr Duration ElectionRetry{400'000};
 constexpr Duration WriteRetry{150'000};
+/// Keys are moved away from owners that are busy for this share of their time.
+constexpr double BusyShare = 0.3;
+constexpr double MinWorkSeconds = 0.001;
 constexpr Duration GrantTimeout{400'000};
 constexpr Duration ReleaseTimeout{2'000'000};
 
@@ -312,11 +315,19 @@
   return All;
 }
 
+double CoordinatorDriver::busyRate(const ServiceId &Service) const {
+  auto Found = m_state.m_workTimes.find(Service);
+  if (Found == m_state.m_workTimes.end())
+    return 0;
+  double Seconds = std::chrono::duration<double>(Found->second).count();
+  return BusyShare / std::max(Seconds, MinWorkSeconds);
+}
+
 void CoordinatorDriver::run(const ServiceId &Service, Office &Which,
                             Instant Now) {
   Which.m_load.age(Now);
   auto Orders = Which.m_keys.tick(candidates(Service, Which, Now), Which.m_load,
-                                  m_reachable, Now);
+                                  busyRate(Service), m_reachable, Now);
   if (Orders.m_write) {
     Which.m_writing = std::move(Orders.m_write);
     Which.m_nextCall = Now;
--- a/src/libgateway/coordinator_driver.h
+++ b/src/libgateway/coordinator_driver.h
@@ -103,6 +103,7 @@
   void run(const ServiceId &Service, Office &Which, Instant Now);
   KeyCandidates candidates(const ServiceId &Service, const Office &Which,
                            Instant Now) const;
+  double busyRate(const ServiceId &Service) const;
   void writeTable(const ServiceId &Service, Instant Now);
   void onTableWritten(const ServiceId &Service,
                       const StoreReply<StoreCommit> &Reply);
--- a/src/libgateway/gateway.thrift
+++ b/src/libgateway/gateway.thrift
@@ -28,6 +28,8 @@
   4: optional i32 waiting,
   5: optional i32 slownessPercent,
   6: optional i32 reportAgeMillis,
+  // Requests for the upstream's keys that wait at the host.
+  7: optional i32 hostWaiting,
 }
 
 struct QueueNews {
--- a/src/libgateway/gateway_state.h
+++ b/src/libgateway/gateway_state.h
@@ -30,6 +30,8 @@
   PeerLoads m_peerLoads;
   GatewayMetrics m_metrics;
   bool m_stopping = false;
+  /// How long requests of a service take at an upstream of usual speed.
+  std::map<ServiceId, Duration> m_workTimes;
 
   /// Hosts that share budgets, with this one.
   std::size_t hosts() const { return m_peerLoads.hosts() + 1; }
--- a/src/libgateway/gen/gateway_types.cpp
+++ b/src/libgateway/gen/gateway_types.cpp
@@ -445,6 +445,11 @@
   this->reportAgeMillis = val;
 __isset.reportAgeMillis = true;
 }
+
+void UpstreamNews::__set_hostWaiting(const int32_t val) {
+  this->hostWaiting = val;
+__isset.hostWaiting = true;
+}
 std::ostream& operator<<(std::ostream& out, const UpstreamNews& obj)
 {
   obj.printTo(out);
@@ -521,6 +526,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->hostWaiting);
+          this->__isset.hostWaiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -566,6 +579,11 @@
     xfer += oprot->writeI32(this->reportAgeMillis);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.hostWaiting) {
+    xfer += oprot->writeFieldBegin("hostWaiting", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->hostWaiting);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -579,6 +597,7 @@
   swap(a.waiting, b.waiting);
   swap(a.slownessPercent, b.slownessPercent);
   swap(a.reportAgeMillis, b.reportAgeMillis);
+  swap(a.hostWaiting, b.hostWaiting);
   swap(a.__isset, b.__isset);
 }
 
@@ -589,6 +608,7 @@
   waiting = other14.waiting;
   slownessPercent = other14.slownessPercent;
   reportAgeMillis = other14.reportAgeMillis;
+  hostWaiting = other14.hostWaiting;
   __isset = other14.__isset;
 }
 UpstreamNews::UpstreamNews(UpstreamNews&& other15) noexcept {
@@ -598,6 +618,7 @@
   waiting = other15.waiting;
   slownessPercent = other15.slownessPercent;
   reportAgeMillis = other15.reportAgeMillis;
+  hostWaiting = other15.hostWaiting;
   __isset = other15.__isset;
 }
 UpstreamNews& UpstreamNews::operator=(const UpstreamNews& other16) noexcept {
@@ -607,6 +628,7 @@
   waiting = other16.waiting;
   slownessPercent = other16.slownessPercent;
   reportAgeMillis = other16.reportAgeMillis;
+  hostWaiting = other16.hostWaiting;
   __isset = other16.__isset;
   return *this;
 }
@@ -617,6 +639,7 @@
   waiting = other17.waiting;
   slownessPercent = other17.slownessPercent;
   reportAgeMillis = other17.reportAgeMillis;
+  hostWaiting = other17.hostWaiting;
   __isset = other17.__isset;
   return *this;
 }
@@ -629,6 +652,7 @@
   out << ", " << "waiting="; (__isset.waiting ? (out << to_string(waiting)) : (out << "<null>"));
   out << ", " << "slownessPercent="; (__isset.slownessPercent ? (out << to_string(slownessPercent)) : (out << "<null>"));
   out << ", " << "reportAgeMillis="; (__isset.reportAgeMillis ? (out << to_string(reportAgeMillis)) : (out << "<null>"));
+  out << ", " << "hostWaiting="; (__isset.hostWaiting ? (out << to_string(hostWaiting)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libgateway/gen/gateway_types.h
+++ b/src/libgateway/gen/gateway_types.h
@@ -189,13 +189,14 @@
 std::ostream& operator<<(std::ostream& out, const KeyTableRecord& obj);
 
 typedef struct _UpstreamNews__isset {
-  _UpstreamNews__isset() : upstream(false), outstanding(false), running(false), waiting(false), slownessPercent(false), reportAgeMillis(false) {}
+  _UpstreamNews__isset() : upstream(false), outstanding(false), running(false), waiting(false), slownessPercent(false), reportAgeMillis(false), hostWaiting(false) {}
   bool upstream :1;
   bool outstanding :1;
   bool running :1;
   bool waiting :1;
   bool slownessPercent :1;
   bool reportAgeMillis :1;
+  bool hostWaiting :1;
 } _UpstreamNews__isset;
 
 class UpstreamNews : public virtual ::apache::thrift::TBase {
@@ -211,7 +212,8 @@
                  running(0),
                  waiting(0),
                  slownessPercent(0),
-                 reportAgeMillis(0) {
+                 reportAgeMillis(0),
+                 hostWaiting(0) {
   }
 
   virtual ~UpstreamNews() noexcept;
@@ -221,6 +223,7 @@
   int32_t waiting;
   int32_t slownessPercent;
   int32_t reportAgeMillis;
+  int32_t hostWaiting;
 
   _UpstreamNews__isset __isset;
 
@@ -236,6 +239,8 @@
 
   void __set_reportAgeMillis(const int32_t val);
 
+  void __set_hostWaiting(const int32_t val);
+
   bool operator == (const UpstreamNews & rhs) const
   {
     if (!(upstream == rhs.upstream))
@@ -258,6 +263,10 @@
       return false;
     else if (__isset.reportAgeMillis && !(reportAgeMillis == rhs.reportAgeMillis))
       return false;
+    if (__isset.hostWaiting != rhs.__isset.hostWaiting)
+      return false;
+    else if (__isset.hostWaiting && !(hostWaiting == rhs.hostWaiting))
+      return false;
     return true;
   }
   bool operator != (const UpstreamNews &rhs) const {
--- a/src/libgateway/key_coordinator.cpp
+++ b/src/libgateway/key_coordinator.cpp
@@ -8,10 +8,12 @@
 
 /// A token that was refused is raised by so much at once.
 constexpr std::uint64_t SupersededStep = 64;
-/// Owners from which keys are moved at the same time, as a share of all.
-constexpr double MovingShare = 0.2;
-/// Moves at the same time, at the least.
-constexpr std::size_t MinMoves = 2;
+/// Ranges that are moved at the same time, for each owner.
+constexpr double MovingShare = 0.4;
+/// Ranges that are moved at the same time, at the least.
+constexpr std::size_t MinMoves = 3;
+/// Pairs of ranges that are joined with one write.
+constexpr std::size_t MergesPerWrite = 4;
 
 } // namespace
 
@@ -58,7 +60,8 @@
 
 KeyCoordinator::Orders KeyCoordinator::tick(const KeyCandidates &Candidates,
                                             const KeyLoad &Load,
-                                            bool StoreInReach, Instant Now) {
+                                            double BusyRate, bool StoreInReach,
+                                            Instant Now) {
   Orders Out;
   for (Holding &Each : m_holdings)
     advance(Each, Candidates, Now);
@@ -66,7 +69,7 @@
     if (Now - m_lastPlan >= m_settings.m_planEvery) {
       m_lastPlan = Now;
       mergeHoldings();
-      planRebalance(Candidates, Load, Now);
+      planRebalance(Candidates, Load, BusyRate, Now);
     }
     Out.m_write = planWrite(Candidates, Load, Now);
     m_writing = Out.m_write.has_value();
@@ -267,14 +270,15 @@
 }
 
 void KeyCoordinator::planRebalance(const KeyCandidates &Candidates,
-                                   const KeyLoad &Load, Instant Now) {
+                                   const KeyLoad &Load, double BusyRate,
+                                   Instant Now) {
   std::size_t Moving = 0;
   std::vector<KeyRange> Settled;
   for (const Holding &Each : m_holdings) {
     bool Still = Each.m_phase == Phase::Held && Each.m_confirmed &&
                  !Each.m_raise && !Each.m_moveWanted &&
                  Each.m_order.value() == 0 && Each.m_doubtUntil <= Now;
-    Moving += Still ? 0 : 1;
+    Moving += Each.m_moveWanted || Each.m_phase != Phase::Held ? 1 : 0;
     if (Still)
       Settled.push_back(Each.m_range);
   }
@@ -284,7 +288,7 @@
   if (Moving >= Allowed)
     return;
   for (const KeyPlacement &Move :
-       planMoves(Settled, Candidates, Load, Allowed - Moving))
+       planMoves(Settled, Candidates, Load, {Allowed - Moving, BusyRate}))
     splitAt(Move);
 }
 
@@ -374,6 +378,7 @@
   }
   if (m_replacements.empty())
     return std::nullopt;
+  planMerges();
   KeyTable Table;
   Table.m_service = m_service;
   Table.m_version = m_version + 1;
@@ -394,6 +399,37 @@
   return Table;
 }
 
+void KeyCoordinator::planMerges() {
+  auto Quiet = [this](std::size_t At) {
+    const Holding &Each = m_holdings[At];
+    return Each.m_phase == Phase::Held && Each.m_confirmed && !Each.m_raise &&
+           !Each.m_moveWanted && Each.m_order.value() == 0;
+  };
+  std::size_t Merges = 0;
+  for (std::size_t At = 0;
+       At + 1 < m_holdings.size() && Merges < MergesPerWrite; ++At) {
+    const KeyRange &Left = m_holdings[At].m_range;
+    const KeyRange &Right = m_holdings[At + 1].m_range;
+    if (!Quiet(At) || !Quiet(At + 1) || Left.m_owner != Right.m_owner ||
+        Left.m_birth != Right.m_birth)
+      continue;
+    // A grant with a new token holds both; it can be sent on any connection.
+    Holding Joined = m_holdings[At];
+    Joined.m_range.m_last = Right.m_last;
+    Joined.m_range.m_token = nextToken();
+    Joined.m_confirmed = false;
+    Joined.m_lastSent = Instant();
+    Joined.m_heldUntil =
+        std::max(Joined.m_heldUntil, m_holdings[At + 1].m_heldUntil);
+    Joined.m_doubtUntil =
+        std::max(Joined.m_doubtUntil, m_holdings[At + 1].m_doubtUntil);
+    m_replacements.push_back({At, {std::move(Joined)}});
+    m_replacements.push_back({At + 1, {}});
+    ++Merges;
+    ++At;
+  }
+}
+
 void KeyCoordinator::onWritten(Instant Now) {
   if (!m_writing)
     return;
--- a/src/libgateway/key_planner.cpp
+++ b/src/libgateway/key_planner.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Half of the requests counted are forgotten after about this time over 1.4.
-constexpr Duration FadeTime{1'500'000};
+constexpr Duration FadeTime{1'000'000};
 constexpr double MaxScale = 1e12;
 /// Every key counts for a little, so that keys without requests are spread.
 constexpr double IdleShare = 0.02;
@@ -18,8 +18,8 @@
 /// the mean, and idle when it is below that share of it.
 constexpr double BusyRatio = 1.25;
 constexpr double IdleRatio = 0.85;
-/// Requests a second for each unit of capacity below which nobody is busy.
-constexpr double MinBusyRate = 1.5;
+/// A newcomer gets its share in so many parts, from several owners.
+constexpr double NewcomerParts = 3;
 
 struct Bin {
   const KeyCandidate *m_candidate = nullptr;
@@ -96,6 +96,31 @@
   return Best;
 }
 
+Bin *busiest(std::map<UpstreamId, Bin> &Bins) {
+  Bin *Most = nullptr;
+  for (auto &[Id, Each] : Bins)
+    if (!Most || Each.busyness() > Most->busyness())
+      Most = &Each;
+  return Most;
+}
+
+/// The range of an owner with the most load; null when it has none left.
+KeyRange *heaviest(std::vector<KeyRange> &Ranges, const UpstreamId &Owner,
+                   const Weigher &Weight) {
+  KeyRange *Most = nullptr;
+  double MostLoad = 0;
+  for (KeyRange &Each : Ranges) {
+    if (Each.m_owner != Owner)
+      continue;
+    double Load = Weight.of(Each.m_first, Each.m_last);
+    if (Most && Load <= MostLoad)
+      continue;
+    Most = &Each;
+    MostLoad = Load;
+  }
+  return Most;
+}
+
 struct Piece {
   std::uint32_t m_first;
   std::uint32_t m_last;
@@ -205,7 +230,8 @@
 
 std::vector<KeyPlacement> planMoves(const std::vector<KeyRange> &Owned,
                                     const KeyCandidates &Candidates,
-                                    const KeyLoad &Load, std::size_t MaxMoves) {
+                                    const KeyLoad &Load,
+                                    const MoveLimits &Limits) {
   Weigher Weight(Load);
   auto Bins = makeBins(Owned, Candidates, Weight);
   double Capacity = 0;
@@ -217,45 +243,41 @@
   if (Capacity <= 0)
     return {};
   double Mean = Total / Capacity;
-  std::vector<const KeyRange *> Ranges;
-  for (const KeyRange &Range : Owned)
-    if (Bins.count(Range.m_owner))
-      Ranges.push_back(&Range);
-  std::sort(Ranges.begin(), Ranges.end(),
-            [&](const KeyRange *Left, const KeyRange *Right) {
-              return Weight.of(Left->m_first, Left->m_last) >
-                     Weight.of(Right->m_first, Right->m_last);
-            });
+  std::vector<KeyRange> Rest = Owned;
   std::vector<KeyPlacement> Moves;
-  for (const KeyRange *Range : Ranges) {
-    if (Moves.size() >= MaxMoves)
-      break;
-    Bin &From = Bins.find(Range->m_owner)->second;
+  while (Moves.size() < Limits.m_moves) {
     Bin *To = leastBusy(Bins, 0);
-    if (!To || To == &From)
+    bool Newcomer = To && To->m_keys == 0;
+    Bin *From = busiest(Bins);
+    if (!To || From == To || To->busyness() >= Mean * IdleRatio)
       break;
-    bool Newcomer = To->m_keys == 0;
-    bool Busy =
-        From.busyness() > Mean * BusyRatio && From.busyness() > MinBusyRate;
-    bool Idle = To->busyness() < Mean * IdleRatio;
-    if (!Idle || (!Busy && !Newcomer))
-      continue;
-    double Surplus = From.m_load - Mean * From.m_candidate->m_capacity;
+    bool Busy = From->busyness() > Mean * BusyRatio &&
+                From->busyness() > Limits.m_busyRate;
+    if (!Busy && !Newcomer)
+      break;
+    KeyRange *Range = heaviest(Rest, From->m_candidate->m_id, Weight);
+    if (!Range)
+      break;
+    double Surplus = From->m_load - Mean * From->m_candidate->m_capacity;
     double Gap = Mean * To->m_candidate->m_capacity - To->m_load;
-    double Wanted = std::min(std::max(Surplus, Newcomer ? Gap / 3 : 0), Gap);
+    double Wanted =
+        std::min(std::max(Surplus, Newcomer ? Gap / NewcomerParts : 0), Gap);
     if (Wanted <= 0)
-      continue;
+      break;
     std::uint32_t Last = Weight.reach(Range->m_first, Range->m_last, Wanted);
     double Moved = Weight.of(Range->m_first, Last);
-    double Capacities[] = {From.m_candidate->m_capacity,
-                           To->m_candidate->m_capacity};
-    bool Better = (To->m_load + Moved) / Capacities[1] < From.busyness();
+    bool Better =
+        (To->m_load + Moved) / To->m_candidate->m_capacity < From->busyness();
     if (!Better)
-      continue;
-    From.m_load -= Moved;
+      break;
+    From->m_load -= Moved;
     To->m_load += Moved;
     To->m_keys += Last - Range->m_first + 1;
     Moves.push_back({Range->m_first, Last, To->m_candidate->m_id});
+    if (Last == Range->m_last)
+      Range->m_owner = UpstreamId();
+    else
+      Range->m_first = Last + 1;
   }
   return Moves;
 }
--- a/src/libgateway/peer_loads.cpp
+++ b/src/libgateway/peer_loads.cpp
@@ -2,6 +2,8 @@
 
 #include "burdockpulley/hashing.h"
 
+#include <algorithm>
+
 namespace burdockpulley {
 
 namespace {
@@ -9,6 +11,13 @@
 /// Hosts tell their load several times a second.
 constexpr Duration HostLifetime{1'500'000};
 
+void addSigned(std::uint32_t &Sum, std::uint32_t Part, int Sign) {
+  if (Sign > 0)
+    Sum += Part;
+  else
+    Sum -= std::min(Sum, Part);
+}
+
 } // namespace
 
 ShortName shortName(const std::string &Name) {
@@ -29,14 +38,13 @@
 
 void PeerLoads::count(const PeerLoad &Load, int Sign) {
   for (const PeerUpstreamLoad &Each : Load.m_upstreams) {
-    UpstreamRow *Row = Each.m_outstanding ? rowOf(Each.m_upstream) : nullptr;
+    if (Each.m_outstanding == 0 && Each.m_waiting == 0)
+      continue;
+    UpstreamRow *Row = rowOf(Each.m_upstream);
     if (!Row)
       continue;
-    if (Sign > 0)
-      Row->m_peerOutstanding += Each.m_outstanding;
-    else
-      Row->m_peerOutstanding -=
-          std::min(Row->m_peerOutstanding, Each.m_outstanding);
+    addSigned(Row->m_peerOutstanding, Each.m_outstanding, Sign);
+    addSigned(Row->m_peerWaiting, Each.m_waiting, Sign);
   }
 }
 
--- a/src/libgateway/peer_news.cpp
+++ b/src/libgateway/peer_news.cpp
@@ -36,6 +36,7 @@
   Load.m_upstream = ShortName(News.upstream);
   Load.m_outstanding =
       static_cast<std::uint32_t>(std::max(News.outstanding, 0));
+  Load.m_waiting = static_cast<std::uint32_t>(std::max(News.hostWaiting, 0));
   Load.m_reported = News.__isset.reportAgeMillis;
   if (!Load.m_reported)
     return Load;
@@ -102,11 +103,13 @@
   News.coordinatorEpoch = m_coordinator.epoch();
   for (const auto &[Id, Row] : m_state.m_registry.rows()) {
     bool Fresh = Now - Row.m_reportAt < FreshReport;
-    if (Row.m_outstanding == 0 && !Fresh)
+    if (Row.m_outstanding == 0 && Row.m_waiting == 0 && !Fresh)
       continue;
     wire::UpstreamNews Each;
     Each.upstream = shortName(Id.value()).value();
     Each.outstanding = static_cast<std::int32_t>(Row.m_outstanding);
+    if (Row.m_waiting > 0)
+      Each.__set_hostWaiting(static_cast<std::int32_t>(Row.m_waiting));
     if (Fresh) {
       Each.__set_running(static_cast<std::int32_t>(Row.m_report.m_running));
       Each.__set_waiting(static_cast<std::int32_t>(Row.m_report.m_waiting));
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -248,6 +248,10 @@
     // Until the owner is known, nothing speaks against waiting for it.
     Capacity.m_slots = Row ? Row->m_record.m_slots / slownessFactor(*Row, Now)
                            : std::numeric_limits<double>::max();
+    // Requests that are there already are half done on average.
+    if (Row)
+      Capacity.m_waiting = Row->m_peerWaiting +
+                           (Row->m_outstanding + Row->m_peerOutstanding) / 2;
     return Capacity;
   }
   for (const UpstreamRow *Row :
@@ -270,18 +274,31 @@
   if (Refused)
     return refuse(Each, "no-room-in-time", Refused->m_retryAfter, Now);
   Each.m_queue = Key;
+  countWaiting(Owner);
+}
+
+void RequestRelay::countWaiting(const UpstreamId &Owner) {
+  UpstreamRow *Row = m_state.m_registry.find(Owner);
+  if (!Row)
+    return;
+  Row->m_waiting = 0;
+  for (const auto &[Key, Queue] : m_queues)
+    if (Key.second == Owner)
+      Row->m_waiting += static_cast<std::uint32_t>(Queue.size());
 }
 
 void RequestRelay::removeFromQueue(Job &Each) {
   if (!Each.m_queue)
     return;
   auto Found = m_queues.find(*Each.m_queue);
+  UpstreamId Owner = Each.m_queue->second;
   Each.m_queue.reset();
   if (Found == m_queues.end())
     return;
   Found->second.remove(Each.m_number);
   if (Found->second.size() == 0)
     m_queues.erase(Found);
+  countWaiting(Owner);
 }
 
 void RequestRelay::dispatchWaiting(Instant Now) {
@@ -400,6 +417,8 @@
     double Factor = slownessFactor(*Row, Now);
     observeSpeed(*Row, Result.m_spent, Each.m_workTime, Now);
     m_times.onAnswer(Each.m_route->m_name, Result.m_spent, Factor);
+    m_state.m_workTimes[Each.m_service->m_name] =
+        m_times.expected(Each.m_route->m_name, Each.m_workTime);
     Row->m_failuresInRow = 0;
   } else if (End != AttemptEnd::NotRun && End != AttemptEnd::WrongOwner) {
     ++Row->m_failuresInRow;
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -113,6 +113,7 @@
   void finish(Job &Each, const HttpResponse &Response, const char *Outcome,
               const char *Reason, Instant Now);
   void removeFromQueue(Job &Each);
+  void countWaiting(const UpstreamId &Owner);
   void giveUp(RequestNumber Number, Instant Now);
   ServiceCapacity capacityFor(const Job &Each, Instant Now);
   SharedRetryBudget &budget(const ServiceId &Service);
