--- a/src/include/burdockpulley/key_planner.h
+++ b/src/include/burdockpulley/key_planner.h
@@ -74,8 +74,7 @@
 
 /// Chooses keys to move from busy owners to idle ones. It answers keys that
 /// become hot together, and upstreams that join with nothing to do. Each
-/// placement is the beginning of a range of \p Owned, or follows another
-/// placement in it.
+/// placement lies within one range of \p Owned.
 /// Thread safety: safe.
 std::vector<KeyPlacement> planMoves(const std::vector<KeyRange> &Owned,
                                     const KeyCandidates &Candidates,
--- a/src/include/burdockpulley/peer_loads.h
+++ b/src/include/burdockpulley/peer_loads.h
@@ -19,8 +19,10 @@
   ShortName m_upstream;
   std::uint32_t m_outstanding = 0; ///< The host's requests at it.
   std::uint32_t m_waiting = 0;     ///< Those that wait for it at the host.
-  bool m_reported = false;         ///< The rest is there.
-  LoadReport m_report;             ///< Newest that the host has seen.
+  double m_speed = 1;              ///< Mean of new observations.
+  std::uint32_t m_speedSamples = 0;
+  bool m_reported = false; ///< The rest is there.
+  LoadReport m_report;     ///< Newest that the host has seen.
   Duration m_reportAge{};
 };
 
--- a/src/include/burdockpulley/upstream_registry.h
+++ b/src/include/burdockpulley/upstream_registry.h
@@ -56,6 +56,8 @@
   Instant m_reportAt;
   double m_speed = 1; ///< Time that work takes, relative to its peers.
   std::uint32_t m_speedSamples = 0;
+  double m_ownSpeedSum = 0; ///< Of this host's samples not yet told to peers.
+  std::uint32_t m_ownSpeedCount = 0;
 
   bool leaving() const { return !m_registered || m_record.m_draining; }
   bool cold(Instant Now) const {
--- a/src/include/burdockpulley/upstream_selection.h
+++ b/src/include/burdockpulley/upstream_selection.h
@@ -72,6 +72,10 @@
 void observeSpeed(UpstreamRow &Row, Duration Spent, Duration Expected,
                   Instant Now);
 
+/// Takes in the mean of several such observations, this host's or another's.
+/// Thread safety: none.
+void learnSpeed(UpstreamRow &Row, double Mean, std::uint32_t Samples);
+
 } // namespace burdockpulley
 
 #endif
--- a/src/libgateway/coordinator_driver.cpp
+++ b/src/libgateway/coordinator_driver.cpp
@@ -5,6 +5,7 @@
 #include "store_keys.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace burdockpulley {
 
@@ -26,6 +27,9 @@
 constexpr Duration WriteRetry{150'000};
 /// Keys are moved away from owners that are busy for this share of their time.
 constexpr double BusyShare = 0.3;
+/// Above one, so that fast upstreams get more than their share: their answers
+/// come sooner, as long as they are not busy.
+constexpr double SpeedPower = 1.6;
 constexpr double MinWorkSeconds = 0.001;
 constexpr Duration GrantTimeout{400'000};
 constexpr Duration ReleaseTimeout{2'000'000};
@@ -301,7 +305,8 @@
     KeyCandidate Each;
     Each.m_id = Id;
     Each.m_birth = Row.m_record.m_birth;
-    Each.m_capacity = Row.m_record.m_slots / std::max(Row.m_speed, 0.1);
+    Each.m_capacity =
+        Row.m_record.m_slots / std::pow(std::max(Row.m_speed, 0.1), SpeedPower);
     Each.m_mustLeave =
         Row.leaving() || m_state.m_registry.domainOut(Row.m_record.m_domain);
     Each.m_dead = Which.m_dead.count({Id, Row.m_record.m_birth}) != 0;
--- a/src/libgateway/gateway.thrift
+++ b/src/libgateway/gateway.thrift
@@ -30,6 +30,9 @@
   6: optional i32 reportAgeMillis,
   // Requests for the upstream's keys that wait at the host.
   7: optional i32 hostWaiting,
+  // How long work took there since the last news, relative to what is usual.
+  8: optional i32 speedPercent,
+  9: optional i32 speedSamples,
 }
 
 struct QueueNews {
@@ -51,16 +54,10 @@
   2: i32 count,
 }
 
-struct SpeedSample {
-  1: string upstream,
-  2: i32 percent,
-}
-
 // What the coordinator places keys by.
 struct KeyLoadNews {
   1: string serviceName,
   2: list<KeyCount> counts,
-  3: list<SpeedSample> speeds,
 }
 
 // A request broke the connection of an upstream that then was gone.
--- a/src/libgateway/gen/gateway_types.cpp
+++ b/src/libgateway/gen/gateway_types.cpp
@@ -450,6 +450,16 @@
   this->hostWaiting = val;
 __isset.hostWaiting = true;
 }
+
+void UpstreamNews::__set_speedPercent(const int32_t val) {
+  this->speedPercent = val;
+__isset.speedPercent = true;
+}
+
+void UpstreamNews::__set_speedSamples(const int32_t val) {
+  this->speedSamples = val;
+__isset.speedSamples = true;
+}
 std::ostream& operator<<(std::ostream& out, const UpstreamNews& obj)
 {
   obj.printTo(out);
@@ -534,6 +544,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->speedPercent);
+          this->__isset.speedPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->speedSamples);
+          this->__isset.speedSamples = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -584,6 +610,16 @@
     xfer += oprot->writeI32(this->hostWaiting);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.speedPercent) {
+    xfer += oprot->writeFieldBegin("speedPercent", ::apache::thrift::protocol::T_I32, 8);
+    xfer += oprot->writeI32(this->speedPercent);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.speedSamples) {
+    xfer += oprot->writeFieldBegin("speedSamples", ::apache::thrift::protocol::T_I32, 9);
+    xfer += oprot->writeI32(this->speedSamples);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -598,6 +634,8 @@
   swap(a.slownessPercent, b.slownessPercent);
   swap(a.reportAgeMillis, b.reportAgeMillis);
   swap(a.hostWaiting, b.hostWaiting);
+  swap(a.speedPercent, b.speedPercent);
+  swap(a.speedSamples, b.speedSamples);
   swap(a.__isset, b.__isset);
 }
 
@@ -609,6 +647,8 @@
   slownessPercent = other14.slownessPercent;
   reportAgeMillis = other14.reportAgeMillis;
   hostWaiting = other14.hostWaiting;
+  speedPercent = other14.speedPercent;
+  speedSamples = other14.speedSamples;
   __isset = other14.__isset;
 }
 UpstreamNews::UpstreamNews(UpstreamNews&& other15) noexcept {
@@ -619,6 +659,8 @@
   slownessPercent = other15.slownessPercent;
   reportAgeMillis = other15.reportAgeMillis;
   hostWaiting = other15.hostWaiting;
+  speedPercent = other15.speedPercent;
+  speedSamples = other15.speedSamples;
   __isset = other15.__isset;
 }
 UpstreamNews& UpstreamNews::operator=(const UpstreamNews& other16) noexcept {
@@ -629,6 +671,8 @@
   slownessPercent = other16.slownessPercent;
   reportAgeMillis = other16.reportAgeMillis;
   hostWaiting = other16.hostWaiting;
+  speedPercent = other16.speedPercent;
+  speedSamples = other16.speedSamples;
   __isset = other16.__isset;
   return *this;
 }
@@ -640,6 +684,8 @@
   slownessPercent = other17.slownessPercent;
   reportAgeMillis = other17.reportAgeMillis;
   hostWaiting = other17.hostWaiting;
+  speedPercent = other17.speedPercent;
+  speedSamples = other17.speedSamples;
   __isset = other17.__isset;
   return *this;
 }
@@ -653,6 +699,8 @@
   out << ", " << "slownessPercent="; (__isset.slownessPercent ? (out << to_string(slownessPercent)) : (out << "<null>"));
   out << ", " << "reportAgeMillis="; (__isset.reportAgeMillis ? (out << to_string(reportAgeMillis)) : (out << "<null>"));
   out << ", " << "hostWaiting="; (__isset.hostWaiting ? (out << to_string(hostWaiting)) : (out << "<null>"));
+  out << ", " << "speedPercent="; (__isset.speedPercent ? (out << to_string(speedPercent)) : (out << "<null>"));
+  out << ", " << "speedSamples="; (__isset.speedSamples ? (out << to_string(speedSamples)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1110,129 +1158,6 @@
 }
 
 
-SpeedSample::~SpeedSample() noexcept {
-}
-
-
-void SpeedSample::__set_upstream(const std::string& val) {
-  this->upstream = val;
-}
-
-void SpeedSample::__set_percent(const int32_t val) {
-  this->percent = val;
-}
-std::ostream& operator<<(std::ostream& out, const SpeedSample& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t SpeedSample::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->upstream);
-          this->__isset.upstream = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->percent);
-          this->__isset.percent = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t SpeedSample::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SpeedSample");
-
-  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->upstream);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("percent", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->percent);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(SpeedSample &a, SpeedSample &b) {
-  using ::std::swap;
-  swap(a.upstream, b.upstream);
-  swap(a.percent, b.percent);
-  swap(a.__isset, b.__isset);
-}
-
-SpeedSample::SpeedSample(const SpeedSample& other42) {
-  upstream = other42.upstream;
-  percent = other42.percent;
-  __isset = other42.__isset;
-}
-SpeedSample::SpeedSample(SpeedSample&& other43) noexcept {
-  upstream = std::move(other43.upstream);
-  percent = other43.percent;
-  __isset = other43.__isset;
-}
-SpeedSample& SpeedSample::operator=(const SpeedSample& other44) {
-  upstream = other44.upstream;
-  percent = other44.percent;
-  __isset = other44.__isset;
-  return *this;
-}
-SpeedSample& SpeedSample::operator=(SpeedSample&& other45) noexcept {
-  upstream = std::move(other45.upstream);
-  percent = other45.percent;
-  __isset = other45.__isset;
-  return *this;
-}
-void SpeedSample::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "SpeedSample(";
-  out << "upstream=" << to_string(upstream);
-  out << ", " << "percent=" << to_string(percent);
-  out << ")";
-}
-
-
 KeyLoadNews::~KeyLoadNews() noexcept {
 }
 
@@ -1244,10 +1169,6 @@
 void KeyLoadNews::__set_counts(const std::vector<KeyCount> & val) {
   this->counts = val;
 }
-
-void KeyLoadNews::__set_speeds(const std::vector<SpeedSample> & val) {
-  this->speeds = val;
-}
 std::ostream& operator<<(std::ostream& out, const KeyLoadNews& obj)
 {
   obj.printTo(out);
@@ -1288,14 +1209,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->counts.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->counts.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += this->counts[_i50].read(iprot);
+              xfer += this->counts[_i46].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1304,26 +1225,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->speeds.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->speeds.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
-            {
-              xfer += this->speeds[_i55].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.speeds = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1348,22 +1249,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->counts.size()));
-    std::vector<KeyCount> ::const_iterator _iter56;
-    for (_iter56 = this->counts.begin(); _iter56 != this->counts.end(); ++_iter56)
-    {
-      xfer += (*_iter56).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("speeds", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->speeds.size()));
-    std::vector<SpeedSample> ::const_iterator _iter57;
-    for (_iter57 = this->speeds.begin(); _iter57 != this->speeds.end(); ++_iter57)
+    std::vector<KeyCount> ::const_iterator _iter47;
+    for (_iter47 = this->counts.begin(); _iter47 != this->counts.end(); ++_iter47)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1378,34 +1267,29 @@
   using ::std::swap;
   swap(a.serviceName, b.serviceName);
   swap(a.counts, b.counts);
-  swap(a.speeds, b.speeds);
   swap(a.__isset, b.__isset);
 }
 
-KeyLoadNews::KeyLoadNews(const KeyLoadNews& other58) {
-  serviceName = other58.serviceName;
-  counts = other58.counts;
-  speeds = other58.speeds;
-  __isset = other58.__isset;
+KeyLoadNews::KeyLoadNews(const KeyLoadNews& other48) {
+  serviceName = other48.serviceName;
+  counts = other48.counts;
+  __isset = other48.__isset;
 }
-KeyLoadNews::KeyLoadNews(KeyLoadNews&& other59) noexcept {
-  serviceName = std::move(other59.serviceName);
-  counts = std::move(other59.counts);
-  speeds = std::move(other59.speeds);
-  __isset = other59.__isset;
+KeyLoadNews::KeyLoadNews(KeyLoadNews&& other49) noexcept {
+  serviceName = std::move(other49.serviceName);
+  counts = std::move(other49.counts);
+  __isset = other49.__isset;
 }
-KeyLoadNews& KeyLoadNews::operator=(const KeyLoadNews& other60) {
-  serviceName = other60.serviceName;
-  counts = other60.counts;
-  speeds = other60.speeds;
-  __isset = other60.__isset;
+KeyLoadNews& KeyLoadNews::operator=(const KeyLoadNews& other50) {
+  serviceName = other50.serviceName;
+  counts = other50.counts;
+  __isset = other50.__isset;
   return *this;
 }
-KeyLoadNews& KeyLoadNews::operator=(KeyLoadNews&& other61) noexcept {
-  serviceName = std::move(other61.serviceName);
-  counts = std::move(other61.counts);
-  speeds = std::move(other61.speeds);
-  __isset = other61.__isset;
+KeyLoadNews& KeyLoadNews::operator=(KeyLoadNews&& other51) noexcept {
+  serviceName = std::move(other51.serviceName);
+  counts = std::move(other51.counts);
+  __isset = other51.__isset;
   return *this;
 }
 void KeyLoadNews::printTo(std::ostream& out) const {
@@ -1413,7 +1297,6 @@
   out << "KeyLoadNews(";
   out << "serviceName=" << to_string(serviceName);
   out << ", " << "counts=" << to_string(counts);
-  out << ", " << "speeds=" << to_string(speeds);
   out << ")";
 }
 
@@ -1510,26 +1393,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNews::CrashNews(const CrashNews& other62) {
-  fingerprint = other62.fingerprint;
-  upstream = other62.upstream;
-  __isset = other62.__isset;
+CrashNews::CrashNews(const CrashNews& other52) {
+  fingerprint = other52.fingerprint;
+  upstream = other52.upstream;
+  __isset = other52.__isset;
 }
-CrashNews::CrashNews(CrashNews&& other63) noexcept {
-  fingerprint = other63.fingerprint;
-  upstream = std::move(other63.upstream);
-  __isset = other63.__isset;
+CrashNews::CrashNews(CrashNews&& other53) noexcept {
+  fingerprint = other53.fingerprint;
+  upstream = std::move(other53.upstream);
+  __isset = other53.__isset;
 }
-CrashNews& CrashNews::operator=(const CrashNews& other64) {
-  fingerprint = other64.fingerprint;
-  upstream = other64.upstream;
-  __isset = other64.__isset;
+CrashNews& CrashNews::operator=(const CrashNews& other54) {
+  fingerprint = other54.fingerprint;
+  upstream = other54.upstream;
+  __isset = other54.__isset;
   return *this;
 }
-CrashNews& CrashNews::operator=(CrashNews&& other65) noexcept {
-  fingerprint = other65.fingerprint;
-  upstream = std::move(other65.upstream);
-  __isset = other65.__isset;
+CrashNews& CrashNews::operator=(CrashNews&& other55) noexcept {
+  fingerprint = other55.fingerprint;
+  upstream = std::move(other55.upstream);
+  __isset = other55.__isset;
   return *this;
 }
 void CrashNews::printTo(std::ostream& out) const {
@@ -1709,42 +1592,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other66) {
-  host = other66.host;
-  sequence = other66.sequence;
-  news = other66.news;
-  table = other66.table;
-  load = other66.load;
-  crash = other66.crash;
-  __isset = other66.__isset;
-}
-Datagram::Datagram(Datagram&& other67) noexcept {
-  host = std::move(other67.host);
-  sequence = other67.sequence;
-  news = std::move(other67.news);
-  table = std::move(other67.table);
-  load = std::move(other67.load);
-  crash = std::move(other67.crash);
-  __isset = other67.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other68) {
-  host = other68.host;
-  sequence = other68.sequence;
-  news = other68.news;
-  table = other68.table;
-  load = other68.load;
-  crash = other68.crash;
-  __isset = other68.__isset;
+Datagram::Datagram(const Datagram& other56) {
+  host = other56.host;
+  sequence = other56.sequence;
+  news = other56.news;
+  table = other56.table;
+  load = other56.load;
+  crash = other56.crash;
+  __isset = other56.__isset;
+}
+Datagram::Datagram(Datagram&& other57) noexcept {
+  host = std::move(other57.host);
+  sequence = other57.sequence;
+  news = std::move(other57.news);
+  table = std::move(other57.table);
+  load = std::move(other57.load);
+  crash = std::move(other57.crash);
+  __isset = other57.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other58) {
+  host = other58.host;
+  sequence = other58.sequence;
+  news = other58.news;
+  table = other58.table;
+  load = other58.load;
+  crash = other58.crash;
+  __isset = other58.__isset;
   return *this;
 }
-Datagram& Datagram::operator=(Datagram&& other69) noexcept {
-  host = std::move(other69.host);
-  sequence = other69.sequence;
-  news = std::move(other69.news);
-  table = std::move(other69.table);
-  load = std::move(other69.load);
-  crash = std::move(other69.crash);
-  __isset = other69.__isset;
+Datagram& Datagram::operator=(Datagram&& other59) noexcept {
+  host = std::move(other59.host);
+  sequence = other59.sequence;
+  news = std::move(other59.news);
+  table = std::move(other59.table);
+  load = std::move(other59.load);
+  crash = std::move(other59.crash);
+  __isset = other59.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
--- a/src/libgateway/gen/gateway_types.h
+++ b/src/libgateway/gen/gateway_types.h
@@ -33,8 +33,6 @@
 
 class KeyCount;
 
-class SpeedSample;
-
 class KeyLoadNews;
 
 class CrashNews;
@@ -189,7 +187,7 @@
 std::ostream& operator<<(std::ostream& out, const KeyTableRecord& obj);
 
 typedef struct _UpstreamNews__isset {
-  _UpstreamNews__isset() : upstream(false), outstanding(false), running(false), waiting(false), slownessPercent(false), reportAgeMillis(false), hostWaiting(false) {}
+  _UpstreamNews__isset() : upstream(false), outstanding(false), running(false), waiting(false), slownessPercent(false), reportAgeMillis(false), hostWaiting(false), speedPercent(false), speedSamples(false) {}
   bool upstream :1;
   bool outstanding :1;
   bool running :1;
@@ -197,6 +195,8 @@
   bool slownessPercent :1;
   bool reportAgeMillis :1;
   bool hostWaiting :1;
+  bool speedPercent :1;
+  bool speedSamples :1;
 } _UpstreamNews__isset;
 
 class UpstreamNews : public virtual ::apache::thrift::TBase {
@@ -213,7 +213,9 @@
                  waiting(0),
                  slownessPercent(0),
                  reportAgeMillis(0),
-                 hostWaiting(0) {
+                 hostWaiting(0),
+                 speedPercent(0),
+                 speedSamples(0) {
   }
 
   virtual ~UpstreamNews() noexcept;
@@ -224,6 +226,8 @@
   int32_t slownessPercent;
   int32_t reportAgeMillis;
   int32_t hostWaiting;
+  int32_t speedPercent;
+  int32_t speedSamples;
 
   _UpstreamNews__isset __isset;
 
@@ -241,6 +245,10 @@
 
   void __set_hostWaiting(const int32_t val);
 
+  void __set_speedPercent(const int32_t val);
+
+  void __set_speedSamples(const int32_t val);
+
   bool operator == (const UpstreamNews & rhs) const
   {
     if (!(upstream == rhs.upstream))
@@ -267,6 +275,14 @@
       return false;
     else if (__isset.hostWaiting && !(hostWaiting == rhs.hostWaiting))
       return false;
+    if (__isset.speedPercent != rhs.__isset.speedPercent)
+      return false;
+    else if (__isset.speedPercent && !(speedPercent == rhs.speedPercent))
+      return false;
+    if (__isset.speedSamples != rhs.__isset.speedSamples)
+      return false;
+    else if (__isset.speedSamples && !(speedSamples == rhs.speedSamples))
+      return false;
     return true;
   }
   bool operator != (const UpstreamNews &rhs) const {
@@ -453,63 +469,10 @@
 
 std::ostream& operator<<(std::ostream& out, const KeyCount& obj);
 
-typedef struct _SpeedSample__isset {
-  _SpeedSample__isset() : upstream(false), percent(false) {}
-  bool upstream :1;
-  bool percent :1;
-} _SpeedSample__isset;
-
-class SpeedSample : public virtual ::apache::thrift::TBase {
- public:
-
-  SpeedSample(const SpeedSample&);
-  SpeedSample(SpeedSample&&) noexcept;
-  SpeedSample& operator=(const SpeedSample&);
-  SpeedSample& operator=(SpeedSample&&) noexcept;
-  SpeedSample() noexcept
-              : upstream(),
-                percent(0) {
-  }
-
-  virtual ~SpeedSample() noexcept;
-  std::string upstream;
-  int32_t percent;
-
-  _SpeedSample__isset __isset;
-
-  void __set_upstream(const std::string& val);
-
-  void __set_percent(const int32_t val);
-
-  bool operator == (const SpeedSample & rhs) const
-  {
-    if (!(upstream == rhs.upstream))
-      return false;
-    if (!(percent == rhs.percent))
-      return false;
-    return true;
-  }
-  bool operator != (const SpeedSample &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const SpeedSample & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(SpeedSample &a, SpeedSample &b);
-
-std::ostream& operator<<(std::ostream& out, const SpeedSample& obj);
-
 typedef struct _KeyLoadNews__isset {
-  _KeyLoadNews__isset() : serviceName(false), counts(false), speeds(false) {}
+  _KeyLoadNews__isset() : serviceName(false), counts(false) {}
   bool serviceName :1;
   bool counts :1;
-  bool speeds :1;
 } _KeyLoadNews__isset;
 
 class KeyLoadNews : public virtual ::apache::thrift::TBase {
@@ -526,7 +489,6 @@
   virtual ~KeyLoadNews() noexcept;
   std::string serviceName;
   std::vector<KeyCount>  counts;
-  std::vector<SpeedSample>  speeds;
 
   _KeyLoadNews__isset __isset;
 
@@ -534,16 +496,12 @@
 
   void __set_counts(const std::vector<KeyCount> & val);
 
-  void __set_speeds(const std::vector<SpeedSample> & val);
-
   bool operator == (const KeyLoadNews & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
       return false;
     if (!(counts == rhs.counts))
       return false;
-    if (!(speeds == rhs.speeds))
-      return false;
     return true;
   }
   bool operator != (const KeyLoadNews &rhs) const {
--- a/src/libgateway/key_coordinator.cpp
+++ b/src/libgateway/key_coordinator.cpp
@@ -50,6 +50,7 @@
       Each.m_phase = Phase::Free;
     } else {
       Each.m_raise = true;
+      Each.m_confirmed = true; // By the predecessor, as far as is known.
       Each.m_serving = true;
       Each.m_heldUntil = Now + Longest + m_settings.m_deliverySlack;
       Each.m_doubtUntil = Each.m_heldUntil;
@@ -95,21 +96,21 @@
 void KeyCoordinator::startRelease(Holding &Which, Instant Now) {
   if (Which.m_order.value() != 0)
     return; // How the grant in flight ends has to be known first.
-  if (Which.m_heldUntil == Instant()) {
-    makeFree(Which); // Nothing has ever been sent to this owner.
-    return;
-  }
+  if (Which.m_heldUntil == Instant())
+    return makeFree(Which); // Nothing has ever been sent to this owner.
   // An unanswered grant could take effect after the release. A higher token
-  // that the owner confirms rules that out.
-  if (Which.m_doubtUntil > Now && !Which.m_raise && Which.m_confirmed) {
+  // that the owner confirms rules that out. An owner that does not confirm it
+  // gets no further grants: what it may hold runs out.
+  if (Which.m_doubtUntil > Now && Which.m_confirmed)
     Which.m_raise = true;
-    return;
-  }
-  if (Which.m_raise || Which.m_doubtUntil > Now)
+  bool WriteComes = Which.m_raise && Which.m_confirmed;
+  bool GrantComes =
+      !Which.m_raise && !Which.m_confirmed && Which.m_lastSent == Instant();
+  if (WriteComes || GrantComes)
     return;
   Which.m_phase = Phase::Releasing;
+  Which.m_raise = false;
   Which.m_released = false;
-  Which.m_order = OrderNumber();
   Which.m_lastSent = Instant();
   if (Which.m_serving)
     changed();
@@ -294,19 +295,25 @@
 
 void KeyCoordinator::splitAt(const KeyPlacement &Move) {
   for (std::size_t At = 0; At < m_holdings.size(); ++At) {
-    Holding &Whole = m_holdings[At];
-    if (Whole.m_range.m_first != Move.m_first ||
-        Whole.m_range.m_last < Move.m_last)
+    KeyRange Whole = m_holdings[At].m_range;
+    if (Move.m_first < Whole.m_first || Move.m_last > Whole.m_last)
       continue;
-    Holding Rest = Whole;
-    Whole.m_range.m_last = Move.m_last;
-    Whole.m_moveWanted = true;
-    Whole.m_moveTo = Move.m_owner;
-    if (Rest.m_range.m_last == Move.m_last)
-      return;
-    Rest.m_range.m_first = Move.m_last + 1;
-    m_holdings.insert(m_holdings.begin() + static_cast<std::ptrdiff_t>(At) + 1,
-                      Rest);
+    std::vector<Holding> Parts;
+    auto AddPart = [&](std::uint32_t First, std::uint32_t Last) {
+      Parts.push_back(m_holdings[At]);
+      Parts.back().m_range.m_first = First;
+      Parts.back().m_range.m_last = Last;
+    };
+    if (Move.m_first > Whole.m_first)
+      AddPart(Whole.m_first, Move.m_first - 1);
+    AddPart(Move.m_first, Move.m_last);
+    Parts.back().m_moveWanted = true;
+    Parts.back().m_moveTo = Move.m_owner;
+    if (Move.m_last < Whole.m_last)
+      AddPart(Move.m_last + 1, Whole.m_last);
+    auto Place = m_holdings.begin() + static_cast<std::ptrdiff_t>(At);
+    Place = m_holdings.erase(Place);
+    m_holdings.insert(Place, Parts.begin(), Parts.end());
     return;
   }
 }
--- a/src/libgateway/key_planner.cpp
+++ b/src/libgateway/key_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace burdockpulley {
 
@@ -18,6 +19,11 @@
 /// the mean, and idle when it is below that share of it.
 constexpr double BusyRatio = 1.25;
 constexpr double IdleRatio = 0.85;
+/// A move is worth it when the receiver is then this much less busy than the
+/// giver was.
+constexpr double BetterRatio = 0.8;
+/// A piece is at least this share of the giver's load.
+constexpr double MinPieceShare = 0.04;
 /// A newcomer gets its share in so many parts, from several owners.
 constexpr double NewcomerParts = 3;
 
@@ -127,6 +133,33 @@
   double m_load;
 };
 
+/// The beginning of a range with about the wanted load, if its move makes the
+/// busier of both owners clearly less busy. When one key makes up most of the
+/// load, no move of it would; then what lies before or behind it.
+std::optional<Piece> choosePiece(const KeyRange &Range, const Bin &From,
+                                 const Bin &To, double Wanted,
+                                 const Weigher &Weight) {
+  auto Better = [&](const Piece &Each) {
+    double Receiver = (To.m_load + Each.m_load) / To.m_candidate->m_capacity;
+    return Each.m_load > From.m_load * MinPieceShare &&
+           Receiver < From.busyness() * BetterRatio;
+  };
+  auto Make = [&](std::uint32_t First, std::uint32_t Last) {
+    return Piece{First, Last, Weight.of(First, Last)};
+  };
+  std::uint32_t Last = Weight.reach(Range.m_first, Range.m_last, Wanted);
+  Piece Wished = Make(Range.m_first, Last);
+  if (Better(Wished))
+    return Wished;
+  if (Last > Range.m_first)
+    if (Piece Before = Make(Range.m_first, Last - 1); Better(Before))
+      return Before;
+  if (Last < Range.m_last)
+    if (Piece Behind = Make(Last + 1, Range.m_last); Better(Behind))
+      return Behind;
+  return std::nullopt;
+}
+
 std::vector<Piece> cutPieces(const std::vector<KeyRange> &Free,
                              const Weigher &Weight, double PieceLoad) {
   std::vector<Piece> Pieces;
@@ -264,20 +297,19 @@
         std::min(std::max(Surplus, Newcomer ? Gap / NewcomerParts : 0), Gap);
     if (Wanted <= 0)
       break;
-    std::uint32_t Last = Weight.reach(Range->m_first, Range->m_last, Wanted);
-    double Moved = Weight.of(Range->m_first, Last);
-    bool Better =
-        (To->m_load + Moved) / To->m_candidate->m_capacity < From->busyness();
-    if (!Better)
+    auto Chosen = choosePiece(*Range, *From, *To, Wanted, Weight);
+    if (!Chosen)
       break;
-    From->m_load -= Moved;
-    To->m_load += Moved;
-    To->m_keys += Last - Range->m_first + 1;
-    Moves.push_back({Range->m_first, Last, To->m_candidate->m_id});
-    if (Last == Range->m_last)
-      Range->m_owner = UpstreamId();
+    From->m_load -= Chosen->m_load;
+    To->m_load += Chosen->m_load;
+    To->m_keys += Chosen->m_last - Chosen->m_first + 1;
+    Moves.push_back({Chosen->m_first, Chosen->m_last, To->m_candidate->m_id});
+    if (Chosen->m_first > Range->m_first)
+      Range->m_last = Chosen->m_first - 1;
+    else if (Chosen->m_last < Range->m_last)
+      Range->m_first = Chosen->m_last + 1;
     else
-      Range->m_first = Last + 1;
+      Range->m_owner = UpstreamId();
   }
   return Moves;
 }
--- a/src/libgateway/peer_loads.cpp
+++ b/src/libgateway/peer_loads.cpp
@@ -1,6 +1,7 @@
 #include "burdockpulley/peer_loads.h"
 
 #include "burdockpulley/hashing.h"
+#include "burdockpulley/upstream_selection.h"
 
 #include <algorithm>
 
@@ -52,10 +53,11 @@
   Row &Which = m_hosts[Host];
   count(Which.m_load, -1);
   for (const PeerUpstreamLoad &Each : Told.m_upstreams) {
-    if (!Each.m_reported)
-      continue;
     UpstreamRow *Known = rowOf(Each.m_upstream);
-    if (!Known || Now - Each.m_reportAge <= Known->m_reportAt)
+    if (Known)
+      learnSpeed(*Known, Each.m_speed, Each.m_speedSamples);
+    if (!Known || !Each.m_reported ||
+        Now - Each.m_reportAge <= Known->m_reportAt)
       continue;
     Known->m_report = Each.m_report;
     Known->m_reportAt = Now - Each.m_reportAge;
--- a/src/libgateway/peer_news.cpp
+++ b/src/libgateway/peer_news.cpp
@@ -37,6 +37,9 @@
   Load.m_outstanding =
       static_cast<std::uint32_t>(std::max(News.outstanding, 0));
   Load.m_waiting = static_cast<std::uint32_t>(std::max(News.hostWaiting, 0));
+  Load.m_speed = News.speedPercent / Percent;
+  Load.m_speedSamples =
+      static_cast<std::uint32_t>(std::max(News.speedSamples, 0));
   Load.m_reported = News.__isset.reportAgeMillis;
   if (!Load.m_reported)
     return Load;
@@ -101,13 +104,21 @@
   wire::HostNews News;
   News.stopping = m_state.m_stopping;
   News.coordinatorEpoch = m_coordinator.epoch();
-  for (const auto &[Id, Row] : m_state.m_registry.rows()) {
+  for (auto &[Id, Row] : m_state.m_registry.rows()) {
     bool Fresh = Now - Row.m_reportAt < FreshReport;
-    if (Row.m_outstanding == 0 && Row.m_waiting == 0 && !Fresh)
+    if (Row.m_outstanding == 0 && Row.m_waiting == 0 && !Fresh &&
+        Row.m_ownSpeedCount == 0)
       continue;
     wire::UpstreamNews Each;
     Each.upstream = shortName(Id.value()).value();
     Each.outstanding = static_cast<std::int32_t>(Row.m_outstanding);
+    if (Row.m_ownSpeedCount > 0) {
+      Each.__set_speedPercent(static_cast<std::int32_t>(
+          Row.m_ownSpeedSum / Row.m_ownSpeedCount * Percent));
+      Each.__set_speedSamples(static_cast<std::int32_t>(Row.m_ownSpeedCount));
+      Row.m_ownSpeedSum = 0;
+      Row.m_ownSpeedCount = 0;
+    }
     if (Row.m_waiting > 0)
       Each.__set_hostWaiting(static_cast<std::int32_t>(Row.m_waiting));
     if (Fresh) {
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -28,6 +28,8 @@
 constexpr std::int64_t MaxDeadlineMillis = 3'600'000;
 /// Sends of one request, with those that no upstream ran.
 constexpr std::uint32_t MaxSends = 4;
+/// How long a request waits for a key that is on its way to another owner.
+constexpr Duration OwnerPatience{500'000};
 /// A leaving owner may serve its keys for this share of the drain time.
 constexpr double OwnerDrainShare = 0.3;
 
@@ -176,26 +178,30 @@
       Each.m_service->m_coldRate, m_state.hosts(), Now);
 }
 
-UpstreamRow *RequestRelay::ownerRow(const Job &Each, Instant Now) {
-  UpstreamId Owner =
-      m_state.m_owners.owner(Each.m_service->m_name, *Each.m_key);
-  UpstreamRow *Row = m_state.m_registry.find(Owner);
-  if (!Row || Row->m_unreachable ||
-      m_state.m_registry.domainOut(Row->m_record.m_domain))
-    return nullptr;
+RequestRelay::Owner RequestRelay::ownerOf(const Job &Each, Instant Now) {
+  UpstreamRow *Row = m_state.m_registry.find(
+      m_state.m_owners.owner(Each.m_service->m_name, *Each.m_key));
+  if (!Row)
+    return {nullptr, false};
+  if (Row->m_unreachable)
+    return {nullptr, true};
   Duration Allowed(static_cast<std::int64_t>(
       static_cast<double>(m_state.m_settings.m_drain.count()) *
       OwnerDrainShare));
-  if (Row->leaving() && Now - Row->m_leftAt > Allowed)
-    return nullptr;
-  return Row;
+  bool Left = Row->leaving() && Now - Row->m_leftAt > Allowed;
+  if (Left || m_state.m_registry.domainOut(Row->m_record.m_domain))
+    return {nullptr, false};
+  return {Row, false};
 }
 
 UpstreamRow *RequestRelay::chooseRow(const Job &Each, bool &MayWait,
                                      Instant Now) {
   if (Each.m_key) {
-    MayWait = true;
-    UpstreamRow *Row = ownerRow(Each, Now);
+    Owner Known = ownerOf(Each, Now);
+    // A lost owner is replaced in seconds, one on its way in a moment.
+    bool Patient = Now - Each.m_arrived <= OwnerPatience;
+    MayWait = Known.m_row || (!Known.m_lost && Patient);
+    UpstreamRow *Row = Known.m_row;
     return Row && hasRoom(*Row) && mayBeCold(*Row, Each, Now) ? Row : nullptr;
   }
   std::vector<UpstreamRow *> Rows =
@@ -244,7 +250,7 @@
 ServiceCapacity RequestRelay::capacityFor(const Job &Each, Instant Now) {
   ServiceCapacity Capacity;
   if (Each.m_key) {
-    const UpstreamRow *Row = ownerRow(Each, Now);
+    const UpstreamRow *Row = ownerOf(Each, Now).m_row;
     // Until the owner is known, nothing speaks against waiting for it.
     Capacity.m_slots = Row ? Row->m_record.m_slots / slownessFactor(*Row, Now)
                            : std::numeric_limits<double>::max();
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -94,7 +94,11 @@
   /// Sends a request if there is room. False when it has to wait.
   bool place(Job &Each, Instant Now);
   UpstreamRow *chooseRow(const Job &Each, bool &MayWait, Instant Now);
-  UpstreamRow *ownerRow(const Job &Each, Instant Now);
+  struct Owner {
+    UpstreamRow *m_row = nullptr; ///< Null when nothing may be sent to it.
+    bool m_lost = false;          ///< It does not answer any more.
+  };
+  Owner ownerOf(const Job &Each, Instant Now);
   bool mayBeCold(const UpstreamRow &Row, const Job &Each, Instant Now);
   void wait(Job &Each, Instant Now);
   void send(Job &Each, UpstreamRow &Row, Instant Now);
--- a/src/libgateway/upstream_selection.cpp
+++ b/src/libgateway/upstream_selection.cpp
@@ -10,9 +10,9 @@
 /// Weight of one answer in the mean of a route's service time.
 constexpr double ServiceTimeWeight = 0.05;
 /// Weight of one answer in an upstream's speed.
-constexpr double SpeedWeight = 0.06;
+constexpr double SpeedWeight = 0.02;
 /// Answers until an upstream's own speed is believed in full.
-constexpr std::uint32_t SpeedWarmUp = 12;
+constexpr std::uint32_t SpeedWarmUp = 8;
 constexpr double MinSpeed = 0.3;
 constexpr double MaxSpeed = 20;
 /// One answer moves the speed by no more than this ratio of it.
@@ -109,10 +109,19 @@
   double Sample = static_cast<double>(Spent.count()) /
                   (static_cast<double>(Expected.count()) * Known);
   Sample = std::clamp(Sample, MinSpeed, Row.m_speed * MaxSpeedSample);
-  ++Row.m_speedSamples;
+  Row.m_ownSpeedSum += Sample;
+  ++Row.m_ownSpeedCount;
+  learnSpeed(Row, Sample, 1);
+}
+
+void learnSpeed(UpstreamRow &Row, double Mean, std::uint32_t Samples) {
+  if (Samples == 0)
+    return;
+  Row.m_speedSamples += Samples;
   double Weight =
       std::max(SpeedWeight, 1.0 / (Row.m_speedSamples + SpeedWarmUp));
-  Row.m_speed = std::clamp(Row.m_speed + (Sample - Row.m_speed) * Weight,
+  Weight = 1 - std::pow(1 - Weight, Samples);
+  Row.m_speed = std::clamp(Row.m_speed + (Mean - Row.m_speed) * Weight,
                            MinSpeed, MaxSpeed);
 }
 
