gateway: a refused connection shows no dead process

Cause: a zone that is cut off may refuse connections rather than drop them. The coordinator took the refusal for the end of the upstream's process and gave its keys away at once, while the upstream held them for two more seconds. Ruled out: asking hosts of the upstream's own zone, since single upstreams are cut off in the same way. Conclusion: a refusal is treated as silence.

--- a/src/include/burdockpulley/key_coordinator.h
+++ b/src/include/burdockpulley/key_coordinator.h
@@ -34,7 +34,7 @@
   Superseded, ///< The upstream has seen a higher token.
   NotSent,    ///< It has certainly not reached the upstream.
   Unanswered, ///< It may have been carried out, or may be later.
-  Dead,       ///< The upstream's port is closed: its process has ended.
+  Dead,       ///< Another upstream has the address: its process has ended.
 };
 
 /// Decides who owns the keys of one service, while this host coordinates.
