gateway: renewals stay on the connection that took the first grant

Ruled out: recognising the start from the answer, which does not tell it. Change: a renewal names its connection; keys of an upstream that has restarted are released like any others; a first grant is sent within 300 ms of its write or gets a new token.

--- a/src/include/burdockpulley/channel_pool.h
+++ b/src/include/burdockpulley/channel_pool.h
@@ -40,7 +40,8 @@
   bool m_sent = false;    ///< Bytes may have reached the server.
   bool m_refused = false; ///< The server's port refused the connection.
   HttpResponse m_response;
-  Duration m_spent{}; ///< From the call to its end.
+  std::uint64_t m_connection = 0; ///< Counts the pool's connections from one.
+  Duration m_spent{};             ///< From the call to its end.
 };
 
 /// Settings of a pool.
@@ -69,9 +70,8 @@
 public:
   using Callback = std::function<void(ChannelResult &&)>;
 
-  /// Which kept connections a call may use; see HttpClient::Reuse. Required
-  /// takes no other: without one the call ends with ConnectFailed.
-  enum class Reuse { Any, RecentlyUsed, Required };
+  /// Which kept connections a call may use; see HttpClient::Reuse.
+  enum class Reuse { Any, RecentlyUsed };
 
   /// Precondition: \p Base outlives the pool.
   ChannelPool(event_base *Base, const Endpoint &Server,
@@ -82,9 +82,13 @@
 
   /// Sends a request. \p Done runs once, later, on the loop's thread, at the
   /// latest when \p Timeout is over, unless the call is cancelled. \p EchoId is
-  /// what the answer must repeat; empty accepts any answer.
+  /// what the answer must repeat; empty accepts any answer. A \p Connection
+  /// that is not zero is the only one to be used (see
+  /// ChannelResult::m_connection): if it is not there and idle, the call ends
+  /// with ConnectFailed.
   ChannelCallId call(const HttpRequest &Request, const std::string &EchoId,
-                     Duration Timeout, Reuse Allowed, Callback Done);
+                     Duration Timeout, Reuse Allowed, Callback Done,
+                     std::uint64_t Connection = 0);
 
   /// Gives a call up; its connection is closed and \p Done does not run.
   void cancel(ChannelCallId Call);
@@ -106,6 +110,7 @@
 private:
   friend class detail::Channel;
   detail::Channel *take(Reuse Allowed, Instant Now);
+  detail::Channel *takeOnly(std::uint64_t Connection, Instant Now);
   void release(detail::Channel *Which, bool Reusable);
   void endRefused();
   void reap();
--- a/src/include/burdockpulley/key_coordinator.h
+++ b/src/include/burdockpulley/key_coordinator.h
@@ -17,8 +17,9 @@
   OrderNumber m_number;
   KeyRange m_range;
   Duration m_hold{};
-  /// True for the first grant under a token. A renewal must not open a new
-  /// connection: another start of the upstream might be behind it.
+  /// True for the first grant under a token. Renewals must go over the
+  /// connection that took the first grant: behind another one might be another
+  /// start of the upstream.
   bool m_first = false;
 };
 
@@ -62,6 +63,8 @@
     double m_clockSlack = 0.02;
     /// How long a sent grant may be on its way.
     Duration m_deliverySlack = std::chrono::milliseconds(300);
+    /// How long after a write the grants that it allows may first be sent.
+    Duration m_firstGrantTime = std::chrono::milliseconds(300);
     /// How long an upstream that nothing reaches keeps keys reserved.
     Duration m_confirmTime = std::chrono::milliseconds(700);
     Duration m_planEvery = std::chrono::milliseconds(250);
--- a/src/libgateway/coordinator_driver.cpp
+++ b/src/libgateway/coordinator_driver.cpp
@@ -31,6 +31,8 @@
 /// come sooner, as long as they are not busy.
 constexpr double SpeedPower = 1.6;
 constexpr double MinWorkSeconds = 0.001;
+/// Is no number of a connection.
+constexpr std::uint64_t NoConnection = ~std::uint64_t(0);
 constexpr Duration GrantTimeout{400'000};
 constexpr Duration ReleaseTimeout{2'000'000};
 
@@ -68,13 +70,15 @@
   if (!Next.m_allowed())
     return;
   m_busy = true;
-  m_pool.call(Next.m_request, "", Next.m_timeout, Next.m_reuse,
-              [this, Done = std::move(Next.m_done)](ChannelResult &&Result) {
-                m_busy = false;
-                Done(std::move(Result));
-                if (!m_busy)
-                  startNext();
-              });
+  m_pool.call(
+      Next.m_request, "", Next.m_timeout, ChannelPool::Reuse::Any,
+      [this, Done = std::move(Next.m_done)](ChannelResult &&Result) {
+        m_busy = false;
+        Done(std::move(Result));
+        if (!m_busy)
+          startNext();
+      },
+      Next.m_connection);
 }
 
 CoordinatorDriver::CoordinatorDriver(GatewayState &State, WatchedStore &Source)
@@ -381,6 +385,12 @@
             {"version", Which.m_writing->m_version},
             {"ranges", Which.m_writing->m_ranges.size()},
             {"epoch", m_epoch}});
+  std::set<FencingToken> InUse;
+  for (const KeyRange &Range : Which.m_writing->m_ranges)
+    InUse.insert(Range.m_token);
+  std::erase_if(Which.m_connectionOf, [&InUse](const auto &Each) {
+    return !InUse.count(Each.first);
+  });
   Which.m_tableVersion = Commit->m_version;
   Which.m_writing.reset();
   Which.m_keys.onWritten(Now);
@@ -430,8 +440,11 @@
                                           bootClockNow());
   OrderLine::Order Next;
   Next.m_request = m_state.m_dialect.encodeGrant(Order);
-  Next.m_reuse =
-      Order.m_first ? ChannelPool::Reuse::Any : ChannelPool::Reuse::Required;
+  if (!Order.m_first) {
+    const auto &Known = office(Service).m_connectionOf;
+    auto Found = Known.find(Order.m_range.m_token);
+    Next.m_connection = Found == Known.end() ? NoConnection : Found->second;
+  }
   Next.m_timeout = GrantTimeout;
   Next.m_allowed = [this, Epoch = m_epoch] {
     return Epoch == m_epoch && mayAct(bootClockNow());
@@ -457,6 +470,8 @@
                 {"outcome", static_cast<int>(Outcome)},
                 {"error", toString(Result.m_error)},
                 {"spent_ms", Result.m_spent.count() / 1000}});
+    if (Outcome == GrantOutcome::Granted && Order.m_first)
+      Which.m_connectionOf[Order.m_range.m_token] = Result.m_connection;
     if (Outcome == GrantOutcome::Dead) {
       Which.m_dead.insert({Order.m_range.m_owner, Order.m_range.m_birth});
       m_state.m_registry.onUnreachable(Order.m_range.m_owner, Now);
--- a/src/libgateway/coordinator_driver.h
+++ b/src/libgateway/coordinator_driver.h
@@ -21,7 +21,8 @@
 
   struct Order {
     HttpRequest m_request;
-    ChannelPool::Reuse m_reuse;
+    /// The one connection over which it may go; zero for any.
+    std::uint64_t m_connection = 0;
     Duration m_timeout{};
     std::function<bool()> m_allowed; ///< Asked right before it is sent.
     ChannelPool::Callback m_done;
@@ -86,6 +87,8 @@
     bool m_callInFlight = false;
     Instant m_nextCall;
     std::uint32_t m_toldStep = 0;
+    /// The connection that took the first grant under each token.
+    std::map<FencingToken, std::uint64_t> m_connectionOf;
     /// Processes found to have ended.
     std::set<std::pair<UpstreamId, UpstreamBirth>> m_dead;
   };
--- a/src/libgateway/key_coordinator.cpp
+++ b/src/libgateway/key_coordinator.cpp
@@ -124,8 +124,7 @@
   auto Found = Candidates.find(Which.m_range.m_owner);
   const KeyCandidate *Owner =
       Found == Candidates.end() ? nullptr : &Found->second;
-  bool Dead = Owner && (Owner->m_dead ||
-                        Owner->m_birth.value() > Which.m_range.m_birth.value());
+  bool Dead = Owner && Owner->m_dead;
   bool Granted = Which.m_heldUntil != Instant();
   bool Expired = Granted && Now >= Which.m_heldUntil;
   bool OutOfReach = !Granted && Which.m_order.value() == 0 &&
@@ -140,7 +139,10 @@
       makeFree(Which);
     return;
   }
-  bool MustLeave = !Owner || Owner->m_mustLeave;
+  // It is not known which start has taken the last grant, so a restart alone
+  // does not free the keys.
+  bool Restarted = Owner && Owner->m_birth > Which.m_range.m_birth;
+  bool MustLeave = !Owner || Owner->m_mustLeave || Restarted;
   if (MustLeave || Which.m_moveWanted)
     startRelease(Which, Now);
 }
@@ -158,6 +160,10 @@
     Out.m_releases.push_back({Which.m_order, Which.m_range});
     return;
   }
+  // A first grant that could not be sent soon after its write is not sent any
+  // more: another host may coordinate by now, and only a write shows that.
+  if (!Which.m_confirmed && Now - Which.m_since > m_settings.m_firstGrantTime)
+    Which.m_raise = true;
   if (Which.m_raise)
     return;
   bool Lengthen = !StoreInReach && !Which.m_longHold && Which.m_confirmed;
--- a/src/libhttp/channel.cpp
+++ b/src/libhttp/channel.cpp
@@ -59,8 +59,8 @@
 
 } // namespace
 
-Channel::Channel(ChannelPool &Owner, event_base *Base)
-    : m_owner(Owner), m_base(Base),
+Channel::Channel(ChannelPool &Owner, event_base *Base, std::uint64_t Number)
+    : m_owner(Owner), m_base(Base), m_number(Number),
       m_timer(evtimer_new(
           Base,
           [](int, short, void *Self) {
@@ -221,6 +221,7 @@
     m_idleLimit = std::min(m_owner.m_settings.m_idleTimeout,
                            std::max(Duration(), Announced - IdleMargin));
   ChannelResult Result;
+  Result.m_connection = m_number;
   Result.m_response = std::move(Response);
   Result.m_sent = true;
   Instant Now = bootClockNow();
@@ -265,6 +266,7 @@
 
 void Channel::end(ChannelError Error, bool Reusable) {
   ChannelResult Result;
+  Result.m_connection = m_number;
   Result.m_error = Error;
   Result.m_sent = m_connected;
   Result.m_refused = m_refused;
--- a/src/libhttp/channel.h
+++ b/src/libhttp/channel.h
@@ -13,7 +13,8 @@
 /// Thread safety: none; it belongs to the loop's thread.
 class Channel {
 public:
-  Channel(ChannelPool &Owner, event_base *Base);
+  /// \p Number counts the owner's connections.
+  Channel(ChannelPool &Owner, event_base *Base, std::uint64_t Number);
   ~Channel();
   Channel(const Channel &) = delete;
   Channel &operator=(const Channel &) = delete;
@@ -25,6 +26,7 @@
   /// Drops the call without running its callback.
   void drop();
 
+  std::uint64_t number() const { return m_number; }
   ChannelCallId callId() const { return m_call; }
   bool dead() const { return m_dead; }
   bool idleTooLong(Instant Now) const { return Now >= m_idleUntil; }
@@ -44,6 +46,7 @@
 
   ChannelPool &m_owner;
   event_base *m_base;
+  std::uint64_t m_number;
   bufferevent *m_stream = nullptr;
   event *m_timer;
   MessageParser m_parser;
--- a/src/libhttp/channel_pool.cpp
+++ b/src/libhttp/channel_pool.cpp
@@ -71,19 +71,29 @@
     m_idle.pop_back();
     return Last;
   }
-  if (Allowed == Reuse::Required)
-    return nullptr;
-  ++m_made;
-  m_channels.push_back(std::make_unique<detail::Channel>(*this, m_base));
+  m_channels.push_back(
+      std::make_unique<detail::Channel>(*this, m_base, ++m_made));
   return m_channels.back().get();
 }
 
+detail::Channel *ChannelPool::takeOnly(std::uint64_t Connection, Instant Now) {
+  for (detail::Channel *Each : m_idle) {
+    if (Each->number() != Connection || Each->dead() || Each->idleTooLong(Now))
+      continue;
+    std::erase(m_idle, Each);
+    return Each;
+  }
+  return nullptr;
+}
+
 ChannelCallId ChannelPool::call(const HttpRequest &Request,
                                 const std::string &EchoId, Duration Timeout,
-                                Reuse Allowed, Callback Done) {
+                                Reuse Allowed, Callback Done,
+                                std::uint64_t Connection) {
   Instant Now = bootClockNow();
   ChannelCallId Call(++m_nextCall);
-  detail::Channel *Which = take(Allowed, Now);
+  detail::Channel *Which =
+      Connection == 0 ? take(Allowed, Now) : takeOnly(Connection, Now);
   if (!Which) {
     m_refused.emplace_back(Call, std::move(Done));
     reapSoon();
