--- a/src/include/burdockpulley/caller_listener.h
+++ b/src/include/burdockpulley/caller_listener.h
@@ -15,7 +15,7 @@
 
 namespace detail {
 class CallerConnection;
-}
+} // namespace detail
 
 /// What a caller may send, and how long it may take.
 struct CallerLimits {
--- a/src/include/burdockpulley/channel_pool.h
+++ b/src/include/burdockpulley/channel_pool.h
@@ -17,7 +17,7 @@
 
 namespace detail {
 class Channel;
-}
+} // namespace detail
 
 /// Names one call within one ChannelPool.
 using ChannelCallId = Strong<struct ChannelCallIdTag, std::uint64_t>;
--- a/src/libhttp/caller_connection.cpp
+++ b/src/libhttp/caller_connection.cpp
@@ -48,7 +48,12 @@
                                    std::string Peer, Instant Now)
     : m_owner(Owner), m_stream(Stream), m_peer(std::move(Peer)),
       m_parser(MessageParser::Kind::Request, parserLimits(Owner.m_limits)),
-      m_since(Now) {
+      m_since(Now), m_resume(event_new(
+                        bufferevent_get_base(Stream), -1, 0,
+                        [](evutil_socket_t, short, void *Self) {
+                          static_cast<CallerConnection *>(Self)->onReadable();
+                        },
+                        this)) {
   bufferevent_setcb(
       m_stream,
       [](bufferevent *, void *Self) {
@@ -72,6 +77,7 @@
     m_exchange = nullptr;
     Left->leave();
   }
+  event_free(m_resume);
   bufferevent_free(m_stream);
 }
 
@@ -161,8 +167,7 @@
   if (Close)
     m_closing = true;
   else if (evbuffer_get_length(bufferevent_get_input(m_stream)) > 0)
-    bufferevent_trigger(m_stream, EV_READ,
-                        BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+    event_active(m_resume, EV_READ, 0);
 }
 
 void CallerConnection::refuse(int Status) {
--- a/src/libhttp/caller_connection.h
+++ b/src/libhttp/caller_connection.h
@@ -5,6 +5,7 @@
 #include "message_parser.h"
 
 struct bufferevent;
+struct event;
 
 namespace burdockpulley::detail {
 
@@ -44,6 +45,7 @@
   MessageParser m_parser;
   Exchange *m_exchange = nullptr;
   Instant m_since; ///< When the present phase began.
+  event *m_resume; ///< Goes on with input that came behind a request.
   bool m_keepAlive = true;
   bool m_closing = false;   ///< No more requests are read.
   bool m_lingering = false; ///< All is written; input is read and dropped.
--- a/src/libhttp/caller_listener.cpp
+++ b/src/libhttp/caller_listener.cpp
@@ -70,6 +70,7 @@
 CallerListener::~CallerListener() {
   if (m_listener)
     evconnlistener_free(m_listener);
+  m_listener = nullptr;
   while (!m_connections.empty())
     remove(*m_connections.begin());
 }
