--- /dev/null
+++ b/src/libgateway/wait_queue_test.cpp
@@ -0,0 +1,155 @@
+#include "burdockpulley/wait_queue.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+using namespace burdockpulley;
+
+namespace {
+
+constexpr Duration Millisecond{1000};
+
+Instant at(std::int64_t Milliseconds) {
+  return Instant(Millisecond * (1'000'000 + Milliseconds));
+}
+
+WaitingRequest request(std::uint64_t Number, std::int64_t Arrived,
+                       std::uint32_t Priority = 1) {
+  WaitingRequest Made;
+  Made.m_number = RequestNumber(Number);
+  Made.m_priority = Priority;
+  Made.m_workTime = Millisecond * 60;
+  Made.m_goal = at(Arrived + 200);
+  Made.m_deadline = at(Arrived + 1200);
+  return Made;
+}
+
+struct Served {
+  int m_inGoal = 0;
+  int m_late = 0;
+  int m_refused = 0;
+  std::int64_t m_longestRefusedWait = 0;
+};
+
+/// Replays a load on four slots: each millisecond some requests come, and
+/// slots that are free take the next one. \p FirstComeFirstServed is the
+/// baseline: a plain queue that refuses at the deadline.
+Served replay(const std::vector<std::int64_t> &Arrivals,
+              bool FirstComeFirstServed) {
+  constexpr std::size_t Slots = 4;
+  constexpr std::int64_t Work = 60;
+  WaitQueue Queue;
+  std::vector<RequestNumber> Line;
+  std::vector<std::int64_t> Busy;
+  Served Result;
+  std::size_t Next = 0;
+  for (std::int64_t Now = 0; Now < Arrivals.back() + 3000; ++Now) {
+    std::erase_if(Busy, [Now](std::int64_t Until) { return Until <= Now; });
+    for (; Next < Arrivals.size() && Arrivals[Next] == Now; ++Next) {
+      if (FirstComeFirstServed)
+        Line.push_back(RequestNumber(Next));
+      else if (Queue.offer(request(Next, Now), {Slots, Busy.size() / 2},
+                           at(Now)))
+        ++Result.m_refused;
+    }
+    for (RequestNumber Lost : Queue.giveUp(at(Now))) {
+      ++Result.m_refused;
+      Result.m_longestRefusedWait =
+          std::max(Result.m_longestRefusedWait, Now - Arrivals[Lost.value()]);
+    }
+    std::vector<RequestNumber> Order =
+        FirstComeFirstServed ? Line : Queue.order(at(Now));
+    for (RequestNumber Number : Order) {
+      if (Busy.size() == Slots)
+        break;
+      std::int64_t Spent = Now + Work - Arrivals[Number.value()];
+      if (FirstComeFirstServed) {
+        Line.erase(Line.begin());
+        if (Spent > 1200) {
+          ++Result.m_refused;
+          continue;
+        }
+      } else {
+        Queue.remove(Number);
+      }
+      Busy.push_back(Now + Work);
+      ++(Spent <= 200 ? Result.m_inGoal : Result.m_late);
+    }
+  }
+  return Result;
+}
+
+/// A burst of twice what four slots bear, for three seconds, in a steady load
+/// of half of it.
+std::vector<std::int64_t> burst() {
+  std::mt19937_64 Random(20261204);
+  std::vector<std::int64_t> Arrivals;
+  for (std::int64_t Now = 0; Now < 9000; ++Now) {
+    double PerMillisecond = Now >= 3000 && Now < 6000 ? 0.133 : 0.033;
+    if (std::uniform_real_distribution<double>(0, 1)(Random) < PerMillisecond)
+      Arrivals.push_back(Now);
+  }
+  return Arrivals;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_burst_makes_some_answers_late_rather_than_all) {
+  Served Ours = replay(burst(), false);
+  Served Baseline = replay(burst(), true);
+  BOOST_TEST_MESSAGE("in goal " << Ours.m_inGoal << " against "
+                                << Baseline.m_inGoal);
+  BOOST_TEST(Ours.m_inGoal > Baseline.m_inGoal * 5 / 4);
+  BOOST_TEST(Ours.m_inGoal + Ours.m_late >=
+             (Baseline.m_inGoal + Baseline.m_late) * 9 / 10);
+}
+
+BOOST_AUTO_TEST_CASE(what_can_not_be_served_is_refused_when_it_comes) {
+  WaitQueue Queue;
+  std::uint64_t Number = 0;
+  while (!Queue.offer(request(Number, 0), {4, 0}, at(0)))
+    ++Number;
+  // 1,200 ms are enough for about 80 requests of 60 ms on four slots.
+  BOOST_TEST(Number > 60u);
+  BOOST_TEST(Number < 90u);
+  BOOST_TEST(Queue.size() == Number);
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_wait_at_peers_count) {
+  WaitQueue Queue;
+  BOOST_TEST(!Queue.offer(request(1, 0), {4, 20}, at(0)).has_value());
+  BOOST_TEST(Queue.offer(request(2, 0), {4, 200}, at(0)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_says_when_to_come_back) {
+  WaitQueue Queue;
+  auto Refused = Queue.offer(request(1, 0), {4, 400}, at(0));
+  BOOST_REQUIRE(Refused);
+  BOOST_TEST((Refused->m_retryAfter >= Millisecond * 50));
+  BOOST_TEST((Refused->m_retryAfter <= Millisecond * 1000));
+}
+
+BOOST_AUTO_TEST_CASE(the_more_urgent_go_first_and_none_is_held_when_lost) {
+  WaitQueue Queue;
+  Queue.offer(request(1, 0, 2), {4, 0}, at(0));
+  Queue.offer(request(2, 0, 0), {4, 0}, at(0));
+  Queue.offer(request(3, 0, 1), {4, 0}, at(0));
+  auto Order = Queue.order(at(10));
+  BOOST_REQUIRE(Order.size() == 3u);
+  BOOST_TEST(Order[0].value() == 2u);
+  BOOST_TEST(Order[1].value() == 3u);
+  BOOST_TEST(Queue.giveUp(at(1100)).empty());
+  BOOST_TEST(Queue.giveUp(at(1170)).size() == 3u);
+  BOOST_TEST(Queue.size() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(those_that_can_meet_their_goal_go_before_those_late) {
+  WaitQueue Queue;
+  Queue.offer(request(1, 0), {4, 0}, at(0));
+  Queue.offer(request(2, 180), {4, 0}, at(180));
+  auto Order = Queue.order(at(250));
+  BOOST_TEST(Order[0].value() == 2u);
+}
