--- a/src/include/burdockpulley/store_state.h
+++ b/src/include/burdockpulley/store_state.h
@@ -25,6 +25,9 @@
   /// Renews a lease; false when it is gone.
   bool keepAlive(StoreLease Lease, Instant Now);
 
+  /// Ends a lease; its keys are deleted with the next expire().
+  void endLease(StoreLease Lease, Instant Now);
+
   /// Ends leases whose time is over and deletes their keys.
   void expire(Instant Now);
 
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -17,6 +17,8 @@
 #include <event2/event.h>
 
 #include <algorithm>
+#include <cstdio>
+#include <fstream>
 
 namespace burdockpulley {
 
@@ -76,16 +78,21 @@
   }
 
   bool start() {
-    const GatewaySettings &Settings = m_state.m_settings;
-    if (!m_callers.listen(Settings.m_listen))
-      return refuseToStart(Settings.m_listen);
-    if (!m_ready.listen(Settings.m_readyListen))
-      return refuseToStart(Settings.m_readyListen);
-    if (!m_news.listen(Settings.m_peerListen))
-      return refuseToStart(Settings.m_peerListen);
-    if (!Settings.m_metricsListen.m_address.empty() &&
-        !m_metrics.listen(Settings.m_metricsListen))
-      return refuseToStart(Settings.m_metricsListen);
+    GatewaySettings &Settings = m_state.m_settings;
+    bool HasMetrics = !Settings.m_metricsListen.m_address.empty();
+    bool Bound =
+        bind(Settings.m_listen,
+             [this](const Endpoint &At) { return m_callers.listen(At); }) &&
+        bind(Settings.m_readyListen,
+             [this](const Endpoint &At) { return m_ready.listen(At); }) &&
+        bind(Settings.m_peerListen,
+             [this](const Endpoint &At) { return m_news.listen(At); }) &&
+        (!HasMetrics ||
+         bind(Settings.m_metricsListen,
+              [this](const Endpoint &At) { return m_metrics.listen(At); }));
+    if (!Bound)
+      return false;
+    writePorts();
     m_tick = std::make_unique<RepeatingTimer>(
         m_state.m_base, TickEvery, [this](Instant Now) { tick(Now); });
     m_sweep = std::make_unique<RepeatingTimer>(
@@ -118,13 +125,35 @@
     return std::max(MinCallers, Settings.m_descriptors - Reserved);
   }
 
-  static bool refuseToStart(const Endpoint &Where) {
+  /// Listens at an address, and puts the bound port into it.
+  template <class Listen> static bool bind(Endpoint &Where, Listen At) {
+    std::uint16_t Port = At(Where);
+    if (Port != 0) {
+      Where.m_port = Port;
+      return true;
+    }
     logEvent(Severity::Error, "address_not_available",
              {{"address", toString(Where)}});
     flushEventLog();
     return false;
   }
 
+  void writePorts() const {
+    const GatewaySettings &Settings = m_state.m_settings;
+    if (Settings.m_portFile.empty())
+      return;
+    std::string Draft = Settings.m_portFile + ".draft";
+    std::ofstream Output(Draft);
+    for (const Endpoint *Each :
+         {&Settings.m_listen, &Settings.m_readyListen, &Settings.m_peerListen,
+          &Settings.m_metricsListen})
+      Output << Each->m_port << "\n";
+    Output.close();
+    if (!Output || std::rename(Draft.c_str(), Settings.m_portFile.c_str()) != 0)
+      logEvent(Severity::Error, "port_file_not_written",
+               {{"file", Settings.m_portFile}});
+  }
+
   bool ready() const {
     return !m_state.m_stopping && m_follower.loaded() &&
            m_state.m_routes.current() != nullptr;
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -38,6 +38,7 @@
       cxxopts::value<Text>());
   Add("retry-allowance", "repeats beside the ratio, of all hosts",
       cxxopts::value<Text>());
+  Add("port-file", "file that gets the bound ports", cxxopts::value<Text>());
   Add("print-settings", "print the settings and end");
   Add("help", "print this and end");
   return Options;
@@ -52,6 +53,7 @@
   Settings.m_metricsListen = Reader.endpoint("metrics-listen", false);
   Settings.m_store = Reader.endpoint("store");
   Reader.number("descriptors", Settings.m_descriptors);
+  Settings.m_portFile = Reader.text("port-file", false);
   Reader.duration("drain", Settings.m_drain);
   Reader.duration("stop-time", Settings.m_stopTime);
   Reader.duration("max-hold", Settings.m_maxHold);
--- a/src/libgateway/peer_gossip.cpp
+++ b/src/libgateway/peer_gossip.cpp
@@ -56,19 +56,22 @@
     close(m_socket);
 }
 
-bool PeerGossip::listen(const Endpoint &Where) {
+std::uint16_t PeerGossip::listen(const Endpoint &Where) {
   m_socket = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   sockaddr_in Address = socketAddress(Where);
   if (m_socket < 0 || bind(m_socket, reinterpret_cast<sockaddr *>(&Address),
                            sizeof(Address)) != 0)
-    return false;
+    return 0;
   m_event = event_new(
       m_base, m_socket, EV_READ | EV_PERSIST,
       [](evutil_socket_t, short, void *Self) {
         static_cast<PeerGossip *>(Self)->receive();
       },
       this);
-  return event_add(m_event, nullptr) == 0;
+  event_add(m_event, nullptr);
+  socklen_t Size = sizeof(Address);
+  getsockname(m_socket, reinterpret_cast<sockaddr *>(&Address), &Size);
+  return ntohs(Address.sin_port);
 }
 
 void PeerGossip::addPeer(const HostId &Host, const Endpoint &Where) {
--- a/src/libgateway/peer_gossip.h
+++ b/src/libgateway/peer_gossip.h
@@ -29,8 +29,9 @@
   PeerGossip(const PeerGossip &) = delete;
   PeerGossip &operator=(const PeerGossip &) = delete;
 
-  /// False when the address can not be had.
-  bool listen(const Endpoint &Where);
+  /// Port 0 takes a free one. Returns the bound port, or 0 when the address can
+  /// not be had.
+  std::uint16_t listen(const Endpoint &Where);
 
   /// Nothing is sent or taken until the key is known.
   void setKey(const std::string &Key) { m_key = Key; }
--- a/src/libgateway/peer_news.h
+++ b/src/libgateway/peer_news.h
@@ -18,7 +18,8 @@
   PeerNews(GatewayState &State, RequestRelay &Relay,
            CoordinatorDriver &Coordinator);
 
-  bool listen(const Endpoint &Where) { return m_gossip.listen(Where); }
+  /// See PeerGossip::listen().
+  std::uint16_t listen(const Endpoint &Where) { return m_gossip.listen(Where); }
   void setKey(const std::string &Key) { m_gossip.setKey(Key); }
   void addPeer(const HostId &Host, const Endpoint &Where) {
     m_gossip.addPeer(Host, Where);
--- a/src/libstore/store_state.cpp
+++ b/src/libstore/store_state.cpp
@@ -57,6 +57,12 @@
   return true;
 }
 
+void StoreState::endLease(StoreLease Lease, Instant Now) {
+  auto Found = m_leases.find(Lease);
+  if (Found != m_leases.end())
+    Found->second.m_end = Now;
+}
+
 void StoreState::expire(Instant Now) {
   for (auto Lease = m_leases.begin(); Lease != m_leases.end();) {
     if (Lease->second.m_end > Now) {
