gateway: one host of a domain watches the store; less is told across domains

Ruled out: longer pauses between watches, which drains do not allow. Change: the first host of a failure domain by name passes on what its watch brings; the others watch only when they hear nothing for 1 s. Far hosts are told of load every third time, of owners at most every 50 ms, and without what they do not need.

--- a/src/libgateway/gateway.thrift
+++ b/src/libgateway/gateway.thrift
@@ -66,6 +66,20 @@
   2: string upstream,
 }
 
+struct StoreEventNews {
+  1: string key,
+  2: binary value,
+  3: i64 version,
+  4: bool removed,
+}
+
+// What a watch of the store has brought, passed on within a failure domain.
+struct StoreNews {
+  1: i64 after,
+  2: i64 version,
+  3: list<StoreEventNews> events,
+}
+
 // One datagram; the body is one of the messages above.
 struct Datagram {
   1: string host,
@@ -74,4 +88,5 @@
   4: optional KeyTableRecord table,
   5: optional KeyLoadNews load,
   6: optional CrashNews crash,
+  7: optional StoreNews store,
 }
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -67,13 +67,21 @@
                   }) {
     m_coordinator.m_onView = [this](const KeyTable &Table, std::uint32_t Step) {
       m_state.m_owners.apply(Table, Step);
-      m_news.tellTable(Table, Step);
+      m_news.onTableChanged(bootClockNow());
       m_relay.dispatchWaiting(bootClockNow());
     };
     m_coordinator.m_onUpstreamDown = [this](const UpstreamId &Which,
                                             Instant Now) {
       m_relay.onUpstreamDown(Which, Now);
     };
+    m_follower.m_onWatched = [this](StoreVersion After,
+                                    const StoreEvents &Changes) {
+      m_news.tellStore(After, Changes);
+    };
+    m_news.m_onStoreNews = [this](StoreVersion After,
+                                  const StoreEvents &Changes) {
+      m_follower.onRelayed(After, Changes, bootClockNow());
+    };
     m_news.m_onChange = [this] { m_relay.dispatchWaiting(bootClockNow()); };
   }
 
@@ -171,6 +179,7 @@
   }
 
   void tick(Instant Now) {
+    m_follower.setWatches(m_news.watchesStore(Now));
     m_follower.tick(Now);
     if (m_follower.loaded())
       m_coordinator.onRegistryLoaded(Now);
@@ -253,9 +262,12 @@
 
   void onHost(const StoreEntry &Entry) {
     Endpoint Where;
-    if (parseEndpoint(Entry.m_value, Where))
+    std::size_t Blank = std::min(Entry.m_value.find(' '), Entry.m_value.size());
+    bool Readable = Blank < Entry.m_value.size() &&
+                    parseEndpoint(Entry.m_value.substr(0, Blank), Where);
+    if (Readable)
       m_news.addPeer(HostId(Entry.m_key.substr(store_keys::Hosts.size())),
-                     Where);
+                     Where, DomainId(Entry.m_value.substr(Blank + 1)));
     else
       logEvent(Severity::Warning, "entry_unreadable", {{"key", Entry.m_key}});
   }
--- a/src/libgateway/gen/gateway_types.cpp
+++ b/src/libgateway/gen/gateway_types.cpp
@@ -1424,6 +1424,338 @@
 }
 
 
+StoreEventNews::~StoreEventNews() noexcept {
+}
+
+
+void StoreEventNews::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void StoreEventNews::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void StoreEventNews::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void StoreEventNews::__set_removed(const bool val) {
+  this->removed = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoreEventNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreEventNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->removed);
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreEventNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreEventNews");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->removed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreEventNews &a, StoreEventNews &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.version, b.version);
+  swap(a.removed, b.removed);
+  swap(a.__isset, b.__isset);
+}
+
+StoreEventNews::StoreEventNews(const StoreEventNews& other56) {
+  key = other56.key;
+  value = other56.value;
+  version = other56.version;
+  removed = other56.removed;
+  __isset = other56.__isset;
+}
+StoreEventNews::StoreEventNews(StoreEventNews&& other57) noexcept {
+  key = std::move(other57.key);
+  value = std::move(other57.value);
+  version = other57.version;
+  removed = other57.removed;
+  __isset = other57.__isset;
+}
+StoreEventNews& StoreEventNews::operator=(const StoreEventNews& other58) {
+  key = other58.key;
+  value = other58.value;
+  version = other58.version;
+  removed = other58.removed;
+  __isset = other58.__isset;
+  return *this;
+}
+StoreEventNews& StoreEventNews::operator=(StoreEventNews&& other59) noexcept {
+  key = std::move(other59.key);
+  value = std::move(other59.value);
+  version = other59.version;
+  removed = other59.removed;
+  __isset = other59.__isset;
+  return *this;
+}
+void StoreEventNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreEventNews(";
+  out << "key=" << to_string(key);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "removed=" << to_string(removed);
+  out << ")";
+}
+
+
+StoreNews::~StoreNews() noexcept {
+}
+
+
+void StoreNews::__set_after(const int64_t val) {
+  this->after = val;
+}
+
+void StoreNews::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void StoreNews::__set_events(const std::vector<StoreEventNews> & val) {
+  this->events = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoreNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->after);
+          this->__isset.after = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->events.clear();
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->events.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
+            {
+              xfer += this->events[_i64].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.events = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreNews");
+
+  xfer += oprot->writeFieldBegin("after", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->after);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->events.size()));
+    std::vector<StoreEventNews> ::const_iterator _iter65;
+    for (_iter65 = this->events.begin(); _iter65 != this->events.end(); ++_iter65)
+    {
+      xfer += (*_iter65).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreNews &a, StoreNews &b) {
+  using ::std::swap;
+  swap(a.after, b.after);
+  swap(a.version, b.version);
+  swap(a.events, b.events);
+  swap(a.__isset, b.__isset);
+}
+
+StoreNews::StoreNews(const StoreNews& other66) {
+  after = other66.after;
+  version = other66.version;
+  events = other66.events;
+  __isset = other66.__isset;
+}
+StoreNews::StoreNews(StoreNews&& other67) noexcept {
+  after = other67.after;
+  version = other67.version;
+  events = std::move(other67.events);
+  __isset = other67.__isset;
+}
+StoreNews& StoreNews::operator=(const StoreNews& other68) {
+  after = other68.after;
+  version = other68.version;
+  events = other68.events;
+  __isset = other68.__isset;
+  return *this;
+}
+StoreNews& StoreNews::operator=(StoreNews&& other69) noexcept {
+  after = other69.after;
+  version = other69.version;
+  events = std::move(other69.events);
+  __isset = other69.__isset;
+  return *this;
+}
+void StoreNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreNews(";
+  out << "after=" << to_string(after);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "events=" << to_string(events);
+  out << ")";
+}
+
+
 Datagram::~Datagram() noexcept {
 }
 
@@ -1455,6 +1787,11 @@
   this->crash = val;
 __isset.crash = true;
 }
+
+void Datagram::__set_store(const StoreNews& val) {
+  this->store = val;
+__isset.store = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -1531,6 +1868,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->store.read(iprot);
+          this->__isset.store = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1576,6 +1921,11 @@
     xfer += this->crash.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.store) {
+    xfer += oprot->writeFieldBegin("store", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->store.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1589,45 +1939,50 @@
   swap(a.table, b.table);
   swap(a.load, b.load);
   swap(a.crash, b.crash);
+  swap(a.store, b.store);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other56) {
-  host = other56.host;
-  sequence = other56.sequence;
-  news = other56.news;
-  table = other56.table;
-  load = other56.load;
-  crash = other56.crash;
-  __isset = other56.__isset;
-}
-Datagram::Datagram(Datagram&& other57) noexcept {
-  host = std::move(other57.host);
-  sequence = other57.sequence;
-  news = std::move(other57.news);
-  table = std::move(other57.table);
-  load = std::move(other57.load);
-  crash = std::move(other57.crash);
-  __isset = other57.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other58) {
-  host = other58.host;
-  sequence = other58.sequence;
-  news = other58.news;
-  table = other58.table;
-  load = other58.load;
-  crash = other58.crash;
-  __isset = other58.__isset;
+Datagram::Datagram(const Datagram& other70) {
+  host = other70.host;
+  sequence = other70.sequence;
+  news = other70.news;
+  table = other70.table;
+  load = other70.load;
+  crash = other70.crash;
+  store = other70.store;
+  __isset = other70.__isset;
+}
+Datagram::Datagram(Datagram&& other71) noexcept {
+  host = std::move(other71.host);
+  sequence = other71.sequence;
+  news = std::move(other71.news);
+  table = std::move(other71.table);
+  load = std::move(other71.load);
+  crash = std::move(other71.crash);
+  store = std::move(other71.store);
+  __isset = other71.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other72) {
+  host = other72.host;
+  sequence = other72.sequence;
+  news = other72.news;
+  table = other72.table;
+  load = other72.load;
+  crash = other72.crash;
+  store = other72.store;
+  __isset = other72.__isset;
   return *this;
 }
-Datagram& Datagram::operator=(Datagram&& other59) noexcept {
-  host = std::move(other59.host);
-  sequence = other59.sequence;
-  news = std::move(other59.news);
-  table = std::move(other59.table);
-  load = std::move(other59.load);
-  crash = std::move(other59.crash);
-  __isset = other59.__isset;
+Datagram& Datagram::operator=(Datagram&& other73) noexcept {
+  host = std::move(other73.host);
+  sequence = other73.sequence;
+  news = std::move(other73.news);
+  table = std::move(other73.table);
+  load = std::move(other73.load);
+  crash = std::move(other73.crash);
+  store = std::move(other73.store);
+  __isset = other73.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -1639,6 +1994,7 @@
   out << ", " << "table="; (__isset.table ? (out << to_string(table)) : (out << "<null>"));
   out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
   out << ", " << "crash="; (__isset.crash ? (out << to_string(crash)) : (out << "<null>"));
+  out << ", " << "store="; (__isset.store ? (out << to_string(store)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libgateway/gen/gateway_types.h
+++ b/src/libgateway/gen/gateway_types.h
@@ -37,6 +37,10 @@
 
 class CrashNews;
 
+class StoreEventNews;
+
+class StoreNews;
+
 class Datagram;
 
 typedef struct _KeyRangeRecord__isset {
@@ -572,14 +576,139 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashNews& obj);
 
+typedef struct _StoreEventNews__isset {
+  _StoreEventNews__isset() : key(false), value(false), version(false), removed(false) {}
+  bool key :1;
+  bool value :1;
+  bool version :1;
+  bool removed :1;
+} _StoreEventNews__isset;
+
+class StoreEventNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoreEventNews(const StoreEventNews&);
+  StoreEventNews(StoreEventNews&&) noexcept;
+  StoreEventNews& operator=(const StoreEventNews&);
+  StoreEventNews& operator=(StoreEventNews&&) noexcept;
+  StoreEventNews() noexcept
+                 : key(),
+                   value(),
+                   version(0),
+                   removed(0) {
+  }
+
+  virtual ~StoreEventNews() noexcept;
+  std::string key;
+  std::string value;
+  int64_t version;
+  bool removed;
+
+  _StoreEventNews__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_removed(const bool val);
+
+  bool operator == (const StoreEventNews & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    return true;
+  }
+  bool operator != (const StoreEventNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoreEventNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoreEventNews &a, StoreEventNews &b);
+
+std::ostream& operator<<(std::ostream& out, const StoreEventNews& obj);
+
+typedef struct _StoreNews__isset {
+  _StoreNews__isset() : after(false), version(false), events(false) {}
+  bool after :1;
+  bool version :1;
+  bool events :1;
+} _StoreNews__isset;
+
+class StoreNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoreNews(const StoreNews&);
+  StoreNews(StoreNews&&) noexcept;
+  StoreNews& operator=(const StoreNews&);
+  StoreNews& operator=(StoreNews&&) noexcept;
+  StoreNews() noexcept
+            : after(0),
+              version(0) {
+  }
+
+  virtual ~StoreNews() noexcept;
+  int64_t after;
+  int64_t version;
+  std::vector<StoreEventNews>  events;
+
+  _StoreNews__isset __isset;
+
+  void __set_after(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_events(const std::vector<StoreEventNews> & val);
+
+  bool operator == (const StoreNews & rhs) const
+  {
+    if (!(after == rhs.after))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(events == rhs.events))
+      return false;
+    return true;
+  }
+  bool operator != (const StoreNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoreNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoreNews &a, StoreNews &b);
+
+std::ostream& operator<<(std::ostream& out, const StoreNews& obj);
+
 typedef struct _Datagram__isset {
-  _Datagram__isset() : host(false), sequence(false), news(false), table(false), load(false), crash(false) {}
+  _Datagram__isset() : host(false), sequence(false), news(false), table(false), load(false), crash(false), store(false) {}
   bool host :1;
   bool sequence :1;
   bool news :1;
   bool table :1;
   bool load :1;
   bool crash :1;
+  bool store :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -601,6 +730,7 @@
   KeyTableRecord table;
   KeyLoadNews load;
   CrashNews crash;
+  StoreNews store;
 
   _Datagram__isset __isset;
 
@@ -616,6 +746,8 @@
 
   void __set_crash(const CrashNews& val);
 
+  void __set_store(const StoreNews& val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (!(host == rhs.host))
@@ -638,6 +770,10 @@
       return false;
     else if (__isset.crash && !(crash == rhs.crash))
       return false;
+    if (__isset.store != rhs.__isset.store)
+      return false;
+    else if (__isset.store && !(store == rhs.store))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
--- a/src/libgateway/host_registration.cpp
+++ b/src/libgateway/host_registration.cpp
@@ -61,7 +61,9 @@
   StoreTransaction Record;
   Record.m_writes.push_back(
       {store_keys::Hosts + m_state.m_settings.m_host.value(),
-       toString(m_state.m_settings.m_peerListen), false, m_lease});
+       toString(m_state.m_settings.m_peerListen) + " " +
+           m_state.m_settings.m_domain.value(),
+       false, m_lease});
   m_source.commit(Record, [this](const StoreReply<StoreCommit> &Reply) {
     m_calling = false;
     if (const auto *Why = std::get_if<StoreError>(&Reply)) {
--- a/src/libgateway/key_coordinator.cpp
+++ b/src/libgateway/key_coordinator.cpp
@@ -474,10 +474,14 @@
   for (const Holding &Each : m_holdings) {
     Table.m_ranges.push_back(Each.m_range);
     KeyRange &Range = Table.m_ranges.back();
+    // Other hosts need no more than the owner.
     Range.m_handover.clear();
+    Range.m_birth = UpstreamBirth();
+    Range.m_token = FencingToken();
     if (!Each.m_serving)
       Range.m_owner = UpstreamId();
   }
+  mergeRanges(Table.m_ranges);
   return Table;
 }
 
--- a/src/libgateway/peer_gossip.cpp
+++ b/src/libgateway/peer_gossip.cpp
@@ -22,6 +22,8 @@
 
 constexpr std::size_t CodeBytes = 16;
 constexpr Duration UnlistedTime{3'000'000};
+/// A host that has not been heard of for longer may be gone.
+constexpr Duration PresentTime{700'000};
 constexpr std::size_t MaxDatagramBytes = 65000;
 /// Datagrams taken in one go, so that other work gets its turn.
 constexpr int MaxDatagramsAtOnce = 64;
@@ -74,11 +76,13 @@
   return ntohs(Address.sin_port);
 }
 
-void PeerGossip::addPeer(const HostId &Host, const Endpoint &Where) {
+void PeerGossip::addPeer(const HostId &Host, const Endpoint &Where,
+                         const DomainId &Domain) {
   if (Host == m_self)
     return;
   Peer &Which = m_peers[Host];
   Which.m_where = Where;
+  Which.m_domain = Domain;
   Which.m_listed = true;
 }
 
@@ -132,6 +136,26 @@
     sendBytes(Each.m_where, Bytes);
 }
 
+void PeerGossip::sendDomain(wire::Datagram Message, const DomainId &Domain,
+                            bool Inside) {
+  if (m_key.empty() || m_socket < 0)
+    return;
+  std::string Bytes = seal(Message);
+  if (Bytes.size() > MaxDatagramBytes)
+    return; // The others will have to ask for themselves.
+  for (const auto &[Host, Each] : m_peers)
+    if ((Each.m_domain == Domain) == Inside)
+      sendBytes(Each.m_where, Bytes);
+}
+
+bool PeerGossip::isFirstOf(const DomainId &Domain, Instant Now) const {
+  for (const auto &[Host, Each] : m_peers)
+    if (Each.m_domain == Domain && Host < m_self &&
+        Now - Each.m_heard < PresentTime)
+      return false;
+  return true;
+}
+
 void PeerGossip::receive() {
   m_buffer.resize(MaxDatagramBytes);
   for (int Count = 0; Count < MaxDatagramsAtOnce; ++Count) {
--- a/src/libgateway/peer_gossip.h
+++ b/src/libgateway/peer_gossip.h
@@ -37,7 +37,8 @@
   void setKey(const std::string &Key) { m_key = Key; }
   bool hasKey() const { return !m_key.empty(); }
 
-  void addPeer(const HostId &Host, const Endpoint &Where);
+  void addPeer(const HostId &Host, const Endpoint &Where,
+               const DomainId &Domain);
   /// The store does not list the host any more. It stays a peer for as long as
   /// it is heard of: its record may be gone because the store was.
   void unlistPeer(const HostId &Host);
@@ -47,6 +48,11 @@
 
   void send(const HostId &To, wire::Datagram Message);
   void sendAll(wire::Datagram Message);
+  /// Sends to the peers of one failure domain, or to all others.
+  void sendDomain(wire::Datagram Message, const DomainId &Domain, bool Inside);
+  /// True when no peer of the failure domain that was heard of lately comes
+  /// before this host by name.
+  bool isFirstOf(const DomainId &Domain, Instant Now) const;
 
   /// Datagrams dropped because they were not made by a host.
   std::uint64_t rejected() const { return m_rejected; }
@@ -54,6 +60,7 @@
 private:
   struct Peer {
     Endpoint m_where;
+    DomainId m_domain;
     std::int64_t m_lastSequence = 0;
     bool m_listed = true;
     Instant m_heard;
--- a/src/libgateway/peer_news.cpp
+++ b/src/libgateway/peer_news.cpp
@@ -16,10 +16,14 @@
 /// host's messages grow no faster than their number.
 constexpr Duration NewsEvery{40'000};
 constexpr Duration NewsPerHost{4'000};
+/// Hosts of other failure domains are told every so many times.
+constexpr std::uint64_t FarNewsEvery = 3;
+/// Changes of who serves which keys are told together after this time.
+constexpr Duration TableDelay{50'000};
 constexpr Duration KeyUseEvery{200'000};
 /// The table is told again in case a datagram was lost, at the most at this
 /// rate of bytes.
-constexpr Duration TableEvery{1'000'000};
+constexpr Duration TableEvery{2'000'000};
 constexpr double TableBytesPerSecond = 200e3;
 /// A coordinator that is silent for longer may be gone.
 constexpr Duration CoordinatorSilence{400'000};
@@ -89,7 +93,16 @@
     m_nextKeyUse = Now + KeyUseEvery;
     tellKeyUse();
   }
-  if (m_coordinator.coordinating() && Now >= m_nextTable) {
+  if (m_coordinator.coordinating() && Now >= m_nextTable)
+    tellTables(Now);
+}
+
+void PeerNews::onTableChanged(Instant Now) {
+  m_nextTable = std::min(m_nextTable, Now + TableDelay);
+}
+
+void PeerNews::tellTables(Instant Now) {
+  {
     double Bytes = static_cast<double>(m_tableBytes * m_gossip.peers());
     m_nextTable =
         Now + std::max(TableEvery, Duration(static_cast<std::int64_t>(
@@ -138,7 +151,11 @@
     News.queues.push_back(Each);
   }
   Message.__set_news(std::move(News));
-  m_gossip.sendAll(std::move(Message));
+  // Bytes between failure domains are dear, and most work stays inside.
+  const DomainId &Own = m_state.m_settings.m_domain;
+  m_gossip.sendDomain(Message, Own, true);
+  if (m_newsSent++ % FarNewsEvery == 0)
+    m_gossip.sendDomain(Message, Own, false);
 }
 
 void PeerNews::tellKeyUse() {
@@ -172,6 +189,23 @@
   m_gossip.sendAll(std::move(Message));
 }
 
+void PeerNews::tellStore(StoreVersion After, const StoreEvents &Changes) {
+  wire::StoreNews News;
+  News.after = After.value();
+  News.version = Changes.m_version.value();
+  for (const StoreEvent &Event : Changes.m_events) {
+    wire::StoreEventNews Each;
+    Each.key = Event.m_entry.m_key;
+    Each.value = Event.m_entry.m_value;
+    Each.version = Event.m_entry.m_modified.value();
+    Each.removed = Event.m_removed;
+    News.events.push_back(std::move(Each));
+  }
+  wire::Datagram Message;
+  Message.__set_store(std::move(News));
+  m_gossip.sendDomain(std::move(Message), m_state.m_settings.m_domain, true);
+}
+
 bool PeerNews::coordinatorSilent(Instant Now) const {
   return !m_watched.value().empty() && !m_coordinator.coordinating() &&
          Now - m_coordinatorHeard > CoordinatorSilence + newsInterval();
@@ -189,6 +223,14 @@
                      *Table, static_cast<std::uint32_t>(Message.table.step)))
       m_onChange();
   }
+  if (Message.__isset.store && m_onStoreNews) {
+    StoreEvents Changes;
+    Changes.m_version = StoreVersion(Message.store.version);
+    for (const wire::StoreEventNews &Each : Message.store.events)
+      Changes.m_events.push_back(
+          {{Each.key, Each.value, StoreVersion(Each.version)}, Each.removed});
+    m_onStoreNews(StoreVersion(Message.store.after), Changes);
+  }
   if (Message.__isset.crash)
     m_relay.suspects().onSuspicion(
         Fingerprint(static_cast<std::uint64_t>(Message.crash.fingerprint)),
--- a/src/libgateway/peer_news.h
+++ b/src/libgateway/peer_news.h
@@ -21,8 +21,9 @@
   /// See PeerGossip::listen().
   std::uint16_t listen(const Endpoint &Where) { return m_gossip.listen(Where); }
   void setKey(const std::string &Key) { m_gossip.setKey(Key); }
-  void addPeer(const HostId &Host, const Endpoint &Where) {
-    m_gossip.addPeer(Host, Where);
+  void addPeer(const HostId &Host, const Endpoint &Where,
+               const DomainId &Domain) {
+    m_gossip.addPeer(Host, Where, Domain);
   }
   void unlistPeer(const HostId &Host) { m_gossip.unlistPeer(Host); }
   std::uint64_t rejected() const { return m_gossip.rejected(); }
@@ -31,14 +32,24 @@
   void tick(Instant Now);
   void sweep(Instant Now) { m_gossip.sweep(Now); }
 
-  /// Passes on who serves which keys.
-  void tellTable(const KeyTable &Table, std::uint32_t Step);
+  /// Who serves which keys has changed; the other hosts are told soon.
+  void onTableChanged(Instant Now);
+
+  /// Passes on to the failure domain what a watch of the store has brought.
+  void tellStore(StoreVersion After, const StoreEvents &Changes);
+
+  /// True when this host is to watch the store for its failure domain.
+  bool watchesStore(Instant Now) const {
+    return m_gossip.isFirstOf(m_state.m_settings.m_domain, Now);
+  }
 
   /// True when another host coordinates and has not been heard of lately.
   bool coordinatorSilent(Instant Now) const;
 
   /// Called when waiting requests may find room or an owner now.
   std::function<void()> m_onChange;
+  /// Called with what another host's watch of the store has brought.
+  std::function<void(StoreVersion, const StoreEvents &)> m_onStoreNews;
 
 private:
   void onMessage(const HostId &From, const wire::Datagram &Message);
@@ -46,6 +57,8 @@
   void onLoad(const wire::KeyLoadNews &News);
   void tellLoad(Instant Now);
   void tellKeyUse();
+  void tellTables(Instant Now);
+  void tellTable(const KeyTable &Table, std::uint32_t Step);
   Duration newsInterval() const;
 
   GatewayState &m_state;
@@ -53,6 +66,7 @@
   CoordinatorDriver &m_coordinator;
   PeerGossip m_gossip;
   Instant m_nextNews;
+  std::uint64_t m_newsSent = 0;
   Instant m_nextKeyUse;
   Instant m_nextTable;
   std::size_t m_tableBytes = 0;
--- a/src/libgateway/registry_follower.cpp
+++ b/src/libgateway/registry_follower.cpp
@@ -12,6 +12,8 @@
 /// Pause between the calls; with the time that a call takes it stays well
 /// below the time in which a leaving upstream has to be noticed.
 constexpr Duration Pace{700'000};
+/// The same for hosts for which another one watches, when it falls silent.
+constexpr Duration RelayedPace{1'000'000};
 constexpr Duration HurriedPace{150'000};
 /// How long a watch waits when nothing happens.
 constexpr Duration WatchTime{500'000};
@@ -98,7 +100,7 @@
   }
   const auto &Changes = std::get<StoreEvents>(Reply);
   onSuccess(Began, Now);
-  m_nextCall = Now + Pace;
+  m_nextCall = Now + (m_watches ? Pace : RelayedPace);
   if (Changes.m_events.empty() && Changes.m_version > m_version) {
     // Something changed, and the watch does not say what.
     logEvent(Severity::Warning, "registry_watch_silent",
@@ -107,6 +109,12 @@
     m_reload = true;
     m_nextCall = Now;
   }
+  if (m_onWatched && !Changes.m_events.empty())
+    m_onWatched(m_version, Changes);
+  applyAll(Changes, Now);
+}
+
+void RegistryFollower::applyAll(const StoreEvents &Changes, Instant Now) {
   for (const StoreEvent &Event : Changes.m_events) {
     if (!Event.m_removed) {
       apply(Event.m_entry, Now);
@@ -121,6 +129,16 @@
   m_version = std::max(m_version, Changes.m_version);
 }
 
+void RegistryFollower::onRelayed(StoreVersion After, const StoreEvents &Changes,
+                                 Instant Now) {
+  if (!m_loaded || m_reload || After > m_version ||
+      Changes.m_version <= m_version)
+    return;
+  applyAll(Changes, Now);
+  if (!m_watches)
+    m_nextCall = Now + RelayedPace;
+}
+
 void RegistryFollower::apply(const StoreEntry &Entry, Instant Now) {
   StoreVersion &Known = m_known[Entry.m_key];
   if (Entry.m_modified <= Known)
--- a/src/libgateway/registry_follower.h
+++ b/src/libgateway/registry_follower.h
@@ -3,6 +3,7 @@
 
 #include "burdockpulley/store.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -36,6 +37,18 @@
   /// Makes the next call when it is time. Call it many times a second.
   void tick(Instant Now);
 
+  /// Another host passes on what its watch has brought. Ignored when it does
+  /// not follow on what this host knows.
+  void onRelayed(StoreVersion After, const StoreEvents &Changes, Instant Now);
+
+  /// False while another host of the failure domain watches for this one; it
+  /// then makes calls of its own only when it hears nothing.
+  void setWatches(bool Yes) { m_watches = Yes; }
+
+  /// Called with what a watch of this host has brought.
+  std::function<void(StoreVersion After, const StoreEvents &Changes)>
+      m_onWatched;
+
   /// Follows more closely until \p Until, because a change is expected.
   void hurry(Instant Until) { m_hurryUntil = Until; }
 
@@ -51,6 +64,7 @@
   void onChanges(const StoreReply<StoreEvents> &Reply, Instant Began);
   void onFailure(StoreError Why, Instant Now);
   void onSuccess(Instant Began, Instant Now);
+  void applyAll(const StoreEvents &Changes, Instant Now);
   void apply(const StoreEntry &Entry, Instant Now);
 
   WatchedStore &m_source;
@@ -60,6 +74,7 @@
   bool m_loaded = false;
   bool m_reload = true;
   bool m_calling = false;
+  bool m_watches = true;
   bool m_inReach = true;
   std::uint32_t m_failures = 0;
   Instant m_nextCall;
