http: a call told not to have been sent is not sent later

The connect time-out of a call ended it as not sent, so that its request went to a second upstream; the connection came about in the same moment, before the channel was freed, and libevent wrote what waited for it: the request ran at both. Ruled out: repeats by the relay (one attempt is logged) and the upstream's own. Change: a channel that ends, or is dropped, closes its stream before its callback runs. The test fills a server's queue of connections, lets the connection come about inside the callback and sees no byte; it fails without the change. Conclusion: "not sent" is true from the moment at which it is said.

--- a/src/libhttp/channel.cpp
+++ b/src/libhttp/channel.cpp
@@ -262,6 +262,7 @@
   m_done = nullptr;
   evtimer_del(m_timer);
   m_dead = true;
+  closeStream();
 }
 
 void Channel::end(ChannelError Error, bool Reusable) {
@@ -274,6 +275,10 @@
   evtimer_del(m_timer);
   m_dead = !Reusable;
   m_abort = !Reusable;
+  // At once: the connection may just have come about, and what waits for it
+  // would still be sent.
+  if (!Reusable)
+    closeStream();
   auto Done = std::exchange(m_done, nullptr);
   m_owner.release(this, Reusable);
   Done(std::move(Result));
--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <unistd.h>
+
 #include <csignal>
 #include <optional>
 
@@ -130,6 +132,44 @@
   BOOST_TEST(!Got->m_sent);
 }
 
+BOOST_AUTO_TEST_CASE(what_was_not_sent_is_not_sent_later) {
+  // A server whose queue of connections is full: the call's connection comes
+  // about only after the call has ended, while its callback still runs.
+  Scene System(Ok);
+  int Listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t Size = sizeof(Address);
+  BOOST_REQUIRE(bind(Listener, reinterpret_cast<sockaddr *>(&Address), Size) ==
+                0);
+  BOOST_REQUIRE(listen(Listener, 0) == 0);
+  getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Size);
+  int Filler = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  BOOST_REQUIRE(connect(Filler, reinterpret_cast<sockaddr *>(&Address),
+                        sizeof(Address)) == 0);
+  ChannelPoolSettings Hasty;
+  Hasty.m_connectTimeout = std::chrono::milliseconds(50);
+  ChannelPool Pool(System.m_base, {"127.0.0.1", ntohs(Address.sin_port)},
+                   Hasty);
+  int Accepted = -1;
+  std::optional<ChannelResult> Got;
+  Pool.call(Get, "", std::chrono::seconds(20), ChannelPool::Reuse::Any,
+            [&](ChannelResult &&Result) {
+              close(accept(Listener, nullptr, nullptr));
+              Accepted = accept(Listener, nullptr, nullptr);
+              Got = std::move(Result);
+            });
+  System.runUntil([&] { return Got.has_value(); });
+  BOOST_TEST((Got->m_error == ChannelError::ConnectFailed));
+  BOOST_TEST(!Got->m_sent);
+  System.runUntil([&] { return Pool.open() == 0; });
+  char Byte = 0;
+  BOOST_TEST(recv(Accepted, &Byte, 1, 0) <= 0);
+  for (int Each : {Listener, Filler, Accepted})
+    close(Each);
+}
+
 BOOST_AUTO_TEST_CASE(a_call_that_times_out_resets_its_connection) {
   Scene System("");
   ChannelResult Result = System.call(Get, "r1", std::chrono::milliseconds(50));
