gateway: a release shows that its owner's address is another's; owners that return confirm a token

Cause: after a take-over, keys of owners that had ended waited for the longest grant that the predecessor could have given, 10.5 s, although their addresses answered for another service, or they were back as a new start.

--- a/src/include/burdockpulley/key_coordinator.h
+++ b/src/include/burdockpulley/key_coordinator.h
@@ -133,6 +133,7 @@
   void advance(Holding &Which, const KeyCandidates &Candidates, Instant Now);
   void startRelease(Holding &Which, Instant Now);
   void makeFree(Holding &Which);
+  void keepWithOwner(Holding &Which, const KeyCandidate &Owner);
   void issue(Holding &Which, bool StoreInReach, Orders &Out, Instant Now);
   void planRebalance(const KeyCandidates &Candidates, const KeyLoad &Load,
                      double BusyRate, Instant Now);
--- a/src/include/burdockpulley/platform_dialect.h
+++ b/src/include/burdockpulley/platform_dialect.h
@@ -76,6 +76,10 @@
   /// The handover; nothing when the answer confirms no release.
   virtual std::optional<std::string>
   decodeRelease(const HttpResponse &Answer) const = 0;
+
+  /// True when the answer to an order shows that another upstream has the
+  /// address now, so that the process it was meant for has ended.
+  virtual bool showsOtherUpstream(const HttpResponse &Answer) const = 0;
 };
 
 } // namespace burdockpulley
--- a/src/libgateway/coordinator_driver.cpp
+++ b/src/libgateway/coordinator_driver.cpp
@@ -495,25 +495,29 @@
   if (!Pool)
     Pool = std::make_unique<ChannelPool>(
         m_state.m_base, Row->m_record.m_address, ChannelPoolSettings());
-  Pool->call(m_state.m_dialect.encodeRelease(Order), "", ReleaseTimeout,
-             ChannelPool::Reuse::Any,
-             [this, Service, Order, Epoch = m_epoch](ChannelResult &&Result) {
-               if (Epoch != m_epoch)
-                 return;
-               std::optional<std::string> Handover;
-               if (Result.m_error == ChannelError::None)
-                 Handover = m_state.m_dialect.decodeRelease(Result.m_response);
-               logEvent(Severity::Info, "release_ended",
-                        {{"upstream", Order.m_range.m_owner.value()},
-                         {"first", Order.m_range.m_first},
-                         {"last", Order.m_range.m_last},
-                         {"released", Handover.has_value()},
-                         {"error", toString(Result.m_error)},
-                         {"spent_ms", Result.m_spent.count() / 1000}});
-               Office &Which = office(Service);
-               Which.m_keys.onRelease(Order.m_number, Handover.has_value(),
-                                      Handover.value_or(""), bootClockNow());
-             });
+  Pool->call(
+      m_state.m_dialect.encodeRelease(Order), "", ReleaseTimeout,
+      ChannelPool::Reuse::Any,
+      [this, Service, Order, Epoch = m_epoch](ChannelResult &&Result) {
+        if (Epoch != m_epoch)
+          return;
+        std::optional<std::string> Handover;
+        if (Result.m_error == ChannelError::None)
+          Handover = m_state.m_dialect.decodeRelease(Result.m_response);
+        logEvent(Severity::Info, "release_ended",
+                 {{"upstream", Order.m_range.m_owner.value()},
+                  {"first", Order.m_range.m_first},
+                  {"last", Order.m_range.m_last},
+                  {"released", Handover.has_value()},
+                  {"error", toString(Result.m_error)},
+                  {"spent_ms", Result.m_spent.count() / 1000}});
+        Office &Which = office(Service);
+        if (Result.m_error == ChannelError::None &&
+            m_state.m_dialect.showsOtherUpstream(Result.m_response))
+          Which.m_dead.insert({Order.m_range.m_owner, Order.m_range.m_birth});
+        Which.m_keys.onRelease(Order.m_number, Handover.has_value(),
+                               Handover.value_or(""), bootClockNow());
+      });
 }
 
 } // namespace burdockpulley
--- a/src/libgateway/key_coordinator.cpp
+++ b/src/libgateway/key_coordinator.cpp
@@ -117,6 +117,18 @@
   Which.m_serving = false;
 }
 
+void KeyCoordinator::keepWithOwner(Holding &Which, const KeyCandidate &Owner) {
+  // A higher token that the owner confirms ends the doubt much sooner than the
+  // grants that it may have run out.
+  Which.m_phase = Phase::Held;
+  Which.m_released = false;
+  Which.m_raise = true;
+  Which.m_confirmed = true;
+  // One that can not take keys yet, as it is cold, gives them up afterwards.
+  Which.m_moveWanted = !Owner.m_receives;
+  Which.m_moveTo = UpstreamId();
+}
+
 void KeyCoordinator::advance(Holding &Which, const KeyCandidates &Candidates,
                              Instant Now) {
   if (Which.m_phase == Phase::Free)
@@ -135,8 +147,12 @@
     return makeFree(Which);
   }
   if (Which.m_phase == Phase::Releasing) {
+    bool Returned = Owner && !Owner->m_mustLeave;
     if (Which.m_released && Now >= Which.m_doubtUntil)
       makeFree(Which);
+    else if (Returned && !Which.m_moveWanted && Now < Which.m_doubtUntil &&
+             Which.m_order.value() == 0)
+      keepWithOwner(Which, *Owner);
     return;
   }
   // It is not known which start has taken the last grant, so a restart alone
--- a/src/libgateway/key_coordinator_test.cpp
+++ b/src/libgateway/key_coordinator_test.cpp
@@ -135,6 +135,43 @@
   BOOST_TEST(Keys.view().m_ranges.at(0).m_owner.value() == "a");
 }
 
+BOOST_AUTO_TEST_CASE(
+    an_owner_that_returns_soon_after_a_take_over_keeps_its_keys) {
+  KeyTable Stored;
+  Stored.m_service = ServiceId("herd");
+  Stored.m_lastToken = FencingToken(7);
+  Stored.m_ranges.push_back({0, ShardKeyCount - 1, UpstreamId("a"),
+                             UpstreamBirth(1), FencingToken(7), ""});
+  KeyCoordinator Keys(ServiceId("herd"), {});
+  KeyLoad Load;
+  Keys.takeOver(Stored, at(0));
+  // It is dark at first, and its record is gone; then it has restarted.
+  auto World = candidates({"a", "b"});
+  World[UpstreamId("a")].m_receives = false;
+  World[UpstreamId("a")].m_mustLeave = true;
+  bool Confirmed = false;
+  for (int Now = 0; Now < 4000 && !Confirmed; Now += 20) {
+    if (Now == 2000) {
+      World = candidates({"a", "b"});
+      World[UpstreamId("a")].m_birth = UpstreamBirth(2);
+    }
+    auto Orders = Keys.tick(World, Load, 0, true, at(Now));
+    if (Orders.m_write)
+      Keys.onWritten(at(Now));
+    for (const ReleaseOrder &Each : Orders.m_releases)
+      Keys.onRelease(Each.m_number, Now >= 2000, "", at(Now));
+    for (const GrantOrder &Each : Orders.m_grants) {
+      BOOST_TEST(Each.m_range.m_owner.value() == "a");
+      Confirmed = Now >= 2000;
+      Keys.onGrant(Each.m_number,
+                   Confirmed ? GrantOutcome::Granted : GrantOutcome::NotSent,
+                   at(Now));
+    }
+  }
+  BOOST_TEST(Confirmed);
+  BOOST_TEST(Keys.settled());
+}
+
 BOOST_AUTO_TEST_CASE(grants_are_long_while_the_store_is_away) {
   Settled System;
   auto Orders =
