http: the listener's tests free their loop

Cause: LeakSanitizer on http_test: the scene of caller_listener_test kept its event_base. The product's code leaks nothing there. Change: the scene owns the loop and frees it last. Measured: under ASan and UBSan http_test, gateway_test, platform_test and case_platform pass. Conclusion: the sanitized tests of the new code are clean.

--- a/src/libhttp/caller_listener_test.cpp
+++ b/src/libhttp/caller_listener_test.cpp
@@ -61,7 +61,7 @@
 
 struct Scene {
   Scene()
-      : m_base(event_base_new()),
+      : m_owner(event_base_new(), event_base_free), m_base(m_owner.get()),
         m_listener(m_base, 16, [this](std::shared_ptr<Exchange> From) {
           m_last = From;
           if (m_answerAtOnce)
@@ -81,6 +81,7 @@
     }
   }
 
+  std::unique_ptr<event_base, decltype(&event_base_free)> m_owner;
   event_base *m_base;
   bool m_answerAtOnce = true;
   std::weak_ptr<Exchange> m_last;
