testkit: one readPorts() for both deployments

Cause: the read-through found the function written again, word for word, in the test kit of the platform.

--- a/src/include/burdockpulley/testkit.h
+++ b/src/include/burdockpulley/testkit.h
@@ -47,6 +47,12 @@
 bool waitUntil(const std::function<bool()> &Holds,
                Duration Limit = std::chrono::seconds(60));
 
+/// Waits for the \p Count ports that a started program writes into a file, and
+/// removes the file. Throws std::runtime_error when they do not come.
+/// Thread safety: safe.
+std::vector<std::uint16_t> readPorts(const std::string &Path,
+                                     std::size_t Count);
+
 /// A whole deployment on loopback: the store stand-in, upstream stand-ins,
 /// entry hosts, and published declarations. Ports come from the kernel.
 /// Thread safety: none.
--- a/src/libtestkit/deployment.cpp
+++ b/src/libtestkit/deployment.cpp
@@ -17,6 +17,8 @@
 
 const std::string Loopback = "127.0.0.1";
 
+} // namespace
+
 std::vector<std::uint16_t> readPorts(const std::string &Path,
                                      std::size_t Count) {
   std::vector<std::uint16_t> Ports;
@@ -33,8 +35,6 @@
   return Ports;
 }
 
-} // namespace
-
 HttpResponse callOnce(const Endpoint &Where, HttpRequest Request,
                       Duration Timeout) {
   event_base *Base = event_base_new();
