--- a/src/include/burdockpulley/key_owners.h
+++ b/src/include/burdockpulley/key_owners.h
@@ -4,24 +4,69 @@
 #include "burdockpulley/key_table.h"
 
 #include <map>
+#include <vector>
 
 namespace burdockpulley {
 
+/// Tells apart what a coordinator has carried out since it wrote a table.
+struct OwnersStep {
+  std::int64_t m_epoch = 0; ///< The coordinator's; zero: read in the store.
+  std::uint32_t m_step = 0;  ///< Grows with all that it carries out.
+};
+
+/// Consecutive keys with one owner, or with none.
+struct OwnedSpan {
+  std::uint32_t m_first = 0;
+  std::uint32_t m_last = 0; ///< Belongs to the span.
+  UpstreamId m_owner;
+
+  friend bool operator==(const OwnedSpan &, const OwnedSpan &) = default;
+};
+
+/// The keys whose owner differs between two tables, with the owner that they
+/// have in \p After. Thread safety: safe.
+std::vector<OwnedSpan> ownerChanges(const KeyTable &Before,
+                                    const KeyTable &After);
+
+/// Changes of who owns the keys of one service.
+struct OwnerChanges {
+  ServiceId m_service;
+  std::uint64_t m_baseVersion = 0; ///< Of the table that they follow on.
+  std::uint32_t m_baseStep = 0;
+  std::uint64_t m_version = 0;
+  OwnersStep m_step;
+  std::vector<OwnedSpan> m_spans; ///< In order.
+};
+
 /// What this host believes of who owns which key. The newest table of each
 /// service holds, whether it came from the store or from the coordinator.
 /// Thread safety: none.
 class KeyOwners {
 public:
-  /// Takes a table that is newer; \p Step counts what the coordinator has
-  /// carried out since the table's version. False when it is not newer.
-  bool apply(const KeyTable &Table, std::uint32_t Step);
+  /// How changes fit to what is known.
+  enum class Fit {
+    Old,     ///< All of it was known.
+    Applied, ///< It was new.
+    Gap,     ///< Something between is missing; nothing was applied.
+  };
+
+  /// Takes a table that is newer. False when it is not.
+  bool apply(const KeyTable &Table, OwnersStep Step);
+
+  /// Takes changes. They hold all that differs since their base, so they may
+  /// follow on any state from there on.
+  Fit apply(const OwnerChanges &Changes);
 
   /// The owner of a key; empty when it has none or is not known.
   UpstreamId owner(const ServiceId &Service, ShardKey Key) const;
 
+  bool knows(const ServiceId &Service) const {
+    return m_tables.count(Service) != 0;
+  }
+
   struct Known {
     KeyTable m_table;
-    std::uint32_t m_step = 0;
+    OwnersStep m_step;
   };
   const std::map<ServiceId, Known> &all() const { return m_tables; }
 
--- a/src/include/burdockpulley/peer_loads.h
+++ b/src/include/burdockpulley/peer_loads.h
@@ -46,6 +46,9 @@
   /// Forgets hosts that have not been heard of.
   void expire(Instant Now);
 
+  /// The upstream of a short name; null when it is not known here.
+  UpstreamRow *find(ShortName Upstream);
+
   /// Requests of a service that wait at other hosts.
   std::uint32_t waiting(const ServiceId &Service) const;
 
@@ -58,7 +61,6 @@
     Instant m_heard;
   };
 
-  UpstreamRow *rowOf(ShortName Upstream);
   void count(const PeerLoad &Load, int Sign);
 
   UpstreamRegistry &m_registry;
--- a/src/include/burdockpulley/platform_dialect.h
+++ b/src/include/burdockpulley/platform_dialect.h
@@ -66,6 +66,10 @@
   /// Reads the removal of an entry.
   virtual RegistryChange decodeRemoval(const std::string &Key) = 0;
 
+  /// The upstream whose record stands under a key; nothing for other keys.
+  virtual std::optional<UpstreamId>
+  upstreamOfKey(const std::string &Key) const = 0;
+
   /// Reads the load report in an upstream's answer.
   virtual std::optional<LoadReport>
   decodeLoad(std::string_view HeaderValue) const = 0;
--- a/src/include/burdockpulley/upstream_registry.h
+++ b/src/include/burdockpulley/upstream_registry.h
@@ -54,6 +54,7 @@
   std::uint32_t m_peerWaiting = 0;     ///< The same at all other hosts.
   LoadReport m_report;
   Instant m_reportAt;
+  bool m_reportOwn = false; ///< It came in an answer to this host.
   double m_speed = 1; ///< Time that work takes, relative to its peers.
   std::uint32_t m_speedSamples = 0;
   double m_ownSpeedSum = 0; ///< Of this host's samples not yet told to peers.
@@ -72,11 +73,21 @@
 /// Thread safety: none.
 class UpstreamRegistry {
 public:
-  enum class Change { None, Joined, Restarted, Draining, Updated };
+  enum class Change {
+    None,
+    Joined,
+    Restarted,
+    Draining,
+    Updated,
+    Renewed, ///< A heartbeat that says nothing new.
+  };
 
   /// A record was written.
   Change onRecord(const UpstreamRecord &Record, Instant Now);
 
+  /// A heartbeat of a known upstream came that says nothing new.
+  void onRenewed(UpstreamRow &Row, Instant Now) const;
+
   /// A record was removed. Returns the row, or null when there was none.
   UpstreamRow *onRemoved(const UpstreamId &Which, Instant Now);
 
--- a/src/libgateway/decisions_test.cpp
+++ b/src/libgateway/decisions_test.cpp
@@ -297,12 +297,12 @@
     return Made;
   };
   KeyOwners Owners;
-  BOOST_TEST(Owners.apply(Table(4, "a"), 2));
-  BOOST_TEST(!Owners.apply(Table(4, "b"), 2));
-  BOOST_TEST(!Owners.apply(Table(3, "b"), 9));
+  BOOST_TEST(Owners.apply(Table(4, "a"), {0, 2}));
+  BOOST_TEST(!Owners.apply(Table(4, "b"), {0, 2}));
+  BOOST_TEST(!Owners.apply(Table(3, "b"), {0, 9}));
   BOOST_TEST(Owners.owner(ServiceId("herd"), ShardKey(7)).value() == "a");
-  BOOST_TEST(Owners.apply(Table(4, "b"), 3));
-  BOOST_TEST(Owners.apply(Table(5, "c"), 0));
+  BOOST_TEST(Owners.apply(Table(4, "b"), {0, 3}));
+  BOOST_TEST(Owners.apply(Table(5, "c"), {0, 0}));
   BOOST_TEST(Owners.owner(ServiceId("herd"), ShardKey(7)).value() == "c");
 }
 
--- a/src/libgateway/gateway.thrift
+++ b/src/libgateway/gateway.thrift
@@ -10,17 +10,43 @@
   5: string handover,
 }
 
-// The key table of one service, as it stands in the store and is passed on.
+// The key table of one service, as it stands in the store.
 struct KeyTableRecord {
   1: string serviceName,
   2: i64 version,
   3: i64 lastToken,
   4: list<KeyRangeRecord> ranges,
-  // Counts what the coordinator has carried out since that version.
-  5: optional i32 step,
 }
 
-// One host's requests at one upstream, and the newest report it has seen.
+// Consecutive keys with one owner.
+struct OwnerSpan {
+  // Keys between the end of the span before and the begin of this one.
+  1: i32 skipped,
+  2: i32 keys,
+  // Place of the owner in OwnersNews.owners; -1 when the keys have none.
+  3: i32 owner,
+}
+
+// Who serves the keys of one service. With a base, just what has changed
+// since; without, all keys.
+struct OwnersNews {
+  1: string serviceName,
+  // Epoch of the coordinator that tells.
+  2: i64 epoch,
+  3: i64 version,
+  4: i32 step,
+  5: optional i64 baseVersion,
+  6: optional i32 baseStep,
+  7: list<string> owners,
+  8: list<OwnerSpan> spans,
+}
+
+// A host has missed changes and asks the coordinator for all keys.
+struct OwnersRequest {
+  1: string serviceName,
+}
+
+// One host's requests at one upstream, and what its own answers told of it.
 struct UpstreamNews {
   1: i32 upstream,
   2: i32 outstanding,
@@ -78,6 +104,8 @@
   1: i64 after,
   2: i64 version,
   3: list<StoreEventNews> events,
+  // Upstreams that have renewed their records and changed nothing else.
+  4: optional list<i32> renewed,
 }
 
 // One datagram; the body is one of the messages above.
@@ -85,8 +113,10 @@
   1: string host,
   2: i64 sequence,
   3: optional HostNews news,
-  4: optional KeyTableRecord table,
+  // 4 was the whole key table.
   5: optional KeyLoadNews load,
   6: optional CrashNews crash,
   7: optional StoreNews store,
+  8: optional OwnersNews owners,
+  9: optional OwnersRequest ownersRequest,
 }
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -40,6 +40,8 @@
 } // namespace
 
 class GatewayHost::Implementation : RegistryFollower::Listener {
+  using EntryNews = RegistryFollower::EntryNews;
+
 public:
   Implementation(event_base *Base, const GatewaySettings &Settings,
                  std::unique_ptr<WatchedStore> Source,
@@ -66,7 +68,7 @@
                         200, {{"Content-Type", "text/plain"}}, metricsText()});
                   }) {
     m_coordinator.m_onView = [this](const KeyTable &Table, std::uint32_t Step) {
-      m_state.m_owners.apply(Table, Step);
+      m_state.m_owners.apply(Table, {m_coordinator.epoch(), Step});
       m_news.onTableChanged(bootClockNow());
       m_relay.dispatchWaiting(bootClockNow());
     };
@@ -75,8 +77,9 @@
       m_relay.onUpstreamDown(Which, Now);
     };
     m_follower.m_onWatched = [this](StoreVersion After,
-                                    const StoreEvents &Changes) {
-      m_news.tellStore(After, Changes);
+                                    const StoreEvents &Changes,
+                                    const std::vector<std::string> &Renewed) {
+      m_news.tellStore(After, Changes, Renewed);
     };
     m_news.m_onStoreNews = [this](StoreVersion After,
                                   const StoreEvents &Changes) {
@@ -227,18 +230,27 @@
     event_base_loopbreak(m_state.m_base);
   }
 
-  void onEntry(const StoreEntry &Entry, Instant Now) override {
-    if (Entry.m_key == store_keys::Coordinator)
-      return m_coordinator.onCoordinatorKnown(HostId(Entry.m_value),
-                                              Entry.m_modified, Now);
-    if (Entry.m_key == store_keys::PeerKey)
-      return m_news.setKey(Entry.m_value);
-    if (Entry.m_key.starts_with(store_keys::Hosts))
-      return onHost(Entry);
+  EntryNews onEntry(const StoreEntry &Entry, Instant Now) override {
     if (Entry.m_key.starts_with(store_keys::KeyTables))
-      return onKeyTable(Entry);
+      return onKeyTable(Entry, Now);
+    if (Entry.m_key == store_keys::Coordinator)
+      m_coordinator.onCoordinatorKnown(HostId(Entry.m_value), Entry.m_modified,
+                                       Now);
+    else if (Entry.m_key == store_keys::PeerKey)
+      m_news.setKey(Entry.m_value);
+    else if (Entry.m_key.starts_with(store_keys::Hosts))
+      onHost(Entry);
+    else
+      return onRegistryEntry(Entry, Now);
+    return EntryNews::Change;
+  }
+
+  EntryNews onRegistryEntry(const StoreEntry &Entry, Instant Now) {
     RegistryChange Change = m_dialect->decodeEntry(Entry);
+    if (const auto *Written = std::get_if<UpstreamWritten>(&Change))
+      return onUpstream(Written->m_record, Now);
     std::visit([this, Now](const auto &Each) { onChange(Each, Now); }, Change);
+    return EntryNews::Change;
   }
 
   void onRemoval(const std::string &Key, StoreVersion Version,
@@ -272,24 +284,33 @@
       logEvent(Severity::Warning, "entry_unreadable", {{"key", Entry.m_key}});
   }
 
-  void onKeyTable(const StoreEntry &Entry) {
+  /// The coordinator tells what its owners have confirmed. While it is heard
+  /// of, what stands in the store is not more than an intention.
+  EntryNews onKeyTable(const StoreEntry &Entry, Instant Now) {
+    ServiceId Service(Entry.m_key.substr(store_keys::KeyTables.size()));
+    if (m_state.m_owners.knows(Service) && m_news.coordinatorHeard(Now))
+      return EntryNews::None;
     auto Table = decodeKeyTable(Entry.m_value);
     if (Table)
-      m_state.m_owners.apply(*Table, 0);
+      m_state.m_owners.apply(*Table, {});
     else
       logEvent(Severity::Warning, "entry_unreadable", {{"key", Entry.m_key}});
+    return EntryNews::Change;
   }
 
   void onChange(const std::monostate &, Instant) {}
+  void onChange(const UpstreamWritten &, Instant) {}
 
-  void onChange(const UpstreamWritten &Change, Instant Now) {
-    const UpstreamRecord &Record = Change.m_record;
+  EntryNews onUpstream(const UpstreamRecord &Record, Instant Now) {
     auto Kind = m_state.m_registry.onRecord(Record, Now);
     if (Kind == UpstreamRegistry::Change::Restarted)
       m_relay.onUpstreamDown(Record.m_id, Now);
-    if (Kind == UpstreamRegistry::Change::Updated ||
-        Kind == UpstreamRegistry::Change::None)
-      return;
+    if (Kind == UpstreamRegistry::Change::None)
+      return EntryNews::None;
+    if (Kind == UpstreamRegistry::Change::Renewed)
+      return EntryNews::Renewal;
+    if (Kind == UpstreamRegistry::Change::Updated)
+      return EntryNews::Change;
     logEvent(Severity::Info, "upstream_changed",
              {{"upstream", Record.m_id.value()},
               {"service", Record.m_service.value()},
@@ -297,6 +318,7 @@
               {"draining", Record.m_draining},
               {"cold_ms", Record.m_coldLeft.count() / 1000},
               {"birth", Record.m_birth.value()}});
+    return EntryNews::Change;
   }
 
   void onChange(const UpstreamRemoved &Change, Instant Now) {
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -26,6 +26,8 @@
       cxxopts::value<Text>());
   Add("descriptors", "files and sockets that may be open",
       cxxopts::value<Text>());
+  Add("link-megabits", "bandwidth of this host's link, Mbit/s",
+      cxxopts::value<Text>());
   Add("drain", "time until a leaving upstream gets no new work",
       cxxopts::value<Text>());
   Add("stop-time", "time from SIGTERM until the process is killed",
@@ -53,6 +55,7 @@
   Settings.m_metricsListen = Reader.endpoint("metrics-listen", false);
   Settings.m_store = Reader.endpoint("store");
   Reader.number("descriptors", Settings.m_descriptors);
+  Reader.number("link-megabits", Settings.m_linkMegabits);
   Settings.m_portFile = Reader.text("port-file", false);
   Reader.duration("drain", Settings.m_drain);
   Reader.duration("stop-time", Settings.m_stopTime);
@@ -100,6 +103,7 @@
          "\nmetrics-listen=" + Metrics +
          "\nstore=" + toString(Settings.m_store) +
          "\ndescriptors=" + std::to_string(Settings.m_descriptors) +
+         "\nlink-megabits=" + std::to_string(Settings.m_linkMegabits) +
          "\ndrain=" + milliseconds(Settings.m_drain) +
          "\nstop-time=" + milliseconds(Settings.m_stopTime) +
          "\nmax-hold=" + milliseconds(Settings.m_maxHold) +
--- a/src/libgateway/gen/gateway_types.cpp
+++ b/src/libgateway/gen/gateway_types.cpp
@@ -222,11 +222,6 @@
 void KeyTableRecord::__set_ranges(const std::vector<KeyRangeRecord> & val) {
   this->ranges = val;
 }
-
-void KeyTableRecord::__set_step(const int32_t val) {
-  this->step = val;
-__isset.step = true;
-}
 std::ostream& operator<<(std::ostream& out, const KeyTableRecord& obj)
 {
   obj.printTo(out);
@@ -299,14 +294,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->step);
-          this->__isset.step = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -348,11 +335,6 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.step) {
-    xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I32, 5);
-    xfer += oprot->writeI32(this->step);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -364,7 +346,6 @@
   swap(a.version, b.version);
   swap(a.lastToken, b.lastToken);
   swap(a.ranges, b.ranges);
-  swap(a.step, b.step);
   swap(a.__isset, b.__isset);
 }
 
@@ -373,7 +354,6 @@
   version = other10.version;
   lastToken = other10.lastToken;
   ranges = other10.ranges;
-  step = other10.step;
   __isset = other10.__isset;
 }
 KeyTableRecord::KeyTableRecord(KeyTableRecord&& other11) noexcept {
@@ -381,7 +361,6 @@
   version = other11.version;
   lastToken = other11.lastToken;
   ranges = std::move(other11.ranges);
-  step = other11.step;
   __isset = other11.__isset;
 }
 KeyTableRecord& KeyTableRecord::operator=(const KeyTableRecord& other12) {
@@ -389,7 +368,6 @@
   version = other12.version;
   lastToken = other12.lastToken;
   ranges = other12.ranges;
-  step = other12.step;
   __isset = other12.__isset;
   return *this;
 }
@@ -398,7 +376,6 @@
   version = other13.version;
   lastToken = other13.lastToken;
   ranges = std::move(other13.ranges);
-  step = other13.step;
   __isset = other13.__isset;
   return *this;
 }
@@ -409,7 +386,551 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "lastToken=" << to_string(lastToken);
   out << ", " << "ranges=" << to_string(ranges);
-  out << ", " << "step="; (__isset.step ? (out << to_string(step)) : (out << "<null>"));
+  out << ")";
+}
+
+
+OwnerSpan::~OwnerSpan() noexcept {
+}
+
+
+void OwnerSpan::__set_skipped(const int32_t val) {
+  this->skipped = val;
+}
+
+void OwnerSpan::__set_keys(const int32_t val) {
+  this->keys = val;
+}
+
+void OwnerSpan::__set_owner(const int32_t val) {
+  this->owner = val;
+}
+std::ostream& operator<<(std::ostream& out, const OwnerSpan& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OwnerSpan::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->skipped);
+          this->__isset.skipped = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->keys);
+          this->__isset.keys = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OwnerSpan::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OwnerSpan");
+
+  xfer += oprot->writeFieldBegin("skipped", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->skipped);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->keys);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->owner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OwnerSpan &a, OwnerSpan &b) {
+  using ::std::swap;
+  swap(a.skipped, b.skipped);
+  swap(a.keys, b.keys);
+  swap(a.owner, b.owner);
+  swap(a.__isset, b.__isset);
+}
+
+OwnerSpan::OwnerSpan(const OwnerSpan& other14) noexcept {
+  skipped = other14.skipped;
+  keys = other14.keys;
+  owner = other14.owner;
+  __isset = other14.__isset;
+}
+OwnerSpan::OwnerSpan(OwnerSpan&& other15) noexcept {
+  skipped = other15.skipped;
+  keys = other15.keys;
+  owner = other15.owner;
+  __isset = other15.__isset;
+}
+OwnerSpan& OwnerSpan::operator=(const OwnerSpan& other16) noexcept {
+  skipped = other16.skipped;
+  keys = other16.keys;
+  owner = other16.owner;
+  __isset = other16.__isset;
+  return *this;
+}
+OwnerSpan& OwnerSpan::operator=(OwnerSpan&& other17) noexcept {
+  skipped = other17.skipped;
+  keys = other17.keys;
+  owner = other17.owner;
+  __isset = other17.__isset;
+  return *this;
+}
+void OwnerSpan::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OwnerSpan(";
+  out << "skipped=" << to_string(skipped);
+  out << ", " << "keys=" << to_string(keys);
+  out << ", " << "owner=" << to_string(owner);
+  out << ")";
+}
+
+
+OwnersNews::~OwnersNews() noexcept {
+}
+
+
+void OwnersNews::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void OwnersNews::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void OwnersNews::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void OwnersNews::__set_step(const int32_t val) {
+  this->step = val;
+}
+
+void OwnersNews::__set_baseVersion(const int64_t val) {
+  this->baseVersion = val;
+__isset.baseVersion = true;
+}
+
+void OwnersNews::__set_baseStep(const int32_t val) {
+  this->baseStep = val;
+__isset.baseStep = true;
+}
+
+void OwnersNews::__set_owners(const std::vector<std::string> & val) {
+  this->owners = val;
+}
+
+void OwnersNews::__set_spans(const std::vector<OwnerSpan> & val) {
+  this->spans = val;
+}
+std::ostream& operator<<(std::ostream& out, const OwnersNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OwnersNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->step);
+          this->__isset.step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseVersion);
+          this->__isset.baseVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->baseStep);
+          this->__isset.baseStep = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->owners.clear();
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->owners.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
+            {
+              xfer += iprot->readString(this->owners[_i22]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.owners = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->spans.clear();
+            uint32_t _size23;
+            ::apache::thrift::protocol::TType _etype26;
+            xfer += iprot->readListBegin(_etype26, _size23);
+            this->spans.resize(_size23);
+            uint32_t _i27;
+            for (_i27 = 0; _i27 < _size23; ++_i27)
+            {
+              xfer += this->spans[_i27].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.spans = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OwnersNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OwnersNews");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->step);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.baseVersion) {
+    xfer += oprot->writeFieldBegin("baseVersion", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->baseVersion);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.baseStep) {
+    xfer += oprot->writeFieldBegin("baseStep", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->baseStep);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("owners", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->owners.size()));
+    std::vector<std::string> ::const_iterator _iter28;
+    for (_iter28 = this->owners.begin(); _iter28 != this->owners.end(); ++_iter28)
+    {
+      xfer += oprot->writeString((*_iter28));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("spans", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->spans.size()));
+    std::vector<OwnerSpan> ::const_iterator _iter29;
+    for (_iter29 = this->spans.begin(); _iter29 != this->spans.end(); ++_iter29)
+    {
+      xfer += (*_iter29).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OwnersNews &a, OwnersNews &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.epoch, b.epoch);
+  swap(a.version, b.version);
+  swap(a.step, b.step);
+  swap(a.baseVersion, b.baseVersion);
+  swap(a.baseStep, b.baseStep);
+  swap(a.owners, b.owners);
+  swap(a.spans, b.spans);
+  swap(a.__isset, b.__isset);
+}
+
+OwnersNews::OwnersNews(const OwnersNews& other30) {
+  serviceName = other30.serviceName;
+  epoch = other30.epoch;
+  version = other30.version;
+  step = other30.step;
+  baseVersion = other30.baseVersion;
+  baseStep = other30.baseStep;
+  owners = other30.owners;
+  spans = other30.spans;
+  __isset = other30.__isset;
+}
+OwnersNews::OwnersNews(OwnersNews&& other31) noexcept {
+  serviceName = std::move(other31.serviceName);
+  epoch = other31.epoch;
+  version = other31.version;
+  step = other31.step;
+  baseVersion = other31.baseVersion;
+  baseStep = other31.baseStep;
+  owners = std::move(other31.owners);
+  spans = std::move(other31.spans);
+  __isset = other31.__isset;
+}
+OwnersNews& OwnersNews::operator=(const OwnersNews& other32) {
+  serviceName = other32.serviceName;
+  epoch = other32.epoch;
+  version = other32.version;
+  step = other32.step;
+  baseVersion = other32.baseVersion;
+  baseStep = other32.baseStep;
+  owners = other32.owners;
+  spans = other32.spans;
+  __isset = other32.__isset;
+  return *this;
+}
+OwnersNews& OwnersNews::operator=(OwnersNews&& other33) noexcept {
+  serviceName = std::move(other33.serviceName);
+  epoch = other33.epoch;
+  version = other33.version;
+  step = other33.step;
+  baseVersion = other33.baseVersion;
+  baseStep = other33.baseStep;
+  owners = std::move(other33.owners);
+  spans = std::move(other33.spans);
+  __isset = other33.__isset;
+  return *this;
+}
+void OwnersNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OwnersNews(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "step=" << to_string(step);
+  out << ", " << "baseVersion="; (__isset.baseVersion ? (out << to_string(baseVersion)) : (out << "<null>"));
+  out << ", " << "baseStep="; (__isset.baseStep ? (out << to_string(baseStep)) : (out << "<null>"));
+  out << ", " << "owners=" << to_string(owners);
+  out << ", " << "spans=" << to_string(spans);
+  out << ")";
+}
+
+
+OwnersRequest::~OwnersRequest() noexcept {
+}
+
+
+void OwnersRequest::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+std::ostream& operator<<(std::ostream& out, const OwnersRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OwnersRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OwnersRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OwnersRequest");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OwnersRequest &a, OwnersRequest &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.__isset, b.__isset);
+}
+
+OwnersRequest::OwnersRequest(const OwnersRequest& other34) {
+  serviceName = other34.serviceName;
+  __isset = other34.__isset;
+}
+OwnersRequest::OwnersRequest(OwnersRequest&& other35) noexcept {
+  serviceName = std::move(other35.serviceName);
+  __isset = other35.__isset;
+}
+OwnersRequest& OwnersRequest::operator=(const OwnersRequest& other36) {
+  serviceName = other36.serviceName;
+  __isset = other36.__isset;
+  return *this;
+}
+OwnersRequest& OwnersRequest::operator=(OwnersRequest&& other37) noexcept {
+  serviceName = std::move(other37.serviceName);
+  __isset = other37.__isset;
+  return *this;
+}
+void OwnersRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OwnersRequest(";
+  out << "serviceName=" << to_string(serviceName);
   out << ")";
 }
 
@@ -639,54 +1160,54 @@
   swap(a.__isset, b.__isset);
 }
 
-UpstreamNews::UpstreamNews(const UpstreamNews& other14) noexcept {
-  upstream = other14.upstream;
-  outstanding = other14.outstanding;
-  running = other14.running;
-  waiting = other14.waiting;
-  slownessPercent = other14.slownessPercent;
-  reportAgeMillis = other14.reportAgeMillis;
-  hostWaiting = other14.hostWaiting;
-  speedPercent = other14.speedPercent;
-  speedSamples = other14.speedSamples;
-  __isset = other14.__isset;
+UpstreamNews::UpstreamNews(const UpstreamNews& other38) noexcept {
+  upstream = other38.upstream;
+  outstanding = other38.outstanding;
+  running = other38.running;
+  waiting = other38.waiting;
+  slownessPercent = other38.slownessPercent;
+  reportAgeMillis = other38.reportAgeMillis;
+  hostWaiting = other38.hostWaiting;
+  speedPercent = other38.speedPercent;
+  speedSamples = other38.speedSamples;
+  __isset = other38.__isset;
 }
-UpstreamNews::UpstreamNews(UpstreamNews&& other15) noexcept {
-  upstream = other15.upstream;
-  outstanding = other15.outstanding;
-  running = other15.running;
-  waiting = other15.waiting;
-  slownessPercent = other15.slownessPercent;
-  reportAgeMillis = other15.reportAgeMillis;
-  hostWaiting = other15.hostWaiting;
-  speedPercent = other15.speedPercent;
-  speedSamples = other15.speedSamples;
-  __isset = other15.__isset;
+UpstreamNews::UpstreamNews(UpstreamNews&& other39) noexcept {
+  upstream = other39.upstream;
+  outstanding = other39.outstanding;
+  running = other39.running;
+  waiting = other39.waiting;
+  slownessPercent = other39.slownessPercent;
+  reportAgeMillis = other39.reportAgeMillis;
+  hostWaiting = other39.hostWaiting;
+  speedPercent = other39.speedPercent;
+  speedSamples = other39.speedSamples;
+  __isset = other39.__isset;
 }
-UpstreamNews& UpstreamNews::operator=(const UpstreamNews& other16) noexcept {
-  upstream = other16.upstream;
-  outstanding = other16.outstanding;
-  running = other16.running;
-  waiting = other16.waiting;
-  slownessPercent = other16.slownessPercent;
-  reportAgeMillis = other16.reportAgeMillis;
-  hostWaiting = other16.hostWaiting;
-  speedPercent = other16.speedPercent;
-  speedSamples = other16.speedSamples;
-  __isset = other16.__isset;
+UpstreamNews& UpstreamNews::operator=(const UpstreamNews& other40) noexcept {
+  upstream = other40.upstream;
+  outstanding = other40.outstanding;
+  running = other40.running;
+  waiting = other40.waiting;
+  slownessPercent = other40.slownessPercent;
+  reportAgeMillis = other40.reportAgeMillis;
+  hostWaiting = other40.hostWaiting;
+  speedPercent = other40.speedPercent;
+  speedSamples = other40.speedSamples;
+  __isset = other40.__isset;
   return *this;
 }
-UpstreamNews& UpstreamNews::operator=(UpstreamNews&& other17) noexcept {
-  upstream = other17.upstream;
-  outstanding = other17.outstanding;
-  running = other17.running;
-  waiting = other17.waiting;
-  slownessPercent = other17.slownessPercent;
-  reportAgeMillis = other17.reportAgeMillis;
-  hostWaiting = other17.hostWaiting;
-  speedPercent = other17.speedPercent;
-  speedSamples = other17.speedSamples;
-  __isset = other17.__isset;
+UpstreamNews& UpstreamNews::operator=(UpstreamNews&& other41) noexcept {
+  upstream = other41.upstream;
+  outstanding = other41.outstanding;
+  running = other41.running;
+  waiting = other41.waiting;
+  slownessPercent = other41.slownessPercent;
+  reportAgeMillis = other41.reportAgeMillis;
+  hostWaiting = other41.hostWaiting;
+  speedPercent = other41.speedPercent;
+  speedSamples = other41.speedSamples;
+  __isset = other41.__isset;
   return *this;
 }
 void UpstreamNews::printTo(std::ostream& out) const {
@@ -797,26 +1318,26 @@
   swap(a.__isset, b.__isset);
 }
 
-QueueNews::QueueNews(const QueueNews& other18) noexcept {
-  serviceHash = other18.serviceHash;
-  waiting = other18.waiting;
-  __isset = other18.__isset;
+QueueNews::QueueNews(const QueueNews& other42) noexcept {
+  serviceHash = other42.serviceHash;
+  waiting = other42.waiting;
+  __isset = other42.__isset;
 }
-QueueNews::QueueNews(QueueNews&& other19) noexcept {
-  serviceHash = other19.serviceHash;
-  waiting = other19.waiting;
-  __isset = other19.__isset;
+QueueNews::QueueNews(QueueNews&& other43) noexcept {
+  serviceHash = other43.serviceHash;
+  waiting = other43.waiting;
+  __isset = other43.__isset;
 }
-QueueNews& QueueNews::operator=(const QueueNews& other20) noexcept {
-  serviceHash = other20.serviceHash;
-  waiting = other20.waiting;
-  __isset = other20.__isset;
+QueueNews& QueueNews::operator=(const QueueNews& other44) noexcept {
+  serviceHash = other44.serviceHash;
+  waiting = other44.waiting;
+  __isset = other44.__isset;
   return *this;
 }
-QueueNews& QueueNews::operator=(QueueNews&& other21) noexcept {
-  serviceHash = other21.serviceHash;
-  waiting = other21.waiting;
-  __isset = other21.__isset;
+QueueNews& QueueNews::operator=(QueueNews&& other45) noexcept {
+  serviceHash = other45.serviceHash;
+  waiting = other45.waiting;
+  __isset = other45.__isset;
   return *this;
 }
 void QueueNews::printTo(std::ostream& out) const {
@@ -879,14 +1400,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->upstreams.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->upstreams.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->upstreams[_i26].read(iprot);
+              xfer += this->upstreams[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -899,14 +1420,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->queues.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->queues.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->queues.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += this->queues[_i31].read(iprot);
+              xfer += this->queues[_i55].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -951,10 +1472,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<UpstreamNews> ::const_iterator _iter32;
-    for (_iter32 = this->upstreams.begin(); _iter32 != this->upstreams.end(); ++_iter32)
+    std::vector<UpstreamNews> ::const_iterator _iter56;
+    for (_iter56 = this->upstreams.begin(); _iter56 != this->upstreams.end(); ++_iter56)
     {
-      xfer += (*_iter32).write(oprot);
+      xfer += (*_iter56).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -963,10 +1484,10 @@
   xfer += oprot->writeFieldBegin("queues", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->queues.size()));
-    std::vector<QueueNews> ::const_iterator _iter33;
-    for (_iter33 = this->queues.begin(); _iter33 != this->queues.end(); ++_iter33)
+    std::vector<QueueNews> ::const_iterator _iter57;
+    for (_iter57 = this->queues.begin(); _iter57 != this->queues.end(); ++_iter57)
     {
-      xfer += (*_iter33).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -994,34 +1515,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HostNews::HostNews(const HostNews& other34) {
-  upstreams = other34.upstreams;
-  queues = other34.queues;
-  stopping = other34.stopping;
-  coordinatorEpoch = other34.coordinatorEpoch;
-  __isset = other34.__isset;
+HostNews::HostNews(const HostNews& other58) {
+  upstreams = other58.upstreams;
+  queues = other58.queues;
+  stopping = other58.stopping;
+  coordinatorEpoch = other58.coordinatorEpoch;
+  __isset = other58.__isset;
 }
-HostNews::HostNews(HostNews&& other35) noexcept {
-  upstreams = std::move(other35.upstreams);
-  queues = std::move(other35.queues);
-  stopping = other35.stopping;
-  coordinatorEpoch = other35.coordinatorEpoch;
-  __isset = other35.__isset;
+HostNews::HostNews(HostNews&& other59) noexcept {
+  upstreams = std::move(other59.upstreams);
+  queues = std::move(other59.queues);
+  stopping = other59.stopping;
+  coordinatorEpoch = other59.coordinatorEpoch;
+  __isset = other59.__isset;
 }
-HostNews& HostNews::operator=(const HostNews& other36) {
-  upstreams = other36.upstreams;
-  queues = other36.queues;
-  stopping = other36.stopping;
-  coordinatorEpoch = other36.coordinatorEpoch;
-  __isset = other36.__isset;
+HostNews& HostNews::operator=(const HostNews& other60) {
+  upstreams = other60.upstreams;
+  queues = other60.queues;
+  stopping = other60.stopping;
+  coordinatorEpoch = other60.coordinatorEpoch;
+  __isset = other60.__isset;
   return *this;
 }
-HostNews& HostNews::operator=(HostNews&& other37) noexcept {
-  upstreams = std::move(other37.upstreams);
-  queues = std::move(other37.queues);
-  stopping = other37.stopping;
-  coordinatorEpoch = other37.coordinatorEpoch;
-  __isset = other37.__isset;
+HostNews& HostNews::operator=(HostNews&& other61) noexcept {
+  upstreams = std::move(other61.upstreams);
+  queues = std::move(other61.queues);
+  stopping = other61.stopping;
+  coordinatorEpoch = other61.coordinatorEpoch;
+  __isset = other61.__isset;
   return *this;
 }
 void HostNews::printTo(std::ostream& out) const {
@@ -1127,26 +1648,26 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyCount::KeyCount(const KeyCount& other38) noexcept {
-  key = other38.key;
-  count = other38.count;
-  __isset = other38.__isset;
+KeyCount::KeyCount(const KeyCount& other62) noexcept {
+  key = other62.key;
+  count = other62.count;
+  __isset = other62.__isset;
 }
-KeyCount::KeyCount(KeyCount&& other39) noexcept {
-  key = other39.key;
-  count = other39.count;
-  __isset = other39.__isset;
+KeyCount::KeyCount(KeyCount&& other63) noexcept {
+  key = other63.key;
+  count = other63.count;
+  __isset = other63.__isset;
 }
-KeyCount& KeyCount::operator=(const KeyCount& other40) noexcept {
-  key = other40.key;
-  count = other40.count;
-  __isset = other40.__isset;
+KeyCount& KeyCount::operator=(const KeyCount& other64) noexcept {
+  key = other64.key;
+  count = other64.count;
+  __isset = other64.__isset;
   return *this;
 }
-KeyCount& KeyCount::operator=(KeyCount&& other41) noexcept {
-  key = other41.key;
-  count = other41.count;
-  __isset = other41.__isset;
+KeyCount& KeyCount::operator=(KeyCount&& other65) noexcept {
+  key = other65.key;
+  count = other65.count;
+  __isset = other65.__isset;
   return *this;
 }
 void KeyCount::printTo(std::ostream& out) const {
@@ -1209,14 +1730,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->counts.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->counts.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->counts[_i46].read(iprot);
+              xfer += this->counts[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1249,10 +1770,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->counts.size()));
-    std::vector<KeyCount> ::const_iterator _iter47;
-    for (_iter47 = this->counts.begin(); _iter47 != this->counts.end(); ++_iter47)
+    std::vector<KeyCount> ::const_iterator _iter71;
+    for (_iter71 = this->counts.begin(); _iter71 != this->counts.end(); ++_iter71)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter71).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1270,26 +1791,26 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyLoadNews::KeyLoadNews(const KeyLoadNews& other48) {
-  serviceName = other48.serviceName;
-  counts = other48.counts;
-  __isset = other48.__isset;
+KeyLoadNews::KeyLoadNews(const KeyLoadNews& other72) {
+  serviceName = other72.serviceName;
+  counts = other72.counts;
+  __isset = other72.__isset;
 }
-KeyLoadNews::KeyLoadNews(KeyLoadNews&& other49) noexcept {
-  serviceName = std::move(other49.serviceName);
-  counts = std::move(other49.counts);
-  __isset = other49.__isset;
+KeyLoadNews::KeyLoadNews(KeyLoadNews&& other73) noexcept {
+  serviceName = std::move(other73.serviceName);
+  counts = std::move(other73.counts);
+  __isset = other73.__isset;
 }
-KeyLoadNews& KeyLoadNews::operator=(const KeyLoadNews& other50) {
-  serviceName = other50.serviceName;
-  counts = other50.counts;
-  __isset = other50.__isset;
+KeyLoadNews& KeyLoadNews::operator=(const KeyLoadNews& other74) {
+  serviceName = other74.serviceName;
+  counts = other74.counts;
+  __isset = other74.__isset;
   return *this;
 }
-KeyLoadNews& KeyLoadNews::operator=(KeyLoadNews&& other51) noexcept {
-  serviceName = std::move(other51.serviceName);
-  counts = std::move(other51.counts);
-  __isset = other51.__isset;
+KeyLoadNews& KeyLoadNews::operator=(KeyLoadNews&& other75) noexcept {
+  serviceName = std::move(other75.serviceName);
+  counts = std::move(other75.counts);
+  __isset = other75.__isset;
   return *this;
 }
 void KeyLoadNews::printTo(std::ostream& out) const {
@@ -1393,26 +1914,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNews::CrashNews(const CrashNews& other52) {
-  fingerprint = other52.fingerprint;
-  upstream = other52.upstream;
-  __isset = other52.__isset;
+CrashNews::CrashNews(const CrashNews& other76) {
+  fingerprint = other76.fingerprint;
+  upstream = other76.upstream;
+  __isset = other76.__isset;
 }
-CrashNews::CrashNews(CrashNews&& other53) noexcept {
-  fingerprint = other53.fingerprint;
-  upstream = std::move(other53.upstream);
-  __isset = other53.__isset;
+CrashNews::CrashNews(CrashNews&& other77) noexcept {
+  fingerprint = other77.fingerprint;
+  upstream = std::move(other77.upstream);
+  __isset = other77.__isset;
 }
-CrashNews& CrashNews::operator=(const CrashNews& other54) {
-  fingerprint = other54.fingerprint;
-  upstream = other54.upstream;
-  __isset = other54.__isset;
+CrashNews& CrashNews::operator=(const CrashNews& other78) {
+  fingerprint = other78.fingerprint;
+  upstream = other78.upstream;
+  __isset = other78.__isset;
   return *this;
 }
-CrashNews& CrashNews::operator=(CrashNews&& other55) noexcept {
-  fingerprint = other55.fingerprint;
-  upstream = std::move(other55.upstream);
-  __isset = other55.__isset;
+CrashNews& CrashNews::operator=(CrashNews&& other79) noexcept {
+  fingerprint = other79.fingerprint;
+  upstream = std::move(other79.upstream);
+  __isset = other79.__isset;
   return *this;
 }
 void CrashNews::printTo(std::ostream& out) const {
@@ -1550,34 +2071,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreEventNews::StoreEventNews(const StoreEventNews& other56) {
-  key = other56.key;
-  value = other56.value;
-  version = other56.version;
-  removed = other56.removed;
-  __isset = other56.__isset;
-}
-StoreEventNews::StoreEventNews(StoreEventNews&& other57) noexcept {
-  key = std::move(other57.key);
-  value = std::move(other57.value);
-  version = other57.version;
-  removed = other57.removed;
-  __isset = other57.__isset;
-}
-StoreEventNews& StoreEventNews::operator=(const StoreEventNews& other58) {
-  key = other58.key;
-  value = other58.value;
-  version = other58.version;
-  removed = other58.removed;
-  __isset = other58.__isset;
+StoreEventNews::StoreEventNews(const StoreEventNews& other80) {
+  key = other80.key;
+  value = other80.value;
+  version = other80.version;
+  removed = other80.removed;
+  __isset = other80.__isset;
+}
+StoreEventNews::StoreEventNews(StoreEventNews&& other81) noexcept {
+  key = std::move(other81.key);
+  value = std::move(other81.value);
+  version = other81.version;
+  removed = other81.removed;
+  __isset = other81.__isset;
+}
+StoreEventNews& StoreEventNews::operator=(const StoreEventNews& other82) {
+  key = other82.key;
+  value = other82.value;
+  version = other82.version;
+  removed = other82.removed;
+  __isset = other82.__isset;
   return *this;
 }
-StoreEventNews& StoreEventNews::operator=(StoreEventNews&& other59) noexcept {
-  key = std::move(other59.key);
-  value = std::move(other59.value);
-  version = other59.version;
-  removed = other59.removed;
-  __isset = other59.__isset;
+StoreEventNews& StoreEventNews::operator=(StoreEventNews&& other83) noexcept {
+  key = std::move(other83.key);
+  value = std::move(other83.value);
+  version = other83.version;
+  removed = other83.removed;
+  __isset = other83.__isset;
   return *this;
 }
 void StoreEventNews::printTo(std::ostream& out) const {
@@ -1606,6 +2127,11 @@
 void StoreNews::__set_events(const std::vector<StoreEventNews> & val) {
   this->events = val;
 }
+
+void StoreNews::__set_renewed(const std::vector<int32_t> & val) {
+  this->renewed = val;
+__isset.renewed = true;
+}
 std::ostream& operator<<(std::ostream& out, const StoreNews& obj)
 {
   obj.printTo(out);
@@ -1654,14 +2180,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->events.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->events.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->events.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->events[_i64].read(iprot);
+              xfer += this->events[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1670,6 +2196,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->renewed.clear();
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->renewed.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
+            {
+              xfer += iprot->readI32(this->renewed[_i93]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.renewed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1698,15 +2244,28 @@
   xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->events.size()));
-    std::vector<StoreEventNews> ::const_iterator _iter65;
-    for (_iter65 = this->events.begin(); _iter65 != this->events.end(); ++_iter65)
+    std::vector<StoreEventNews> ::const_iterator _iter94;
+    for (_iter94 = this->events.begin(); _iter94 != this->events.end(); ++_iter94)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter94).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.renewed) {
+    xfer += oprot->writeFieldBegin("renewed", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->renewed.size()));
+      std::vector<int32_t> ::const_iterator _iter95;
+      for (_iter95 = this->renewed.begin(); _iter95 != this->renewed.end(); ++_iter95)
+      {
+        xfer += oprot->writeI32((*_iter95));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1717,33 +2276,38 @@
   swap(a.after, b.after);
   swap(a.version, b.version);
   swap(a.events, b.events);
+  swap(a.renewed, b.renewed);
   swap(a.__isset, b.__isset);
 }
 
-StoreNews::StoreNews(const StoreNews& other66) {
-  after = other66.after;
-  version = other66.version;
-  events = other66.events;
-  __isset = other66.__isset;
-}
-StoreNews::StoreNews(StoreNews&& other67) noexcept {
-  after = other67.after;
-  version = other67.version;
-  events = std::move(other67.events);
-  __isset = other67.__isset;
-}
-StoreNews& StoreNews::operator=(const StoreNews& other68) {
-  after = other68.after;
-  version = other68.version;
-  events = other68.events;
-  __isset = other68.__isset;
+StoreNews::StoreNews(const StoreNews& other96) {
+  after = other96.after;
+  version = other96.version;
+  events = other96.events;
+  renewed = other96.renewed;
+  __isset = other96.__isset;
+}
+StoreNews::StoreNews(StoreNews&& other97) noexcept {
+  after = other97.after;
+  version = other97.version;
+  events = std::move(other97.events);
+  renewed = std::move(other97.renewed);
+  __isset = other97.__isset;
+}
+StoreNews& StoreNews::operator=(const StoreNews& other98) {
+  after = other98.after;
+  version = other98.version;
+  events = other98.events;
+  renewed = other98.renewed;
+  __isset = other98.__isset;
   return *this;
 }
-StoreNews& StoreNews::operator=(StoreNews&& other69) noexcept {
-  after = other69.after;
-  version = other69.version;
-  events = std::move(other69.events);
-  __isset = other69.__isset;
+StoreNews& StoreNews::operator=(StoreNews&& other99) noexcept {
+  after = other99.after;
+  version = other99.version;
+  events = std::move(other99.events);
+  renewed = std::move(other99.renewed);
+  __isset = other99.__isset;
   return *this;
 }
 void StoreNews::printTo(std::ostream& out) const {
@@ -1752,6 +2316,7 @@
   out << "after=" << to_string(after);
   out << ", " << "version=" << to_string(version);
   out << ", " << "events=" << to_string(events);
+  out << ", " << "renewed="; (__isset.renewed ? (out << to_string(renewed)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1773,11 +2338,6 @@
 __isset.news = true;
 }
 
-void Datagram::__set_table(const KeyTableRecord& val) {
-  this->table = val;
-__isset.table = true;
-}
-
 void Datagram::__set_load(const KeyLoadNews& val) {
   this->load = val;
 __isset.load = true;
@@ -1792,6 +2352,16 @@
   this->store = val;
 __isset.store = true;
 }
+
+void Datagram::__set_owners(const OwnersNews& val) {
+  this->owners = val;
+__isset.owners = true;
+}
+
+void Datagram::__set_ownersRequest(const OwnersRequest& val) {
+  this->ownersRequest = val;
+__isset.ownersRequest = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -1844,14 +2414,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->table.read(iprot);
-          this->__isset.table = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->load.read(iprot);
@@ -1876,6 +2438,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->owners.read(iprot);
+          this->__isset.owners = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ownersRequest.read(iprot);
+          this->__isset.ownersRequest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1906,11 +2484,6 @@
     xfer += this->news.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.table) {
-    xfer += oprot->writeFieldBegin("table", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->table.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   if (this->__isset.load) {
     xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_STRUCT, 5);
     xfer += this->load.write(oprot);
@@ -1926,6 +2499,16 @@
     xfer += this->store.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.owners) {
+    xfer += oprot->writeFieldBegin("owners", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->owners.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ownersRequest) {
+    xfer += oprot->writeFieldBegin("ownersRequest", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->ownersRequest.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1936,53 +2519,58 @@
   swap(a.host, b.host);
   swap(a.sequence, b.sequence);
   swap(a.news, b.news);
-  swap(a.table, b.table);
   swap(a.load, b.load);
   swap(a.crash, b.crash);
   swap(a.store, b.store);
+  swap(a.owners, b.owners);
+  swap(a.ownersRequest, b.ownersRequest);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other70) {
-  host = other70.host;
-  sequence = other70.sequence;
-  news = other70.news;
-  table = other70.table;
-  load = other70.load;
-  crash = other70.crash;
-  store = other70.store;
-  __isset = other70.__isset;
-}
-Datagram::Datagram(Datagram&& other71) noexcept {
-  host = std::move(other71.host);
-  sequence = other71.sequence;
-  news = std::move(other71.news);
-  table = std::move(other71.table);
-  load = std::move(other71.load);
-  crash = std::move(other71.crash);
-  store = std::move(other71.store);
-  __isset = other71.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other72) {
-  host = other72.host;
-  sequence = other72.sequence;
-  news = other72.news;
-  table = other72.table;
-  load = other72.load;
-  crash = other72.crash;
-  store = other72.store;
-  __isset = other72.__isset;
+Datagram::Datagram(const Datagram& other100) {
+  host = other100.host;
+  sequence = other100.sequence;
+  news = other100.news;
+  load = other100.load;
+  crash = other100.crash;
+  store = other100.store;
+  owners = other100.owners;
+  ownersRequest = other100.ownersRequest;
+  __isset = other100.__isset;
+}
+Datagram::Datagram(Datagram&& other101) noexcept {
+  host = std::move(other101.host);
+  sequence = other101.sequence;
+  news = std::move(other101.news);
+  load = std::move(other101.load);
+  crash = std::move(other101.crash);
+  store = std::move(other101.store);
+  owners = std::move(other101.owners);
+  ownersRequest = std::move(other101.ownersRequest);
+  __isset = other101.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other102) {
+  host = other102.host;
+  sequence = other102.sequence;
+  news = other102.news;
+  load = other102.load;
+  crash = other102.crash;
+  store = other102.store;
+  owners = other102.owners;
+  ownersRequest = other102.ownersRequest;
+  __isset = other102.__isset;
   return *this;
 }
-Datagram& Datagram::operator=(Datagram&& other73) noexcept {
-  host = std::move(other73.host);
-  sequence = other73.sequence;
-  news = std::move(other73.news);
-  table = std::move(other73.table);
-  load = std::move(other73.load);
-  crash = std::move(other73.crash);
-  store = std::move(other73.store);
-  __isset = other73.__isset;
+Datagram& Datagram::operator=(Datagram&& other103) noexcept {
+  host = std::move(other103.host);
+  sequence = other103.sequence;
+  news = std::move(other103.news);
+  load = std::move(other103.load);
+  crash = std::move(other103.crash);
+  store = std::move(other103.store);
+  owners = std::move(other103.owners);
+  ownersRequest = std::move(other103.ownersRequest);
+  __isset = other103.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -1991,10 +2579,11 @@
   out << "host=" << to_string(host);
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "news="; (__isset.news ? (out << to_string(news)) : (out << "<null>"));
-  out << ", " << "table="; (__isset.table ? (out << to_string(table)) : (out << "<null>"));
   out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
   out << ", " << "crash="; (__isset.crash ? (out << to_string(crash)) : (out << "<null>"));
   out << ", " << "store="; (__isset.store ? (out << to_string(store)) : (out << "<null>"));
+  out << ", " << "owners="; (__isset.owners ? (out << to_string(owners)) : (out << "<null>"));
+  out << ", " << "ownersRequest="; (__isset.ownersRequest ? (out << to_string(ownersRequest)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libgateway/gen/gateway_types.h
+++ b/src/libgateway/gen/gateway_types.h
@@ -25,6 +25,12 @@
 
 class KeyTableRecord;
 
+class OwnerSpan;
+
+class OwnersNews;
+
+class OwnersRequest;
+
 class UpstreamNews;
 
 class QueueNews;
@@ -117,12 +123,11 @@
 std::ostream& operator<<(std::ostream& out, const KeyRangeRecord& obj);
 
 typedef struct _KeyTableRecord__isset {
-  _KeyTableRecord__isset() : serviceName(false), version(false), lastToken(false), ranges(false), step(false) {}
+  _KeyTableRecord__isset() : serviceName(false), version(false), lastToken(false), ranges(false) {}
   bool serviceName :1;
   bool version :1;
   bool lastToken :1;
   bool ranges :1;
-  bool step :1;
 } _KeyTableRecord__isset;
 
 class KeyTableRecord : public virtual ::apache::thrift::TBase {
@@ -135,8 +140,7 @@
   KeyTableRecord() noexcept
                  : serviceName(),
                    version(0),
-                   lastToken(0),
-                   step(0) {
+                   lastToken(0) {
   }
 
   virtual ~KeyTableRecord() noexcept;
@@ -144,7 +148,6 @@
   int64_t version;
   int64_t lastToken;
   std::vector<KeyRangeRecord>  ranges;
-  int32_t step;
 
   _KeyTableRecord__isset __isset;
 
@@ -156,8 +159,6 @@
 
   void __set_ranges(const std::vector<KeyRangeRecord> & val);
 
-  void __set_step(const int32_t val);
-
   bool operator == (const KeyTableRecord & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -168,10 +169,6 @@
       return false;
     if (!(ranges == rhs.ranges))
       return false;
-    if (__isset.step != rhs.__isset.step)
-      return false;
-    else if (__isset.step && !(step == rhs.step))
-      return false;
     return true;
   }
   bool operator != (const KeyTableRecord &rhs) const {
@@ -190,6 +187,206 @@
 
 std::ostream& operator<<(std::ostream& out, const KeyTableRecord& obj);
 
+typedef struct _OwnerSpan__isset {
+  _OwnerSpan__isset() : skipped(false), keys(false), owner(false) {}
+  bool skipped :1;
+  bool keys :1;
+  bool owner :1;
+} _OwnerSpan__isset;
+
+class OwnerSpan : public virtual ::apache::thrift::TBase {
+ public:
+
+  OwnerSpan(const OwnerSpan&) noexcept;
+  OwnerSpan(OwnerSpan&&) noexcept;
+  OwnerSpan& operator=(const OwnerSpan&) noexcept;
+  OwnerSpan& operator=(OwnerSpan&&) noexcept;
+  OwnerSpan() noexcept
+            : skipped(0),
+              keys(0),
+              owner(0) {
+  }
+
+  virtual ~OwnerSpan() noexcept;
+  int32_t skipped;
+  int32_t keys;
+  int32_t owner;
+
+  _OwnerSpan__isset __isset;
+
+  void __set_skipped(const int32_t val);
+
+  void __set_keys(const int32_t val);
+
+  void __set_owner(const int32_t val);
+
+  bool operator == (const OwnerSpan & rhs) const
+  {
+    if (!(skipped == rhs.skipped))
+      return false;
+    if (!(keys == rhs.keys))
+      return false;
+    if (!(owner == rhs.owner))
+      return false;
+    return true;
+  }
+  bool operator != (const OwnerSpan &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OwnerSpan & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OwnerSpan &a, OwnerSpan &b);
+
+std::ostream& operator<<(std::ostream& out, const OwnerSpan& obj);
+
+typedef struct _OwnersNews__isset {
+  _OwnersNews__isset() : serviceName(false), epoch(false), version(false), step(false), baseVersion(false), baseStep(false), owners(false), spans(false) {}
+  bool serviceName :1;
+  bool epoch :1;
+  bool version :1;
+  bool step :1;
+  bool baseVersion :1;
+  bool baseStep :1;
+  bool owners :1;
+  bool spans :1;
+} _OwnersNews__isset;
+
+class OwnersNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  OwnersNews(const OwnersNews&);
+  OwnersNews(OwnersNews&&) noexcept;
+  OwnersNews& operator=(const OwnersNews&);
+  OwnersNews& operator=(OwnersNews&&) noexcept;
+  OwnersNews() noexcept
+             : serviceName(),
+               epoch(0),
+               version(0),
+               step(0),
+               baseVersion(0),
+               baseStep(0) {
+  }
+
+  virtual ~OwnersNews() noexcept;
+  std::string serviceName;
+  int64_t epoch;
+  int64_t version;
+  int32_t step;
+  int64_t baseVersion;
+  int32_t baseStep;
+  std::vector<std::string>  owners;
+  std::vector<OwnerSpan>  spans;
+
+  _OwnersNews__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_step(const int32_t val);
+
+  void __set_baseVersion(const int64_t val);
+
+  void __set_baseStep(const int32_t val);
+
+  void __set_owners(const std::vector<std::string> & val);
+
+  void __set_spans(const std::vector<OwnerSpan> & val);
+
+  bool operator == (const OwnersNews & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(step == rhs.step))
+      return false;
+    if (__isset.baseVersion != rhs.__isset.baseVersion)
+      return false;
+    else if (__isset.baseVersion && !(baseVersion == rhs.baseVersion))
+      return false;
+    if (__isset.baseStep != rhs.__isset.baseStep)
+      return false;
+    else if (__isset.baseStep && !(baseStep == rhs.baseStep))
+      return false;
+    if (!(owners == rhs.owners))
+      return false;
+    if (!(spans == rhs.spans))
+      return false;
+    return true;
+  }
+  bool operator != (const OwnersNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OwnersNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OwnersNews &a, OwnersNews &b);
+
+std::ostream& operator<<(std::ostream& out, const OwnersNews& obj);
+
+typedef struct _OwnersRequest__isset {
+  _OwnersRequest__isset() : serviceName(false) {}
+  bool serviceName :1;
+} _OwnersRequest__isset;
+
+class OwnersRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  OwnersRequest(const OwnersRequest&);
+  OwnersRequest(OwnersRequest&&) noexcept;
+  OwnersRequest& operator=(const OwnersRequest&);
+  OwnersRequest& operator=(OwnersRequest&&) noexcept;
+  OwnersRequest() noexcept
+                : serviceName() {
+  }
+
+  virtual ~OwnersRequest() noexcept;
+  std::string serviceName;
+
+  _OwnersRequest__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  bool operator == (const OwnersRequest & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    return true;
+  }
+  bool operator != (const OwnersRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OwnersRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OwnersRequest &a, OwnersRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const OwnersRequest& obj);
+
 typedef struct _UpstreamNews__isset {
   _UpstreamNews__isset() : upstream(false), outstanding(false), running(false), waiting(false), slownessPercent(false), reportAgeMillis(false), hostWaiting(false), speedPercent(false), speedSamples(false) {}
   bool upstream :1;
@@ -643,10 +840,11 @@
 std::ostream& operator<<(std::ostream& out, const StoreEventNews& obj);
 
 typedef struct _StoreNews__isset {
-  _StoreNews__isset() : after(false), version(false), events(false) {}
+  _StoreNews__isset() : after(false), version(false), events(false), renewed(false) {}
   bool after :1;
   bool version :1;
   bool events :1;
+  bool renewed :1;
 } _StoreNews__isset;
 
 class StoreNews : public virtual ::apache::thrift::TBase {
@@ -665,6 +863,7 @@
   int64_t after;
   int64_t version;
   std::vector<StoreEventNews>  events;
+  std::vector<int32_t>  renewed;
 
   _StoreNews__isset __isset;
 
@@ -674,6 +873,8 @@
 
   void __set_events(const std::vector<StoreEventNews> & val);
 
+  void __set_renewed(const std::vector<int32_t> & val);
+
   bool operator == (const StoreNews & rhs) const
   {
     if (!(after == rhs.after))
@@ -682,6 +883,10 @@
       return false;
     if (!(events == rhs.events))
       return false;
+    if (__isset.renewed != rhs.__isset.renewed)
+      return false;
+    else if (__isset.renewed && !(renewed == rhs.renewed))
+      return false;
     return true;
   }
   bool operator != (const StoreNews &rhs) const {
@@ -701,14 +906,15 @@
 std::ostream& operator<<(std::ostream& out, const StoreNews& obj);
 
 typedef struct _Datagram__isset {
-  _Datagram__isset() : host(false), sequence(false), news(false), table(false), load(false), crash(false), store(false) {}
+  _Datagram__isset() : host(false), sequence(false), news(false), load(false), crash(false), store(false), owners(false), ownersRequest(false) {}
   bool host :1;
   bool sequence :1;
   bool news :1;
-  bool table :1;
   bool load :1;
   bool crash :1;
   bool store :1;
+  bool owners :1;
+  bool ownersRequest :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -727,10 +933,11 @@
   std::string host;
   int64_t sequence;
   HostNews news;
-  KeyTableRecord table;
   KeyLoadNews load;
   CrashNews crash;
   StoreNews store;
+  OwnersNews owners;
+  OwnersRequest ownersRequest;
 
   _Datagram__isset __isset;
 
@@ -740,14 +947,16 @@
 
   void __set_news(const HostNews& val);
 
-  void __set_table(const KeyTableRecord& val);
-
   void __set_load(const KeyLoadNews& val);
 
   void __set_crash(const CrashNews& val);
 
   void __set_store(const StoreNews& val);
 
+  void __set_owners(const OwnersNews& val);
+
+  void __set_ownersRequest(const OwnersRequest& val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (!(host == rhs.host))
@@ -758,10 +967,6 @@
       return false;
     else if (__isset.news && !(news == rhs.news))
       return false;
-    if (__isset.table != rhs.__isset.table)
-      return false;
-    else if (__isset.table && !(table == rhs.table))
-      return false;
     if (__isset.load != rhs.__isset.load)
       return false;
     else if (__isset.load && !(load == rhs.load))
@@ -774,6 +979,14 @@
       return false;
     else if (__isset.store && !(store == rhs.store))
       return false;
+    if (__isset.owners != rhs.__isset.owners)
+      return false;
+    else if (__isset.owners && !(owners == rhs.owners))
+      return false;
+    if (__isset.ownersRequest != rhs.__isset.ownersRequest)
+      return false;
+    else if (__isset.ownersRequest && !(ownersRequest == rhs.ownersRequest))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
--- a/src/libgateway/key_coordinator.cpp
+++ b/src/libgateway/key_coordinator.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t MinMoves = 3;
 /// Pairs of ranges that are joined with one write.
 constexpr std::size_t MergesPerWrite = 4;
+/// Ranges are not split any more when there are so many for each owner: each
+/// is renewed by a call of its own.
+constexpr std::size_t MaxRangesPerOwner = 4;
 
 } // namespace
 
@@ -308,7 +311,8 @@
   auto Allowed = std::max(
       MinMoves, static_cast<std::size_t>(
                     static_cast<double>(Candidates.size()) * MovingShare));
-  if (Moving >= Allowed)
+  bool Split = m_holdings.size() > Candidates.size() * MaxRangesPerOwner;
+  if (Moving >= Allowed || Split)
     return;
   for (const KeyPlacement &Move :
        planMoves(Settled, Candidates, Load, {Allowed - Moving, BusyRate}))
--- a/src/libgateway/key_planner.cpp
+++ b/src/libgateway/key_planner.cpp
@@ -19,6 +19,9 @@
 /// the mean, and idle when it is below that share of it.
 constexpr double BusyRatio = 1.25;
 constexpr double IdleRatio = 0.85;
+/// An owner's load is busy for sure when it is so many standard deviations of
+/// its estimate above that: a few requests more are chance.
+constexpr double SureDeviations = 1;
 /// A move is worth it when the receiver is then this much less busy than the
 /// giver was.
 constexpr double BetterRatio = 0.8;
@@ -27,6 +30,13 @@
 /// A newcomer gets its share in so many parts, from several owners.
 constexpr double NewcomerParts = 3;
 
+/// Standard deviation of an estimated rate of requests, which are counted with
+/// weights that fade.
+double deviation(double Rate) {
+  double Fade = std::chrono::duration<double>(FadeTime).count();
+  return std::sqrt(Rate / (2 * Fade));
+}
+
 struct Bin {
   const KeyCandidate *m_candidate = nullptr;
   double m_load = 0;
@@ -284,7 +294,8 @@
     Bin *From = busiest(Bins);
     if (!To || From == To || To->busyness() >= Mean * IdleRatio)
       break;
-    bool Busy = From->busyness() > Mean * BusyRatio &&
+    double Sure = From->m_load - SureDeviations * deviation(From->m_load);
+    bool Busy = Sure > Mean * BusyRatio * From->m_candidate->m_capacity &&
                 From->busyness() > Limits.m_busyRate;
     if (!Busy && !Newcomer)
       break;
--- a/src/libgateway/key_table.cpp
+++ b/src/libgateway/key_table.cpp
@@ -2,7 +2,6 @@
 
 #include "burdockpulley/thrift_codec.h"
 #include "gateway_types.h"
-#include "key_table_wire.h"
 
 #include <algorithm>
 
@@ -16,6 +15,8 @@
   return Found == m_ranges.end() ? nullptr : &*Found;
 }
 
+namespace {
+
 wire::KeyTableRecord toWire(const KeyTable &Table) {
   wire::KeyTableRecord Record;
   Record.serviceName = Table.m_service.value();
@@ -59,6 +60,8 @@
   return Table;
 }
 
+} // namespace
+
 std::string encodeKeyTable(const KeyTable &Table) {
   return encodeThrift(toWire(Table));
 }
--- /dev/null
+++ b/src/libgateway/owners_news.h
@@ -0,0 +1,46 @@
+#ifndef BURDOCKPULLEY_LIBGATEWAY_OWNERS_NEWS_H
+#define BURDOCKPULLEY_LIBGATEWAY_OWNERS_NEWS_H
+
+#include "burdockpulley/key_owners.h"
+#include "gateway_types.h"
+
+#include <optional>
+
+namespace burdockpulley {
+
+/// Decides what the coordinator tells of who owns which key. Hosts are told
+/// what has changed over the last second or two, so that a lost message is
+/// made up for by the next one; a host that has missed more asks for all keys.
+/// Thread safety: none.
+class OwnersTeller {
+public:
+  /// What is to be told of a service now, as a coordinator with \p Epoch;
+  /// nothing when \p Current does not come from it. Without changes it lets
+  /// hosts find out that they have missed some.
+  std::optional<OwnerChanges> changes(const KeyOwners::Known &Current,
+                                      std::int64_t Epoch, Instant Now);
+
+private:
+  struct Told {
+    KeyOwners::Known m_base; ///< Told a second ago or earlier.
+    KeyOwners::Known m_next; ///< The next base.
+    Instant m_since;         ///< When m_next was told.
+  };
+
+  std::map<ServiceId, Told> m_told;
+};
+
+/// Changes of owners as they travel. Thread safety: safe.
+wire::OwnersNews toWire(const OwnerChanges &Changes);
+
+/// All owners of a table as they travel. Thread safety: safe.
+wire::OwnersNews toWire(const KeyOwners::Known &Whole);
+
+/// Takes what a coordinator told. Nothing when it can not be read.
+/// Thread safety: as \p Owners.
+std::optional<KeyOwners::Fit> applyNews(KeyOwners &Owners,
+                                        const wire::OwnersNews &News);
+
+} // namespace burdockpulley
+
+#endif
--- a/src/libgateway/peer_gossip.cpp
+++ b/src/libgateway/peer_gossip.cpp
@@ -128,12 +128,13 @@
   sendBytes(Found->second.m_where, seal(Message));
 }
 
-void PeerGossip::sendAll(wire::Datagram Message) {
+std::size_t PeerGossip::sendAll(wire::Datagram Message) {
   if (m_key.empty() || m_socket < 0)
-    return;
+    return 0;
   std::string Bytes = seal(Message);
   for (const auto &[Host, Each] : m_peers)
     sendBytes(Each.m_where, Bytes);
+  return Bytes.size() * m_peers.size();
 }
 
 void PeerGossip::sendDomain(wire::Datagram Message, const DomainId &Domain,
--- a/src/libgateway/peer_gossip.h
+++ b/src/libgateway/peer_gossip.h
@@ -47,7 +47,8 @@
   std::size_t peers() const { return m_peers.size(); }
 
   void send(const HostId &To, wire::Datagram Message);
-  void sendAll(wire::Datagram Message);
+  /// Returns the bytes sent to all peers together.
+  std::size_t sendAll(wire::Datagram Message);
   /// Sends to the peers of one failure domain, or to all others.
   void sendDomain(wire::Datagram Message, const DomainId &Domain, bool Inside);
   /// True when no peer of the failure domain that was heard of lately comes
--- a/src/libgateway/peer_loads.cpp
+++ b/src/libgateway/peer_loads.cpp
@@ -25,7 +25,7 @@
   return ShortName(static_cast<std::int32_t>(stableHash(Name)));
 }
 
-UpstreamRow *PeerLoads::rowOf(ShortName Upstream) {
+UpstreamRow *PeerLoads::find(ShortName Upstream) {
   auto Found = m_names.find(Upstream);
   if (Found != m_names.end())
     if (UpstreamRow *Row = m_registry.find(Found->second))
@@ -41,7 +41,7 @@
   for (const PeerUpstreamLoad &Each : Load.m_upstreams) {
     if (Each.m_outstanding == 0 && Each.m_waiting == 0)
       continue;
-    UpstreamRow *Row = rowOf(Each.m_upstream);
+    UpstreamRow *Row = find(Each.m_upstream);
     if (!Row)
       continue;
     addSigned(Row->m_peerOutstanding, Each.m_outstanding, Sign);
@@ -53,7 +53,7 @@
   Row &Which = m_hosts[Host];
   count(Which.m_load, -1);
   for (const PeerUpstreamLoad &Each : Told.m_upstreams) {
-    UpstreamRow *Known = rowOf(Each.m_upstream);
+    UpstreamRow *Known = find(Each.m_upstream);
     if (Known)
       learnSpeed(*Known, Each.m_speed, Each.m_speedSamples);
     if (!Known || !Each.m_reported ||
@@ -61,6 +61,7 @@
       continue;
     Known->m_report = Each.m_report;
     Known->m_reportAt = Now - Each.m_reportAge;
+    Known->m_reportOwn = false;
   }
   Which.m_load = std::move(Told);
   Which.m_heard = Now;
--- a/src/libgateway/peer_news.cpp
+++ b/src/libgateway/peer_news.cpp
@@ -3,7 +3,6 @@
 #include "burdockpulley/clock.h"
 #include "burdockpulley/event_log.h"
 #include "burdockpulley/thrift_codec.h"
-#include "key_table_wire.h"
 
 #include <algorithm>
 #include <cmath>
@@ -21,10 +20,17 @@
 /// Changes of who serves which keys are told together after this time.
 constexpr Duration TableDelay{50'000};
 constexpr Duration KeyUseEvery{200'000};
-/// The table is told again in case a datagram was lost, at the most at this
-/// rate of bytes.
-constexpr Duration TableEvery{2'000'000};
-constexpr double TableBytesPerSecond = 200e3;
+/// Owners are told again although nothing has changed, so that hosts see
+/// whether they have missed something.
+constexpr Duration OwnersEvery{500'000};
+/// Bytes a second that changes of owners may take, for links of 10 Mbit/s.
+constexpr double OwnersBytesPerSecond = 250e3;
+/// All keys are sent to so many hosts a second, and so many in one go.
+constexpr double WholeTablesPerSecond = 60;
+constexpr double MaxWholeTables = 12;
+constexpr Duration OwnersRequestEvery{300'000};
+/// Changes of the store are passed on in parts of about this size.
+constexpr std::size_t StorePartBytes = 16'000;
 /// A coordinator that is silent for longer may be gone.
 constexpr Duration CoordinatorSilence{400'000};
 /// Reports older than this are not worth telling.
@@ -93,23 +99,67 @@
     m_nextKeyUse = Now + KeyUseEvery;
     tellKeyUse();
   }
-  if (m_coordinator.coordinating() && Now >= m_nextTable)
-    tellTables(Now);
+  if (m_coordinator.coordinating() && Now >= m_nextOwners)
+    tellOwners(Now);
 }
 
 void PeerNews::onTableChanged(Instant Now) {
-  m_nextTable = std::min(m_nextTable, Now + TableDelay);
+  m_nextOwners =
+      std::min(m_nextOwners, std::max(Now + TableDelay, m_ownersRoomAt));
 }
 
-void PeerNews::tellTables(Instant Now) {
-  {
-    double Bytes = static_cast<double>(m_tableBytes * m_gossip.peers());
-    m_nextTable =
-        Now + std::max(TableEvery, Duration(static_cast<std::int64_t>(
-                                       Bytes / TableBytesPerSecond * 1e6)));
-    for (const auto &[Service, Known] : m_state.m_owners.all())
-      tellTable(Known.m_table, Known.m_step);
+void PeerNews::tellOwners(Instant Now) {
+  std::size_t Bytes = 0;
+  for (const auto &[Service, Known] : m_state.m_owners.all()) {
+    auto Changes = m_teller.changes(Known, m_coordinator.epoch(), Now);
+    if (!Changes)
+      continue;
+    wire::Datagram Message;
+    Message.__set_owners(toWire(*Changes));
+    Bytes += m_gossip.sendAll(std::move(Message));
   }
+  double Seconds = static_cast<double>(Bytes) / OwnersBytesPerSecond;
+  m_ownersRoomAt = Now + Duration(static_cast<std::int64_t>(Seconds * 1e6));
+  m_nextOwners = std::max(Now + OwnersEvery, m_ownersRoomAt);
+}
+
+void PeerNews::onOwners(const HostId &From, const wire::OwnersNews &News,
+                        Instant Now) {
+  auto Fit = applyNews(m_state.m_owners, News);
+  if (!Fit) {
+    logEvent(Severity::Warning, "peer_news_unreadable",
+             {{"host", From.value()}, {"service", News.serviceName}});
+    return;
+  }
+  if (*Fit == KeyOwners::Fit::Applied)
+    m_onChange();
+  if (*Fit != KeyOwners::Fit::Gap || Now - m_ownersAsked < OwnersRequestEvery)
+    return;
+  m_ownersAsked = Now;
+  wire::OwnersRequest Request;
+  Request.serviceName = News.serviceName;
+  wire::Datagram Message;
+  Message.__set_ownersRequest(Request);
+  m_gossip.send(From, std::move(Message));
+}
+
+void PeerNews::onOwnersRequest(const HostId &From,
+                               const wire::OwnersRequest &Request,
+                               Instant Now) {
+  auto Found = m_state.m_owners.all().find(ServiceId(Request.serviceName));
+  if (Found == m_state.m_owners.all().end() || !m_coordinator.coordinating())
+    return;
+  double Passed =
+      std::chrono::duration<double>(Now - m_wholeAllowanceAt).count();
+  m_wholeAllowanceAt = Now;
+  m_wholeAllowance = std::min(MaxWholeTables,
+                              m_wholeAllowance + Passed * WholeTablesPerSecond);
+  if (m_wholeAllowance < 1)
+    return; // The host asks again.
+  m_wholeAllowance -= 1;
+  wire::Datagram Message;
+  Message.__set_owners(toWire(Found->second));
+  m_gossip.send(From, std::move(Message));
 }
 
 void PeerNews::tellLoad(Instant Now) {
@@ -118,7 +168,8 @@
   News.stopping = m_state.m_stopping;
   News.coordinatorEpoch = m_coordinator.epoch();
   for (auto &[Id, Row] : m_state.m_registry.rows()) {
-    bool Fresh = Now - Row.m_reportAt < FreshReport;
+    // What peers have told is not told again: they tell everybody.
+    bool Fresh = Row.m_reportOwn && Now - Row.m_reportAt < FreshReport;
     if (Row.m_outstanding == 0 && Row.m_waiting == 0 && !Fresh &&
         Row.m_ownSpeedCount == 0)
       continue;
@@ -180,20 +231,40 @@
   }
 }
 
-void PeerNews::tellTable(const KeyTable &Table, std::uint32_t Step) {
-  wire::Datagram Message;
-  wire::KeyTableRecord Record = toWire(Table);
-  Record.__set_step(static_cast<std::int32_t>(Step));
-  m_tableBytes = encodeThrift(Record).size();
-  Message.__set_table(std::move(Record));
-  m_gossip.sendAll(std::move(Message));
+void PeerNews::tellStore(StoreVersion After, const StoreEvents &Changes,
+                         const std::vector<std::string> &Renewed) {
+  std::vector<std::int32_t> Names;
+  for (const std::string &Key : Renewed)
+    if (auto Which = m_state.m_dialect.upstreamOfKey(Key))
+      Names.push_back(shortName(Which->value()).value());
+  StoreEvents Part;
+  std::size_t Bytes = 0;
+  for (const StoreEvent &Event : Changes.m_events) {
+    std::size_t Size = Event.m_entry.m_key.size() + Event.m_entry.m_value.size();
+    bool NextVersion = !Part.m_events.empty() &&
+                       Part.m_version != Event.m_entry.m_modified;
+    if (NextVersion && Bytes + Size > StorePartBytes) {
+      sendStorePart(After, Part, {});
+      After = Part.m_version;
+      Part.m_events.clear();
+      Bytes = 0;
+    }
+    Part.m_events.push_back(Event);
+    Part.m_version = Event.m_entry.m_modified;
+    Bytes += Size;
+  }
+  Part.m_version = Changes.m_version;
+  sendStorePart(After, Part, Names);
 }
 
-void PeerNews::tellStore(StoreVersion After, const StoreEvents &Changes) {
+void PeerNews::sendStorePart(StoreVersion After, const StoreEvents &Part,
+                             const std::vector<std::int32_t> &Renewed) {
   wire::StoreNews News;
   News.after = After.value();
-  News.version = Changes.m_version.value();
-  for (const StoreEvent &Event : Changes.m_events) {
+  News.version = Part.m_version.value();
+  if (!Renewed.empty())
+    News.__set_renewed(Renewed);
+  for (const StoreEvent &Event : Part.m_events) {
     wire::StoreEventNews Each;
     Each.key = Event.m_entry.m_key;
     Each.value = Event.m_entry.m_value;
@@ -207,8 +278,14 @@
 }
 
 bool PeerNews::coordinatorSilent(Instant Now) const {
-  return !m_watched.value().empty() && !m_coordinator.coordinating() &&
-         Now - m_coordinatorHeard > CoordinatorSilence + newsInterval();
+  return !m_watched.value().empty() && !coordinatorHeard(Now);
+}
+
+bool PeerNews::coordinatorHeard(Instant Now) const {
+  if (m_coordinator.coordinating())
+    return true;
+  return !m_watched.value().empty() &&
+         Now - m_coordinatorHeard <= CoordinatorSilence + newsInterval();
 }
 
 void PeerNews::onMessage(const HostId &From, const wire::Datagram &Message) {
@@ -217,12 +294,10 @@
     onNews(From, Message.news, Now);
   if (Message.__isset.load)
     onLoad(Message.load);
-  if (Message.__isset.table) {
-    auto Table = burdockpulley::fromWire(Message.table);
-    if (Table && m_state.m_owners.apply(
-                     *Table, static_cast<std::uint32_t>(Message.table.step)))
-      m_onChange();
-  }
+  if (Message.__isset.owners)
+    onOwners(From, Message.owners, Now);
+  if (Message.__isset.ownersRequest)
+    onOwnersRequest(From, Message.ownersRequest, Now);
   if (Message.__isset.store && m_onStoreNews) {
     StoreEvents Changes;
     Changes.m_version = StoreVersion(Message.store.version);
@@ -230,6 +305,9 @@
       Changes.m_events.push_back(
           {{Each.key, Each.value, StoreVersion(Each.version)}, Each.removed});
     m_onStoreNews(StoreVersion(Message.store.after), Changes);
+    for (std::int32_t Name : Message.store.renewed)
+      if (UpstreamRow *Row = m_state.m_peerLoads.find(ShortName(Name)))
+        m_state.m_registry.onRenewed(*Row, Now);
   }
   if (Message.__isset.crash)
     m_relay.suspects().onSuspicion(
--- a/src/libgateway/peer_news.h
+++ b/src/libgateway/peer_news.h
@@ -2,6 +2,7 @@
 #define BURDOCKPULLEY_LIBGATEWAY_PEER_NEWS_H
 
 #include "coordinator_driver.h"
+#include "owners_news.h"
 #include "gateway_state.h"
 #include "peer_gossip.h"
 #include "request_relay.h"
@@ -35,8 +36,10 @@
   /// Who serves which keys has changed; the other hosts are told soon.
   void onTableChanged(Instant Now);
 
-  /// Passes on to the failure domain what a watch of the store has brought.
-  void tellStore(StoreVersion After, const StoreEvents &Changes);
+  /// Passes on to the failure domain what a watch of the store has brought:
+  /// changes, and the keys of upstreams' records that were just renewed.
+  void tellStore(StoreVersion After, const StoreEvents &Changes,
+                 const std::vector<std::string> &Renewed);
 
   /// True when this host is to watch the store for its failure domain.
   bool watchesStore(Instant Now) const {
@@ -45,6 +48,8 @@
 
   /// True when another host coordinates and has not been heard of lately.
   bool coordinatorSilent(Instant Now) const;
+  /// True when this host coordinates, or has heard of the one that does.
+  bool coordinatorHeard(Instant Now) const;
 
   /// Called when waiting requests may find room or an owner now.
   std::function<void()> m_onChange;
@@ -57,8 +62,12 @@
   void onLoad(const wire::KeyLoadNews &News);
   void tellLoad(Instant Now);
   void tellKeyUse();
-  void tellTables(Instant Now);
-  void tellTable(const KeyTable &Table, std::uint32_t Step);
+  void tellOwners(Instant Now);
+  void onOwners(const HostId &From, const wire::OwnersNews &News, Instant Now);
+  void onOwnersRequest(const HostId &From, const wire::OwnersRequest &Request,
+                       Instant Now);
+  void sendStorePart(StoreVersion After, const StoreEvents &Part,
+                     const std::vector<std::int32_t> &Renewed);
   Duration newsInterval() const;
 
   GatewayState &m_state;
@@ -68,8 +77,13 @@
   Instant m_nextNews;
   std::uint64_t m_newsSent = 0;
   Instant m_nextKeyUse;
-  Instant m_nextTable;
-  std::size_t m_tableBytes = 0;
+  OwnersTeller m_teller;
+  Instant m_nextOwners;
+  Instant m_ownersRoomAt; ///< When the bytes last told have left.
+  Instant m_ownersAsked; ///< When this host last asked for all keys.
+  /// Requests for all keys that are answered now; grows with time.
+  double m_wholeAllowance = 0;
+  Instant m_wholeAllowanceAt;
   HostId m_watched; ///< The coordinator whose news are awaited.
   Instant m_coordinatorHeard;
 };
--- a/src/libgateway/registry_follower.cpp
+++ b/src/libgateway/registry_follower.cpp
@@ -15,6 +15,8 @@
 /// The same for hosts for which another one watches, when it falls silent.
 constexpr Duration RelayedPace{1'000'000};
 constexpr Duration HurriedPace{150'000};
+/// Pause before the store is asked for what another host told in vain.
+constexpr Duration MissedPause{30'000};
 /// How long a watch waits when nothing happens.
 constexpr Duration WatchTime{500'000};
 /// Pause after a failed call, for each failure in a row up to a limit.
@@ -109,42 +111,58 @@
     m_reload = true;
     m_nextCall = Now;
   }
-  if (m_onWatched && !Changes.m_events.empty())
-    m_onWatched(m_version, Changes);
-  applyAll(Changes, Now);
-}
-
-void RegistryFollower::applyAll(const StoreEvents &Changes, Instant Now) {
+  StoreVersion After = m_version;
+  StoreEvents Passed;
+  Passed.m_version = Changes.m_version;
+  std::vector<std::string> Renewed;
   for (const StoreEvent &Event : Changes.m_events) {
-    if (!Event.m_removed) {
-      apply(Event.m_entry, Now);
-      continue;
-    }
-    auto Known = m_known.find(Event.m_entry.m_key);
-    if (Known == m_known.end() || Event.m_entry.m_modified < Known->second)
-      continue;
-    m_known.erase(Known);
-    m_target.onRemoval(Event.m_entry.m_key, Event.m_entry.m_modified, Now);
+    EntryNews News = apply(Event, Now);
+    if (News == EntryNews::Change)
+      Passed.m_events.push_back(Event);
+    else if (News == EntryNews::Renewal)
+      Renewed.push_back(Event.m_entry.m_key);
   }
   m_version = std::max(m_version, Changes.m_version);
+  if (m_onWatched && !Changes.m_events.empty())
+    m_onWatched(After, Passed, Renewed);
 }
 
 void RegistryFollower::onRelayed(StoreVersion After, const StoreEvents &Changes,
                                  Instant Now) {
-  if (!m_loaded || m_reload || After > m_version ||
-      Changes.m_version <= m_version)
+  if (!m_loaded || m_reload || Changes.m_version <= m_version)
+    return;
+  if (After > m_version) {
+    m_nextCall = std::min(m_nextCall, Now + MissedPause);
     return;
-  applyAll(Changes, Now);
+  }
+  if (!m_inReach) {
+    // The store answers the other host, and removals may be of its outage.
+    m_inReach = true;
+    m_target.onStoreRegained(Now);
+  }
+  for (const StoreEvent &Event : Changes.m_events)
+    apply(Event, Now);
+  m_version = std::max(m_version, Changes.m_version);
   if (!m_watches)
     m_nextCall = Now + RelayedPace;
 }
 
-void RegistryFollower::apply(const StoreEntry &Entry, Instant Now) {
+RegistryFollower::EntryNews RegistryFollower::apply(const StoreEvent &Event,
+                                                    Instant Now) {
+  const StoreEntry &Entry = Event.m_entry;
+  if (Event.m_removed) {
+    auto Known = m_known.find(Entry.m_key);
+    if (Known == m_known.end() || Entry.m_modified < Known->second)
+      return EntryNews::None;
+    m_known.erase(Known);
+    m_target.onRemoval(Entry.m_key, Entry.m_modified, Now);
+    return EntryNews::Change;
+  }
   StoreVersion &Known = m_known[Entry.m_key];
   if (Entry.m_modified <= Known)
-    return;
+    return EntryNews::None;
   Known = Entry.m_modified;
-  m_target.onEntry(Entry, Now);
+  return m_target.onEntry(Entry, Now);
 }
 
 void RegistryFollower::onSuccess(Instant Began, Instant Now) {
--- a/src/libgateway/registry_follower.h
+++ b/src/libgateway/registry_follower.h
@@ -19,11 +19,18 @@
 /// Thread safety: none; it belongs to the loop's thread.
 class RegistryFollower {
 public:
+  /// What an entry means to the other hosts of the failure domain.
+  enum class EntryNews {
+    None,    ///< Nothing: they learn it elsewhere, or it concerns nobody.
+    Renewal, ///< An upstream lives, and nothing else is new.
+    Change,
+  };
+
   /// Is told what the store holds. Called on the loop's thread.
   class Listener {
   public:
     virtual ~Listener() = default;
-    virtual void onEntry(const StoreEntry &Entry, Instant Now) = 0;
+    virtual EntryNews onEntry(const StoreEntry &Entry, Instant Now) = 0;
     virtual void onRemoval(const std::string &Key, StoreVersion Version,
                            Instant Now) = 0;
     /// The store answers again after it did not.
@@ -38,15 +45,17 @@
   void tick(Instant Now);
 
   /// Another host passes on what its watch has brought. Ignored when it does
-  /// not follow on what this host knows.
+  /// not follow on what this host knows; then the store is asked soon.
   void onRelayed(StoreVersion After, const StoreEvents &Changes, Instant Now);
 
   /// False while another host of the failure domain watches for this one; it
   /// then makes calls of its own only when it hears nothing.
   void setWatches(bool Yes) { m_watches = Yes; }
 
-  /// Called with what a watch of this host has brought.
-  std::function<void(StoreVersion After, const StoreEvents &Changes)>
+  /// Called with what a watch of this host has brought: the changes, and the
+  /// keys of entries that were just renewed.
+  std::function<void(StoreVersion After, const StoreEvents &Changes,
+                     const std::vector<std::string> &Renewed)>
       m_onWatched;
 
   /// Follows more closely until \p Until, because a change is expected.
@@ -64,8 +73,7 @@
   void onChanges(const StoreReply<StoreEvents> &Reply, Instant Began);
   void onFailure(StoreError Why, Instant Now);
   void onSuccess(Instant Began, Instant Now);
-  void applyAll(const StoreEvents &Changes, Instant Now);
-  void apply(const StoreEntry &Entry, Instant Now);
+  EntryNews apply(const StoreEvent &Event, Instant Now);
 
   WatchedStore &m_source;
   Listener &m_target;
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -443,6 +443,7 @@
     if (Report) {
       Row->m_report = *Report;
       Row->m_reportAt = Now;
+      Row->m_reportOwn = true;
     }
   }
   bool Misdirected = Result.m_error == ChannelError::None && !Each.m_key &&
--- a/src/libgateway/upstream_registry.cpp
+++ b/src/libgateway/upstream_registry.cpp
@@ -14,12 +14,27 @@
 constexpr Duration UnreachableTime{2'500'000};
 /// How long a row outlives its record, for requests still running at it.
 constexpr Duration ForgetAfter{30'000'000};
+/// Heartbeats that differ by less on when a cold time ends say the same.
+constexpr Duration SameColdTime{600'000};
+
+/// True when a record says no more than that the upstream lives.
+bool saysNothingNew(const UpstreamRow &Row, const UpstreamRecord &Record,
+                    Instant ColdUntil, Instant Now) {
+  const UpstreamRecord &Old = Row.m_record;
+  bool SameCold = ColdUntil == Instant()
+                      ? Row.m_coldUntil <= Now + ColdMargin
+                      : ColdUntil <= Row.m_coldUntil + SameColdTime;
+  return Row.m_registered && SameCold && Old.m_service == Record.m_service &&
+         Old.m_address == Record.m_address &&
+         Old.m_domain == Record.m_domain && Old.m_slots == Record.m_slots &&
+         Old.m_draining == Record.m_draining;
+}
 
 } // namespace
 
 UpstreamRegistry::Change
 UpstreamRegistry::onRecord(const UpstreamRecord &Record, Instant Now) {
-  m_heldRemovals.erase(Record.m_id);
+  bool WasHeld = m_heldRemovals.erase(Record.m_id) != 0;
   auto [Found, New] = m_rows.try_emplace(Record.m_id);
   UpstreamRow &Row = Found->second;
   bool Restarted = !New && Row.m_record.m_birth != Record.m_birth;
@@ -33,13 +48,15 @@
   }
   bool NewBeat =
       New || Restarted || Record.m_sequence != Row.m_record.m_sequence;
-  Row.m_record = Record;
-  Row.m_registered = true;
-  if (NewBeat && Now > Row.m_unreachableSince)
-    Row.m_unreachable = false;
   Instant ColdUntil = Record.m_coldLeft > Duration()
                           ? Now + Record.m_coldLeft + ColdMargin
                           : Instant();
+  bool Renewal = !New && !Restarted && !WasHeld &&
+                 saysNothingNew(Row, Record, ColdUntil, Now);
+  Row.m_record = Record;
+  Row.m_registered = true;
+  if (NewBeat)
+    onRenewed(Row, Now);
   Row.m_coldUntil = ColdUntil;
   if (Row.leaving() && !WasLeaving) {
     Row.m_leftAt = Now;
@@ -47,7 +64,14 @@
   }
   if (New)
     return Change::Joined;
-  return Restarted ? Change::Restarted : Change::Updated;
+  if (Restarted)
+    return Change::Restarted;
+  return Renewal ? Change::Renewed : Change::Updated;
+}
+
+void UpstreamRegistry::onRenewed(UpstreamRow &Row, Instant Now) const {
+  if (Now > Row.m_unreachableSince)
+    Row.m_unreachable = false;
 }
 
 UpstreamRow *UpstreamRegistry::onRemoved(const UpstreamId &Which, Instant Now) {
