gateway: hosts with old news spread their choice of upstreams

Ruled out: processor time and links, as wide hosts saw the same. Change: a random share of the expected finish is added to each upstream's cost, as large as the news are old relative to a request's work. Short names are looked up again only when upstreams came or went.

--- a/src/include/burdockpulley/gateway_settings.h
+++ b/src/include/burdockpulley/gateway_settings.h
@@ -20,7 +20,7 @@
   Endpoint m_store;                 ///< The platform's store.
   std::size_t m_descriptors = 4096; ///< That the process may open.
   double m_linkMegabits = 1000; ///< Bandwidth of the host's link, per second.
-  std::string m_portFile;       ///< Where the bound ports are written; may be empty.
+  std::string m_portFile; ///< Where the bound ports are written; may be empty.
 
   /// An upstream that leaves gets no new work after this time.
   Duration m_drain = std::chrono::seconds(2);
--- a/src/include/burdockpulley/key_owners.h
+++ b/src/include/burdockpulley/key_owners.h
@@ -11,7 +11,7 @@
 /// Tells apart what a coordinator has carried out since it wrote a table.
 struct OwnersStep {
   std::int64_t m_epoch = 0; ///< The coordinator's; zero: read in the store.
-  std::uint32_t m_step = 0;  ///< Grows with all that it carries out.
+  std::uint32_t m_step = 0; ///< Grows with all that it carries out.
 };
 
 /// Consecutive keys with one owner, or with none.
@@ -23,12 +23,26 @@
   friend bool operator==(const OwnedSpan &, const OwnedSpan &) = default;
 };
 
-/// The keys whose owner differs between two tables, with the owner that they
-/// have in \p After. Thread safety: safe.
-std::vector<OwnedSpan> ownerChanges(const KeyTable &Before,
-                                    const KeyTable &After);
+/// Consecutive keys.
+struct KeySpan {
+  std::uint32_t m_first = 0;
+  std::uint32_t m_last = 0; ///< Belongs to the span.
+};
+
+/// The keys whose owner differs between two tables, in order.
+/// Thread safety: safe.
+std::vector<KeySpan> changedKeys(const KeyTable &Before, const KeyTable &After);
+
+/// The keys of either of two ordered lists, in order. Thread safety: safe.
+std::vector<KeySpan> unite(const std::vector<KeySpan> &Left,
+                           const std::vector<KeySpan> &Right);
+
+/// Who owns the keys of an ordered list. Thread safety: safe.
+std::vector<OwnedSpan> ownersOf(const KeyTable &Table,
+                                const std::vector<KeySpan> &Keys);
 
-/// Changes of who owns the keys of one service.
+/// Changes of who owns the keys of one service: all keys that have changed
+/// since a base, also those that have changed back.
 struct OwnerChanges {
   ServiceId m_service;
   std::uint64_t m_baseVersion = 0; ///< Of the table that they follow on.
--- a/src/include/burdockpulley/peer_loads.h
+++ b/src/include/burdockpulley/peer_loads.h
@@ -32,6 +32,11 @@
   std::map<ShortName, std::uint32_t> m_waiting; ///< By service.
 };
 
+/// How often each of \p Hosts hosts tells its load to the others of its
+/// failure domain: less often when there are many, so that a host's messages
+/// grow no faster than their number. Thread safety: safe.
+Duration newsInterval(std::size_t Hosts);
+
 /// Adds up what the other hosts tell of their load, into the registry's rows.
 /// A host that has not been heard of for a while counts for nothing.
 /// Thread safety: none.
@@ -66,6 +71,7 @@
   UpstreamRegistry &m_registry;
   std::map<HostId, Row> m_hosts;
   std::unordered_map<ShortName, UpstreamId> m_names;
+  std::uint64_t m_namesOf = 0; ///< The registry's membership that they show.
 };
 
 } // namespace burdockpulley
--- a/src/include/burdockpulley/upstream_registry.h
+++ b/src/include/burdockpulley/upstream_registry.h
@@ -55,7 +55,7 @@
   LoadReport m_report;
   Instant m_reportAt;
   bool m_reportOwn = false; ///< It came in an answer to this host.
-  double m_speed = 1; ///< Time that work takes, relative to its peers.
+  double m_speed = 1;       ///< Time that work takes, relative to its peers.
   std::uint32_t m_speedSamples = 0;
   double m_ownSpeedSum = 0; ///< Of this host's samples not yet told to peers.
   std::uint32_t m_ownSpeedCount = 0;
@@ -123,12 +123,15 @@
   std::vector<UpstreamRow *> ofService(const ServiceId &Service);
   std::map<UpstreamId, UpstreamRow> &rows() { return m_rows; }
   const std::map<UpstreamId, UpstreamRow> &rows() const { return m_rows; }
+  /// Changes whenever an upstream gets a row or loses it.
+  std::uint64_t membership() const { return m_membership; }
 
 private:
   std::map<UpstreamId, UpstreamRow> m_rows;
   std::map<UpstreamId, Instant> m_heldRemovals;
   std::set<DomainId> m_domainsOut;
   Instant m_holdUntil;
+  std::uint64_t m_membership = 1;
 };
 
 } // namespace burdockpulley
--- a/src/include/burdockpulley/upstream_selection.h
+++ b/src/include/burdockpulley/upstream_selection.h
@@ -35,8 +35,16 @@
   std::size_t m_bytes = 0; ///< Request and expected answer.
   DomainId m_domain;       ///< Failure domain of this host.
   const std::set<UpstreamId> *m_tried = nullptr; ///< Not to be used again.
+  /// Each upstream's finish counts as later by a random share up to this, so
+  /// that hosts with the same old news do not all choose the same upstream.
+  double m_spread = 0;
+  std::mt19937_64 *m_random = nullptr; ///< Needed when there is a spread.
 };
 
+/// The spread for hosts that hear of each other's load once in \p NewsAge,
+/// while requests take \p WorkTime. Thread safety: safe.
+double spreadFor(Duration NewsAge, Duration WorkTime);
+
 /// Where a request goes, or that it has to wait.
 struct Selection {
   UpstreamRow *m_row = nullptr; ///< Null when no upstream has room.
@@ -61,7 +69,9 @@
 /// have room. Distance and bytes between failure domains count as time.
 ///
 /// It answers uneven load: upstreams differ in speed, and some are slowed for
-/// moments by neighbours, while others of the service stand idle.
+/// moments by neighbours, while others of the service stand idle. And it
+/// answers many hosts with old news of each other, which would send what
+/// comes between two news to the same few upstreams.
 /// Thread safety: safe.
 Selection selectUpstream(const UpstreamRegistry &Registry,
                          std::span<UpstreamRow *const> Rows,
--- a/src/libgateway/key_owners.cpp
+++ b/src/libgateway/key_owners.cpp
@@ -1,6 +1,7 @@
 #include "burdockpulley/key_owners.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace burdockpulley {
@@ -40,11 +41,19 @@
   return Result;
 }
 
+/// Adds a span that begins no earlier than the last one.
+void append(std::vector<KeySpan> &Spans, const KeySpan &More) {
+  if (!Spans.empty() && More.m_first <= Spans.back().m_last + 1)
+    Spans.back().m_last = std::max(Spans.back().m_last, More.m_last);
+  else
+    Spans.push_back(More);
+}
+
 } // namespace
 
-std::vector<OwnedSpan> ownerChanges(const KeyTable &Before,
-                                    const KeyTable &After) {
-  std::vector<OwnedSpan> Spans;
+std::vector<KeySpan> changedKeys(const KeyTable &Before,
+                                 const KeyTable &After) {
+  std::vector<KeySpan> Changed;
   std::size_t Old = 0;
   std::size_t New = 0;
   std::uint32_t First = 0;
@@ -52,18 +61,41 @@
     const KeyRange &Was = Before.m_ranges[Old];
     const KeyRange &Is = After.m_ranges[New];
     std::uint32_t Last = std::min(Was.m_last, Is.m_last);
-    if (Was.m_owner != Is.m_owner) {
-      bool Joins = !Spans.empty() && Spans.back().m_last + 1 == First &&
-                   Spans.back().m_owner == Is.m_owner;
-      if (Joins)
-        Spans.back().m_last = Last;
-      else
-        Spans.push_back({First, Last, Is.m_owner});
-    }
+    if (Was.m_owner != Is.m_owner)
+      append(Changed, {First, Last});
     Old += Was.m_last == Last ? 1 : 0;
     New += Is.m_last == Last ? 1 : 0;
     First = Last + 1;
   }
+  return Changed;
+}
+
+std::vector<KeySpan> unite(const std::vector<KeySpan> &Left,
+                           const std::vector<KeySpan> &Right) {
+  std::vector<KeySpan> Sorted;
+  std::merge(Left.begin(), Left.end(), Right.begin(), Right.end(),
+             std::back_inserter(Sorted),
+             [](const KeySpan &One, const KeySpan &Other) {
+               return One.m_first < Other.m_first;
+             });
+  std::vector<KeySpan> United;
+  for (const KeySpan &Each : Sorted)
+    append(United, Each);
+  return United;
+}
+
+std::vector<OwnedSpan> ownersOf(const KeyTable &Table,
+                                const std::vector<KeySpan> &Keys) {
+  std::vector<OwnedSpan> Spans;
+  auto Range = Table.m_ranges.begin();
+  for (const KeySpan &Each : Keys)
+    for (std::uint32_t Next = Each.m_first; Next <= Each.m_last;) {
+      while (Range->m_last < Next)
+        ++Range;
+      std::uint32_t Last = std::min(Range->m_last, Each.m_last);
+      Spans.push_back({Next, Last, Range->m_owner});
+      Next = Last + 1;
+    }
   return Spans;
 }
 
--- a/src/libgateway/owners_news.cpp
+++ b/src/libgateway/owners_news.cpp
@@ -81,20 +81,30 @@
     return std::nullopt;
   }
   auto [Found, New] = m_told.try_emplace(Service);
-  Told &Last = Found->second;
-  if (New || Last.m_next.m_step.m_epoch != Epoch)
-    Last = {Current, Current, Now};
+  Told &Before = Found->second;
+  std::uint64_t Version = Current.m_table.m_version;
+  if (New || Before.m_next.m_epoch != Epoch)
+    Before = {Version, Current.m_step, {}, Version, Current.m_step, {},
+              Now,     Current.m_table};
+  Before.m_changedSince =
+      unite(Before.m_changedSince, changedKeys(Before.m_last, Current.m_table));
+  Before.m_last = Current.m_table;
   OwnerChanges Changes;
   Changes.m_service = Service;
-  Changes.m_baseVersion = Last.m_base.m_table.m_version;
-  Changes.m_baseStep = Last.m_base.m_step.m_step;
-  Changes.m_version = Current.m_table.m_version;
+  Changes.m_baseVersion = Before.m_baseVersion;
+  Changes.m_baseStep = Before.m_base.m_step;
+  Changes.m_version = Version;
   Changes.m_step = Current.m_step;
-  Changes.m_spans = ownerChanges(Last.m_base.m_table, Current.m_table);
-  if (Now - Last.m_since >= RepeatTime) {
-    Last.m_base = std::move(Last.m_next);
-    Last.m_next = Current;
-    Last.m_since = Now;
+  Changes.m_spans =
+      ownersOf(Current.m_table, unite(Before.m_changed, Before.m_changedSince));
+  if (Now - Before.m_nextAt >= RepeatTime) {
+    Before.m_baseVersion = Before.m_nextVersion;
+    Before.m_base = Before.m_next;
+    Before.m_changed = std::move(Before.m_changedSince);
+    Before.m_changedSince.clear();
+    Before.m_nextVersion = Version;
+    Before.m_next = Current.m_step;
+    Before.m_nextAt = Now;
   }
   return Changes;
 }
--- a/src/libgateway/owners_news.h
+++ b/src/libgateway/owners_news.h
@@ -22,9 +22,14 @@
 
 private:
   struct Told {
-    KeyOwners::Known m_base; ///< Told a second ago or earlier.
-    KeyOwners::Known m_next; ///< The next base.
-    Instant m_since;         ///< When m_next was told.
+    std::uint64_t m_baseVersion = 0; ///< Of what was told a second ago.
+    OwnersStep m_base;
+    std::vector<KeySpan> m_changed; ///< Between the base and the next base.
+    std::uint64_t m_nextVersion = 0;
+    OwnersStep m_next;
+    std::vector<KeySpan> m_changedSince; ///< Since the next base.
+    Instant m_nextAt;                    ///< When the next base was told.
+    KeyTable m_last;                     ///< What was told last.
   };
 
   std::map<ServiceId, Told> m_told;
--- a/src/libgateway/peer_loads.cpp
+++ b/src/libgateway/peer_loads.cpp
@@ -11,6 +11,8 @@
 
 /// Hosts tell their load several times a second.
 constexpr Duration HostLifetime{1'500'000};
+constexpr Duration NewsEvery{40'000};
+constexpr Duration NewsPerHost{4'000};
 
 void addSigned(std::uint32_t &Sum, std::uint32_t Part, int Sign) {
   if (Sign > 0)
@@ -21,19 +23,22 @@
 
 } // namespace
 
+Duration newsInterval(std::size_t Hosts) {
+  return std::max<Duration>(NewsEvery, NewsPerHost * static_cast<int>(Hosts));
+}
+
 ShortName shortName(const std::string &Name) {
   return ShortName(static_cast<std::int32_t>(stableHash(Name)));
 }
 
 UpstreamRow *PeerLoads::find(ShortName Upstream) {
+  if (m_namesOf != m_registry.membership()) {
+    m_namesOf = m_registry.membership();
+    m_names.clear();
+    for (const auto &[Id, Row] : m_registry.rows())
+      m_names[shortName(Id.value())] = Id;
+  }
   auto Found = m_names.find(Upstream);
-  if (Found != m_names.end())
-    if (UpstreamRow *Row = m_registry.find(Found->second))
-      return Row;
-  m_names.clear();
-  for (const auto &[Id, Row] : m_registry.rows())
-    m_names[shortName(Id.value())] = Id;
-  Found = m_names.find(Upstream);
   return Found == m_names.end() ? nullptr : m_registry.find(Found->second);
 }
 
--- a/src/libgateway/peer_news.cpp
+++ b/src/libgateway/peer_news.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-/// Load is told this often; less often when there are many hosts, so that a
-/// host's messages grow no faster than their number.
-constexpr Duration NewsEvery{40'000};
-constexpr Duration NewsPerHost{4'000};
 /// Hosts of other failure domains are told every so many times.
 constexpr std::uint64_t FarNewsEvery = 3;
 /// Changes of who serves which keys are told together after this time.
@@ -79,11 +75,6 @@
   };
 }
 
-Duration PeerNews::newsInterval() const {
-  return std::max<Duration>(NewsEvery,
-                            NewsPerHost * static_cast<int>(m_gossip.peers()));
-}
-
 void PeerNews::tick(Instant Now) {
   if (m_coordinator.coordinator() != m_watched) {
     m_watched = m_coordinator.coordinator();
@@ -92,7 +83,7 @@
   if (!m_gossip.hasKey())
     return;
   if (Now >= m_nextNews) {
-    m_nextNews = Now + newsInterval();
+    m_nextNews = Now + newsInterval(m_gossip.peers());
     tellLoad(Now);
   }
   if (Now >= m_nextKeyUse) {
@@ -240,9 +231,10 @@
   StoreEvents Part;
   std::size_t Bytes = 0;
   for (const StoreEvent &Event : Changes.m_events) {
-    std::size_t Size = Event.m_entry.m_key.size() + Event.m_entry.m_value.size();
-    bool NextVersion = !Part.m_events.empty() &&
-                       Part.m_version != Event.m_entry.m_modified;
+    std::size_t Size =
+        Event.m_entry.m_key.size() + Event.m_entry.m_value.size();
+    bool NextVersion =
+        !Part.m_events.empty() && Part.m_version != Event.m_entry.m_modified;
     if (NextVersion && Bytes + Size > StorePartBytes) {
       sendStorePart(After, Part, {});
       After = Part.m_version;
@@ -285,7 +277,8 @@
   if (m_coordinator.coordinating())
     return true;
   return !m_watched.value().empty() &&
-         Now - m_coordinatorHeard <= CoordinatorSilence + newsInterval();
+         Now - m_coordinatorHeard <=
+             CoordinatorSilence + newsInterval(m_gossip.peers());
 }
 
 void PeerNews::onMessage(const HostId &From, const wire::Datagram &Message) {
--- a/src/libgateway/peer_news.h
+++ b/src/libgateway/peer_news.h
@@ -2,8 +2,8 @@
 #define BURDOCKPULLEY_LIBGATEWAY_PEER_NEWS_H
 
 #include "coordinator_driver.h"
-#include "owners_news.h"
 #include "gateway_state.h"
+#include "owners_news.h"
 #include "peer_gossip.h"
 #include "request_relay.h"
 
@@ -68,7 +68,6 @@
                        Instant Now);
   void sendStorePart(StoreVersion After, const StoreEvents &Part,
                      const std::vector<std::int32_t> &Renewed);
-  Duration newsInterval() const;
 
   GatewayState &m_state;
   RequestRelay &m_relay;
@@ -80,7 +79,7 @@
   OwnersTeller m_teller;
   Instant m_nextOwners;
   Instant m_ownersRoomAt; ///< When the bytes last told have left.
-  Instant m_ownersAsked; ///< When this host last asked for all keys.
+  Instant m_ownersAsked;  ///< When this host last asked for all keys.
   /// Requests for all keys that are answered now; grows with time.
   double m_wholeAllowance = 0;
   Instant m_wholeAllowanceAt;
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -66,7 +66,7 @@
 } // namespace
 
 RequestRelay::RequestRelay(GatewayState &State)
-    : m_state(State), m_links(State) {}
+    : m_state(State), m_links(State), m_random(std::random_device()()) {}
 
 void RequestRelay::onRequest(std::shared_ptr<Exchange> From, Instant Now) {
   std::unique_ptr<Job> Made = makeJob(From, Now);
@@ -214,6 +214,9 @@
   Request.m_bytes = Each.m_from->request().m_body.size() + UsualAnswerBytes;
   Request.m_domain = m_state.m_settings.m_domain;
   Request.m_tried = &Each.m_tried;
+  Request.m_spread =
+      spreadFor(newsInterval(m_state.m_peerLoads.hosts()), Each.m_workTime);
+  Request.m_random = &m_random;
   Selection Chosen = selectUpstream(m_state.m_registry, Rows, Request, Now);
   MayWait = Chosen.m_anyUsable;
   return Chosen.m_row;
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -134,6 +134,7 @@
   std::map<QueueKey, WaitQueue> m_queues;
   KeyUse m_keyUse;
   std::uint64_t m_nextNumber = 0;
+  std::mt19937_64 m_random;
 };
 
 } // namespace burdockpulley
--- a/src/libgateway/upstream_registry.cpp
+++ b/src/libgateway/upstream_registry.cpp
@@ -25,9 +25,8 @@
                       ? Row.m_coldUntil <= Now + ColdMargin
                       : ColdUntil <= Row.m_coldUntil + SameColdTime;
   return Row.m_registered && SameCold && Old.m_service == Record.m_service &&
-         Old.m_address == Record.m_address &&
-         Old.m_domain == Record.m_domain && Old.m_slots == Record.m_slots &&
-         Old.m_draining == Record.m_draining;
+         Old.m_address == Record.m_address && Old.m_domain == Record.m_domain &&
+         Old.m_slots == Record.m_slots && Old.m_draining == Record.m_draining;
 }
 
 } // namespace
@@ -37,6 +36,7 @@
   bool WasHeld = m_heldRemovals.erase(Record.m_id) != 0;
   auto [Found, New] = m_rows.try_emplace(Record.m_id);
   UpstreamRow &Row = Found->second;
+  m_membership += New ? 1 : 0;
   bool Restarted = !New && Row.m_record.m_birth != Record.m_birth;
   if (Restarted && Record.m_birth < Row.m_record.m_birth)
     return Change::None; // A late write of an earlier start.
@@ -105,7 +105,7 @@
       Row.m_unreachable = false;
       Row.m_assumedColdUntil = Now + UnreachableTime;
     }
-  std::erase_if(m_rows, [Now](const auto &Entry) {
+  m_membership += std::erase_if(m_rows, [Now](const auto &Entry) {
     const UpstreamRow &Row = Entry.second;
     return !Row.m_registered && Row.m_outstanding == 0 &&
            Now - Row.m_leftAt > ForgetAfter;
--- a/src/libgateway/upstream_selection.cpp
+++ b/src/libgateway/upstream_selection.cpp
@@ -31,6 +31,12 @@
 /// price of bytes between domains.
 constexpr Duration CrossDomainTime{2'000};
 constexpr double CrossDomainMicrosPerByte = 0.6;
+/// Spread of the choice for news as old as a request takes, and its bound.
+constexpr double SpreadPerAge = 1;
+constexpr double MaxSpread = 1.5;
+/// Part of the spread that another failure domain costs beside the distance:
+/// chance alone sends little there.
+constexpr double CrossDomainSpread = 0.4;
 
 } // namespace
 
@@ -73,6 +79,36 @@
          std::max(1U, Row.m_record.m_slots) + QueueAhead;
 }
 
+double spreadFor(Duration NewsAge, Duration WorkTime) {
+  double Age = static_cast<double>(NewsAge.count()) /
+               static_cast<double>(std::max<std::int64_t>(WorkTime.count(), 1));
+  return std::min(MaxSpread, Age * SpreadPerAge);
+}
+
+namespace {
+
+Duration scaled(Duration Time, double Factor) {
+  return Duration(
+      static_cast<std::int64_t>(static_cast<double>(Time.count()) * Factor));
+}
+
+Duration costOf(const UpstreamRow &Row, const SelectionRequest &Request,
+                Duration Finish) {
+  Duration Cost = Finish;
+  if (Request.m_spread > 0) {
+    std::uniform_real_distribution<double> Share(0, Request.m_spread);
+    Cost += scaled(Finish, Share(*Request.m_random));
+  }
+  if (Row.m_record.m_domain == Request.m_domain)
+    return Cost;
+  return Cost + CrossDomainTime +
+         scaled(Request.m_workTime, Request.m_spread * CrossDomainSpread) +
+         Duration(static_cast<std::int64_t>(
+             static_cast<double>(Request.m_bytes) * CrossDomainMicrosPerByte));
+}
+
+} // namespace
+
 Selection selectUpstream(const UpstreamRegistry &Registry,
                          std::span<UpstreamRow *const> Rows,
                          const SelectionRequest &Request, Instant Now) {
@@ -86,12 +122,7 @@
     if (!hasRoom(*Row))
       continue;
     Duration Finish = expectedFinish(*Row, Request.m_workTime, Now);
-    Duration Cost = Finish;
-    if (Row->m_record.m_domain != Request.m_domain)
-      Cost +=
-          CrossDomainTime +
-          Duration(static_cast<std::int64_t>(
-              static_cast<double>(Request.m_bytes) * CrossDomainMicrosPerByte));
+    Duration Cost = costOf(*Row, Request, Finish);
     if (Cost >= BestCost)
       continue;
     BestCost = Cost;
