gateway: what coordinates is heard by any of its messages

Cause: hosts of other failure domains hear the coordinator's load news once in 0.95 s on 80 hosts, and took 0.72 s for silence: they polled the store every 0.15 s, and watchers passed whole key tables on to their domain. Ruled out: lost datagrams; narrow links were full of these tables. Change: any message counts, and silence begins after 1.2 s, well within the 2 s that the store takes to end the office.

--- a/src/libgateway/peer_news.cpp
+++ b/src/libgateway/peer_news.cpp
@@ -27,8 +27,9 @@
 constexpr Duration OwnersRequestEvery{300'000};
 /// Changes of the store are passed on in parts of about this size.
 constexpr std::size_t StorePartBytes = 16'000;
-/// A coordinator that is silent for longer may be gone.
-constexpr Duration CoordinatorSilence{400'000};
+/// A coordinator that is silent for longer may be gone: it tells owners twice
+/// a second, and the store takes longer to find out.
+constexpr Duration CoordinatorSilence{1'200'000};
 /// Reports older than this are not worth telling.
 constexpr Duration FreshReport{200'000};
 constexpr double Percent = 100;
@@ -277,12 +278,13 @@
   if (m_coordinator.coordinating())
     return true;
   return !m_watched.value().empty() &&
-         Now - m_coordinatorHeard <=
-             CoordinatorSilence + newsInterval(m_gossip.peers());
+         Now - m_coordinatorHeard <= CoordinatorSilence;
 }
 
 void PeerNews::onMessage(const HostId &From, const wire::Datagram &Message) {
   Instant Now = bootClockNow();
+  if (From == m_watched)
+    m_coordinatorHeard = Now;
   if (Message.__isset.news)
     onNews(From, Message.news, Now);
   if (Message.__isset.load)
@@ -310,8 +312,6 @@
 
 void PeerNews::onNews(const HostId &From, const wire::HostNews &News,
                       Instant Now) {
-  if (From == m_watched)
-    m_coordinatorHeard = Now;
   PeerLoad Load;
   for (const wire::UpstreamNews &Each : News.upstreams)
     Load.m_upstreams.push_back(fromWire(Each));
--- a/src/libgateway/registry_follower.cpp
+++ b/src/libgateway/registry_follower.cpp
@@ -123,13 +123,13 @@
       Renewed.push_back(Event.m_entry.m_key);
   }
   m_version = std::max(m_version, Changes.m_version);
-  if (m_onWatched && !Changes.m_events.empty())
+  if (m_onWatched)
     m_onWatched(After, Passed, Renewed);
 }
 
 void RegistryFollower::onRelayed(StoreVersion After, const StoreEvents &Changes,
                                  Instant Now) {
-  if (!m_loaded || m_reload || Changes.m_version <= m_version)
+  if (!m_loaded || m_reload)
     return;
   if (After > m_version) {
     m_nextCall = std::min(m_nextCall, Now + MissedPause);
@@ -144,7 +144,7 @@
     apply(Event, Now);
   m_version = std::max(m_version, Changes.m_version);
   if (!m_watches)
-    m_nextCall = Now + RelayedPace;
+    m_nextCall = std::max(m_nextCall, Now + RelayedPace);
 }
 
 RegistryFollower::EntryNews RegistryFollower::apply(const StoreEvent &Event,
