gateway: hot ranges leave their owner in pieces that a receiver can take

Cause: a piece had to be 4% of its owner's load; with 222 owners a receiver may take much less of a hot one, so that nothing moved. Chance alone moved keys. Change: pieces are measured by the receiver's share too, owners are filled up to where they are busy, and what is busy has to be so beyond chance. Hot keys are still refused; that comes next.

--- a/src/libgateway/key_planner.cpp
+++ b/src/libgateway/key_planner.cpp
@@ -21,12 +21,14 @@
 constexpr double IdleRatio = 0.85;
 /// An owner's load is busy for sure when it is so many standard deviations of
 /// its estimate above that: a few requests more are chance.
-constexpr double SureDeviations = 1;
+constexpr double SureDeviations = 2;
 /// A move is worth it when the receiver is then this much less busy than the
 /// giver was.
 constexpr double BetterRatio = 0.8;
-/// A piece is at least this share of the giver's load.
+/// A piece is at least this share of the giver's load, or this share of what
+/// its receiver is meant to have: one of many owners can take little.
 constexpr double MinPieceShare = 0.04;
+constexpr double MinReceiverShare = 0.15;
 /// A newcomer gets its share in so many parts, from several owners.
 constexpr double NewcomerParts = 3;
 
@@ -147,12 +149,14 @@
 /// busier of both owners clearly less busy. When one key makes up most of the
 /// load, no move of it would; then what lies before or behind it.
 std::optional<Piece> choosePiece(const KeyRange &Range, const Bin &From,
-                                 const Bin &To, double Wanted,
+                                 const Bin &To, double Wanted, double Level,
                                  const Weigher &Weight) {
+  double Least =
+      std::min(From.m_load * MinPieceShare,
+               Level * To.m_candidate->m_capacity * MinReceiverShare);
   auto Better = [&](const Piece &Each) {
     double Receiver = (To.m_load + Each.m_load) / To.m_candidate->m_capacity;
-    return Each.m_load > From.m_load * MinPieceShare &&
-           Receiver < From.busyness() * BetterRatio;
+    return Each.m_load > Least && Receiver < From.busyness() * BetterRatio;
   };
   auto Make = [&](std::uint32_t First, std::uint32_t Last) {
     return Piece{First, Last, Weight.of(First, Last)};
@@ -286,29 +290,32 @@
   if (Capacity <= 0)
     return {};
   double Mean = Total / Capacity;
+  // Owners that are not busy may have more than their share of a hot spot:
+  // fewer moves spread it then.
+  double Level = std::max(Mean, Limits.m_busyRate);
   std::vector<KeyRange> Rest = Owned;
   std::vector<KeyPlacement> Moves;
   while (Moves.size() < Limits.m_moves) {
     Bin *To = leastBusy(Bins, 0);
     bool Newcomer = To && To->m_keys == 0;
     Bin *From = busiest(Bins);
-    if (!To || From == To || To->busyness() >= Mean * IdleRatio)
+    double Fill = Newcomer ? Mean : Level;
+    if (!To || From == To || To->busyness() >= Fill * IdleRatio)
       break;
     double Sure = From->m_load - SureDeviations * deviation(From->m_load);
-    bool Busy = Sure > Mean * BusyRatio * From->m_candidate->m_capacity &&
-                From->busyness() > Limits.m_busyRate;
+    bool Busy = Sure > Level * BusyRatio * From->m_candidate->m_capacity;
     if (!Busy && !Newcomer)
       break;
     KeyRange *Range = heaviest(Rest, From->m_candidate->m_id, Weight);
     if (!Range)
       break;
-    double Surplus = From->m_load - Mean * From->m_candidate->m_capacity;
-    double Gap = Mean * To->m_candidate->m_capacity - To->m_load;
+    double Surplus = From->m_load - Level * From->m_candidate->m_capacity;
+    double Gap = Fill * To->m_candidate->m_capacity - To->m_load;
     double Wanted =
         std::min(std::max(Surplus, Newcomer ? Gap / NewcomerParts : 0), Gap);
     if (Wanted <= 0)
       break;
-    auto Chosen = choosePiece(*Range, *From, *To, Wanted, Weight);
+    auto Chosen = choosePiece(*Range, *From, *To, Wanted, Fill, Weight);
     if (!Chosen)
       break;
     From->m_load -= Chosen->m_load;
