--- a/src/include/burdockpulley/shared_limits.h
+++ b/src/include/burdockpulley/shared_limits.h
@@ -40,9 +40,17 @@
 };
 
 /// This host's part of the rate that a cold upstream bears from all hosts.
+///
+/// It answers a burst that meets a cold upstream while each of many hosts has
+/// saved a request for it: together these would be more than the upstream
+/// bears in a second. So where there are many hosts, what is saved is soon
+/// lost, and their times to send lie apart by chance.
 /// Thread safety: none.
 class ColdAllowance {
 public:
+  /// \p Phase from 0 to 1 is drawn by chance for each host and upstream.
+  explicit ColdAllowance(double Phase = 0) : m_phase(Phase) {}
+
   /// True when this host may send a request now, if \p Hosts hosts have equal
   /// parts of \p Rate requests a second.
   bool available(double Rate, std::size_t Hosts, Instant Now);
@@ -51,6 +59,7 @@
   void take() { m_tokens -= 1; }
 
 private:
+  double m_phase;
   bool m_begun = false;
   double m_tokens = 0;
   Instant m_at;
--- a/src/libgateway/decisions_test.cpp
+++ b/src/libgateway/decisions_test.cpp
@@ -163,6 +163,35 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(
+    many_hosts_that_all_meet_a_cold_upstream_keep_to_its_rate) {
+  constexpr std::size_t Hosts = 100;
+  constexpr double Rate = 4.3;
+  std::mt19937_64 Random(20261204);
+  std::uniform_real_distribution<double> Phase(0, 1);
+  std::vector<ColdAllowance> Parts;
+  for (std::size_t Count = 0; Count < Hosts; ++Count)
+    Parts.emplace_back(Phase(Random));
+  std::deque<double> Sent;
+  std::size_t All = 0;
+  // All hosts know of it from the first, and a burst comes after a minute.
+  for (ColdAllowance &Each : Parts)
+    Each.available(Rate, Hosts, at(0));
+  for (double Now = 60; Now < 90; Now += 0.01)
+    for (ColdAllowance &Each : Parts) {
+      if (!Each.available(Rate, Hosts, at(Now)))
+        continue;
+      Each.take();
+      ++All;
+      Sent.push_back(Now);
+      while (Sent.front() < Now - 1)
+        Sent.pop_front();
+      BOOST_REQUIRE(Sent.size() <= Rate * 1.5 + 5);
+    }
+  // Not much of what it bears is left unused.
+  BOOST_TEST(All > 30 * Rate * 0.6);
+}
+
 BOOST_AUTO_TEST_CASE(a_record_of_an_earlier_start_changes_nothing) {
   UpstreamRegistry Registry;
   using Change = UpstreamRegistry::Change;
--- a/src/libgateway/key_planner_test.cpp
+++ b/src/libgateway/key_planner_test.cpp
@@ -142,6 +142,37 @@
   BOOST_TEST(After < 1.8);
 }
 
+BOOST_AUTO_TEST_CASE(a_hot_range_is_spread_over_many_owners) {
+  KeyLoad Load;
+  Load.age(at(0));
+  auto All = candidates(200);
+  auto Ranges = toRanges(placeFreeKeys({Everything}, {}, All, Load));
+  std::mt19937_64 Random(20261204);
+  for (int Count = 0; Count < 600; ++Count)
+    Load.add(ShardKey(static_cast<std::uint32_t>(Random() % ShardKeyCount)), 1);
+  for (int Count = 0; Count < 400; ++Count)
+    Load.add(ShardKey(21'000 + static_cast<std::uint32_t>(Random() % 100)), 1);
+  double Before = imbalance(Ranges, Load, All.size());
+  for (int Round = 0; Round < 3; ++Round)
+    for (const KeyPlacement &Move : planMoves(Ranges, All, Load, {80, 0}))
+      apply(Ranges, Move);
+  double After = imbalance(Ranges, Load, All.size());
+  BOOST_TEST_MESSAGE("imbalance " << Before << " -> " << After);
+  BOOST_TEST(Before > 50);
+  BOOST_TEST(After < 3);
+}
+
+BOOST_AUTO_TEST_CASE(what_chance_makes_busy_does_not_move) {
+  KeyLoad Load;
+  Load.age(at(0));
+  auto All = candidates(100);
+  auto Ranges = toRanges(placeFreeKeys({Everything}, {}, All, Load));
+  std::mt19937_64 Random(20261204);
+  for (int Count = 0; Count < 400; ++Count)
+    Load.add(ShardKey(static_cast<std::uint32_t>(Random() % ShardKeyCount)), 1);
+  BOOST_TEST(planMoves(Ranges, All, Load, {40, 0}).size() <= 2u);
+}
+
 BOOST_AUTO_TEST_CASE(a_single_hot_key_stays_and_the_others_leave_it) {
   KeyLoad Load;
   Load.age(at(0));
--- a/src/libgateway/registry_follower.cpp
+++ b/src/libgateway/registry_follower.cpp
@@ -4,6 +4,7 @@
 #include "burdockpulley/event_log.h"
 
 #include <algorithm>
+#include <set>
 
 namespace burdockpulley {
 
@@ -24,6 +25,18 @@
 constexpr std::uint32_t MaxRetryPauses = 4;
 constexpr Duration ReloadPause{1'000'000};
 
+/// Keeps just the last event of each key: in a storm of changes, the others of
+/// the domain need no more.
+void dropSuperseded(std::vector<StoreEvent> &Events) {
+  std::set<std::string> Seen;
+  std::vector<StoreEvent> Kept;
+  for (auto Each = Events.rbegin(); Each != Events.rend(); ++Each)
+    if (Seen.insert(Each->m_entry.m_key).second)
+      Kept.push_back(std::move(*Each));
+  std::reverse(Kept.begin(), Kept.end());
+  Events = std::move(Kept);
+}
+
 } // namespace
 
 RegistryFollower::RegistryFollower(WatchedStore &Source, Listener &Target)
@@ -123,6 +136,7 @@
       Renewed.push_back(Event.m_entry.m_key);
   }
   m_version = std::max(m_version, Changes.m_version);
+  dropSuperseded(Passed.m_events);
   if (m_onWatched)
     m_onWatched(After, Passed, Renewed);
 }
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -174,8 +174,11 @@
                              Instant Now) {
   if (!Row.cold(Now) || Each.m_service->m_coldRate <= 0)
     return true;
-  return m_coldAllowances[Row.m_record.m_id].available(
-      Each.m_service->m_coldRate, m_state.hosts(), Now);
+  std::uniform_real_distribution<double> Phase(0, 1);
+  auto Allowance =
+      m_coldAllowances.try_emplace(Row.m_record.m_id, Phase(m_random)).first;
+  return Allowance->second.available(Each.m_service->m_coldRate,
+                                     m_state.hosts(), Now);
 }
 
 RequestRelay::Owner RequestRelay::ownerOf(const Job &Each, Instant Now) {
--- a/src/libgateway/shared_limits.cpp
+++ b/src/libgateway/shared_limits.cpp
@@ -1,6 +1,7 @@
 #include "burdockpulley/shared_limits.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace burdockpulley {
 
@@ -12,6 +13,12 @@
 constexpr double SpentAllowanceShare = 0.5;
 /// Part of a cold upstream's rate that is used.
 constexpr double ColdShare = 0.8;
+/// A cold upstream bears so many times its rate in a second, and so many
+/// requests beside.
+constexpr double ColdOverage = 1.5;
+constexpr double ColdSlack = 5;
+/// How long a request may be saved where there are many hosts.
+constexpr Duration ColdSavedTime{500'000};
 
 } // namespace
 
@@ -42,13 +49,21 @@
 bool ColdAllowance::available(double Rate, std::size_t Hosts, Instant Now) {
   double Mine =
       Rate * ColdShare / static_cast<double>(std::max<std::size_t>(Hosts, 1));
+  bool Many =
+      static_cast<double>(Hosts) > (ColdOverage - ColdShare) * Rate + ColdSlack;
   if (!m_begun) {
     m_begun = true;
     m_at = Now;
+    m_tokens = Many ? m_phase : 0;
   }
   double Passed = std::chrono::duration<double>(Now - m_at).count();
   m_at = Now;
-  m_tokens = std::min(1.0, m_tokens + Passed * Mine);
+  m_tokens += Passed * Mine;
+  double Saved = Mine * std::chrono::duration<double>(ColdSavedTime).count();
+  if (!Many)
+    m_tokens = std::min(1.0, m_tokens);
+  else if (m_tokens > 1 + Saved)
+    m_tokens = std::fmod(m_tokens, 1);
   return m_tokens >= 1;
 }
 
