gateway: upstreams that fail count as slow; a shed keyed request is tried again

Cause: nothing in this mode avoided upstreams that fail part of their requests while their health check is good, and an upstream that was avoided as slow was never tried again. A keyed request that its owner shed went back to the caller. Change: a failure or refusal is a slow observation, told to peers with the others; what is not observed is forgotten; shed keyed requests are repeated at their owner within the budget. Unused members and functions go.

--- a/src/include/burdockpulley/caller_listener.h
+++ b/src/include/burdockpulley/caller_listener.h
@@ -92,8 +92,6 @@
   /// Requests that were read, or begun to be read, and have no answer yet.
   std::size_t busy() const;
   std::size_t connections() const { return m_connections.size(); }
-  /// Bytes of request bodies that are held in memory.
-  std::size_t bodyBytes() const;
 
 private:
   friend class detail::CallerConnection;
--- a/src/include/burdockpulley/channel_pool.h
+++ b/src/include/burdockpulley/channel_pool.h
@@ -97,16 +97,10 @@
   /// ones. Call it a few times a second.
   void sweep(Instant Now);
 
-  /// True when kept connections exist that no call uses.
-  bool hasIdle() const { return !m_idle.empty(); }
   std::size_t open() const { return m_channels.size(); }
   /// Connections made since the pool was made.
   std::uint64_t made() const { return m_made; }
 
-  /// Called when a kept connection ends although the server had not announced
-  /// it; the server may have restarted.
-  std::function<void()> m_onUnexpectedEnd;
-
 private:
   friend class detail::Channel;
   detail::Channel *take(Reuse Allowed, Instant Now);
--- a/src/include/burdockpulley/upstream_registry.h
+++ b/src/include/burdockpulley/upstream_registry.h
@@ -46,7 +46,6 @@
   /// came later shows that it lives, or some time has passed.
   bool m_unreachable = false;
   Instant m_unreachableSince;
-  std::uint32_t m_failuresInRow = 0;
 
   std::uint32_t m_outstanding = 0;     ///< Requests of this host at it.
   std::uint32_t m_peerOutstanding = 0; ///< Requests of all other hosts at it.
@@ -57,6 +56,7 @@
   bool m_reportOwn = false; ///< It came in an answer to this host.
   double m_speed = 1;       ///< Time that work takes, relative to its peers.
   std::uint32_t m_speedSamples = 0;
+  Instant m_speedAt;        ///< When the speed was last observed.
   double m_ownSpeedSum = 0; ///< Of this host's samples not yet told to peers.
   std::uint32_t m_ownSpeedCount = 0;
 
--- a/src/include/burdockpulley/upstream_selection.h
+++ b/src/include/burdockpulley/upstream_selection.h
@@ -48,7 +48,6 @@
 /// Where a request goes, or that it has to wait.
 struct Selection {
   UpstreamRow *m_row = nullptr; ///< Null when no upstream has room.
-  Duration m_finish{};          ///< Expected time until its answer.
   bool m_anyUsable = false;     ///< Some upstream may be used once it has room.
 };
 
@@ -82,9 +81,23 @@
 void observeSpeed(UpstreamRow &Row, Duration Spent, Duration Expected,
                   Instant Now);
 
+/// Takes in that an upstream failed a request, or refused it. What fails counts
+/// as slow: others are to be preferred, and keys to leave it.
+///
+/// It answers upstreams that fail part of their requests while their health
+/// check is good.
+/// Thread safety: none.
+void observeFailure(UpstreamRow &Row, Instant Now);
+
+/// An upstream that gets little work shows nothing of its speed: what was
+/// known is forgotten with time, so that it is tried again. Call it a few times
+/// a second. Thread safety: none.
+void forgetSpeed(UpstreamRow &Row, Duration Passed, Instant Now);
+
 /// Takes in the mean of several such observations, this host's or another's.
 /// Thread safety: none.
-void learnSpeed(UpstreamRow &Row, double Mean, std::uint32_t Samples);
+void learnSpeed(UpstreamRow &Row, double Mean, std::uint32_t Samples,
+                Instant Now);
 
 } // namespace burdockpulley
 
--- a/src/libgateway/attempt_policy.cpp
+++ b/src/libgateway/attempt_policy.cpp
@@ -45,11 +45,8 @@
   if (Facts.m_sent >= Facts.m_maxAttempts)
     return Final;
   if (Facts.m_keyed)
-    return Facts.m_end == AttemptEnd::WrongOwner ||
-                   Facts.m_end == AttemptEnd::Unknown
-               ? AttemptStep::AwaitOwner
-               : (Facts.m_end == AttemptEnd::ServerError ? AttemptStep::Retry
-                                                         : Final);
+    return Facts.m_end == AttemptEnd::ServerError ? AttemptStep::Retry
+                                                  : AttemptStep::AwaitOwner;
   return Facts.m_otherUpstream ? AttemptStep::Retry : Final;
 }
 
--- a/src/libgateway/decisions_test.cpp
+++ b/src/libgateway/decisions_test.cpp
@@ -265,6 +265,31 @@
   BOOST_TEST(Chosen.m_anyUsable);
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_that_fails_is_avoided_and_tried_again_later) {
+  UpstreamRegistry Registry;
+  for (const char *Id : {"grey", "sound"})
+    Registry.onRecord(record(Id), at(0));
+  UpstreamRow *Grey = Registry.find(UpstreamId("grey"));
+  UpstreamRow *Sound = Registry.find(UpstreamId("sound"));
+  Duration Work = std::chrono::milliseconds(60);
+  for (int Count = 0; Count < 40; ++Count) { // Its health check is good.
+    if (Count % 2 == 0)
+      observeFailure(*Grey, at(1));
+    else
+      observeSpeed(*Grey, Work, Work, at(1));
+    observeSpeed(*Sound, Work, Work, at(1));
+  }
+  Sound->m_outstanding = 3;
+  SelectionRequest Request;
+  Request.m_workTime = Work;
+  Request.m_domain = DomainId("a");
+  auto Rows = Registry.ofService(ServiceId("fee"));
+  BOOST_TEST(selectUpstream(Registry, Rows, Request, at(1)).m_row == Sound);
+  for (double Now = 1; Now < 25; Now += 0.25)
+    forgetSpeed(*Grey, std::chrono::milliseconds(250), at(Now));
+  BOOST_TEST(selectUpstream(Registry, Rows, Request, at(25)).m_row == Grey);
+}
+
 BOOST_AUTO_TEST_CASE(large_requests_stay_in_their_domain) {
   UpstreamRegistry Registry;
   Registry.onRecord(record("here", "a"), at(0));
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -6,6 +6,7 @@
 #include "burdockpulley/event_log.h"
 #include "burdockpulley/hashing.h"
 #include "burdockpulley/repeating_timer.h"
+#include "burdockpulley/upstream_selection.h"
 #include "coordinator_driver.h"
 #include "gateway_state.h"
 #include "host_registration.h"
@@ -202,6 +203,8 @@
       logEvent(Severity::Warning, "upstream_not_returned",
                {{"upstream", Gone.value()}});
     m_state.m_peerLoads.expire(Now);
+    for (auto &[Id, Row] : m_state.m_registry.rows())
+      forgetSpeed(Row, SweepEvery, Now);
     m_relay.sweep(Now);
     m_callers.sweep(Now);
     m_ready.sweep(Now);
--- a/src/libgateway/peer_loads.cpp
+++ b/src/libgateway/peer_loads.cpp
@@ -60,7 +60,7 @@
   for (const PeerUpstreamLoad &Each : Told.m_upstreams) {
     UpstreamRow *Known = find(Each.m_upstream);
     if (Known)
-      learnSpeed(*Known, Each.m_speed, Each.m_speedSamples);
+      learnSpeed(*Known, Each.m_speed, Each.m_speedSamples, Now);
     if (!Known || !Each.m_reported ||
         Now - Each.m_reportAge <= Known->m_reportAt)
       continue;
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -439,9 +439,8 @@
     m_times.onAnswer(Each.m_route->m_name, Result.m_spent, Factor);
     m_state.m_workTimes[Each.m_service->m_name] =
         m_times.expected(Each.m_route->m_name, Each.m_workTime);
-    Row->m_failuresInRow = 0;
-  } else if (End != AttemptEnd::NotRun && End != AttemptEnd::WrongOwner) {
-    ++Row->m_failuresInRow;
+  } else if (End == AttemptEnd::ServerError || End == AttemptEnd::NotRun) {
+    observeFailure(*Row, Now);
   }
   if (Result.m_error == ChannelError::None) {
     auto Report = m_state.m_dialect.decodeLoad(
@@ -492,8 +491,6 @@
   learn(Each, Result, End, Now);
   if (End != AttemptEnd::NotSent)
     ++Each.m_attempts;
-  if (End == AttemptEnd::WrongOwner && m_onWrongOwner)
-    m_onWrongOwner();
   proceed(Each, End, std::move(Result.m_response), Now);
   dispatchWaiting(Now);
 }
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -53,8 +53,6 @@
 
   /// Called when a request is suspected to crash upstreams.
   std::function<void(Fingerprint, const UpstreamId &)> m_onSuspicion;
-  /// Called when an upstream refused a key that it should own.
-  std::function<void()> m_onWrongOwner;
 
 private:
   /// Requests without a key wait for any upstream of their service, those
--- a/src/libgateway/upstream_selection.cpp
+++ b/src/libgateway/upstream_selection.cpp
@@ -17,6 +17,12 @@
 constexpr double MaxSpeed = 20;
 /// One answer moves the speed by no more than this ratio of it.
 constexpr double MaxSpeedSample = 6;
+/// A failed request counts as one that took so many times longer.
+constexpr double FailureSlowness = 6;
+/// A speed that was not observed for this long begins to be forgotten, half of
+/// it in about the time after it.
+constexpr Duration SpeedLifetime{2'000'000};
+constexpr Duration SpeedFadeTime{4'000'000};
 /// Neighbours change within fractions of a second; an older report says
 /// nothing of them any more.
 constexpr Duration ReportLifetime{250'000};
@@ -127,11 +133,20 @@
       continue;
     BestCost = Cost;
     Best.m_row = Row;
-    Best.m_finish = Finish;
   }
   return Best;
 }
 
+namespace {
+
+void addOwnSample(UpstreamRow &Row, double Sample, Instant Now) {
+  Row.m_ownSpeedSum += Sample;
+  ++Row.m_ownSpeedCount;
+  learnSpeed(Row, Sample, 1, Now);
+}
+
+} // namespace
+
 void observeSpeed(UpstreamRow &Row, Duration Spent, Duration Expected,
                   Instant Now) {
   if (Expected <= Duration())
@@ -140,14 +155,26 @@
   double Sample = static_cast<double>(Spent.count()) /
                   (static_cast<double>(Expected.count()) * Known);
   Sample = std::clamp(Sample, MinSpeed, Row.m_speed * MaxSpeedSample);
-  Row.m_ownSpeedSum += Sample;
-  ++Row.m_ownSpeedCount;
-  learnSpeed(Row, Sample, 1);
+  addOwnSample(Row, Sample, Now);
+}
+
+void observeFailure(UpstreamRow &Row, Instant Now) {
+  addOwnSample(Row, FailureSlowness, Now);
+}
+
+void forgetSpeed(UpstreamRow &Row, Duration Passed, Instant Now) {
+  if (Now - Row.m_speedAt < SpeedLifetime)
+    return;
+  double Kept = std::exp2(-static_cast<double>(Passed.count()) /
+                          static_cast<double>(SpeedFadeTime.count()));
+  Row.m_speed = 1 + (Row.m_speed - 1) * Kept;
 }
 
-void learnSpeed(UpstreamRow &Row, double Mean, std::uint32_t Samples) {
+void learnSpeed(UpstreamRow &Row, double Mean, std::uint32_t Samples,
+                Instant Now) {
   if (Samples == 0)
     return;
+  Row.m_speedAt = Now;
   Row.m_speedSamples += Samples;
   double Weight =
       std::max(SpeedWeight, 1.0 / (Row.m_speedSamples + SpeedWarmUp));
--- a/src/libhttp/caller_connection.cpp
+++ b/src/libhttp/caller_connection.cpp
@@ -87,11 +87,6 @@
          evbuffer_get_length(bufferevent_get_output(m_stream)) == 0;
 }
 
-std::size_t CallerConnection::bodyBytes() const {
-  return m_parser.m_body.size() +
-         (m_exchange ? m_exchange->request().m_body.size() : 0);
-}
-
 void CallerConnection::onReadable() {
   evbuffer *Input = bufferevent_get_input(m_stream);
   if (m_closing) {
--- a/src/libhttp/caller_connection.h
+++ b/src/libhttp/caller_connection.h
@@ -29,7 +29,6 @@
   bool busy() const { return m_exchange != nullptr || m_parser.begun(); }
   /// True when neither a request nor an answer is on its way.
   bool idle() const;
-  std::size_t bodyBytes() const;
 
 private:
   void onReadable();
--- a/src/libhttp/caller_listener.cpp
+++ b/src/libhttp/caller_listener.cpp
@@ -146,11 +146,4 @@
   return Count;
 }
 
-std::size_t CallerListener::bodyBytes() const {
-  std::size_t Sum = 0;
-  for (const detail::CallerConnection *Each : m_connections)
-    Sum += Each->bodyBytes();
-  return Sum;
-}
-
 } // namespace burdockpulley
--- a/src/libhttp/channel.cpp
+++ b/src/libhttp/channel.cpp
@@ -214,7 +214,6 @@
   evbuffer *Output = bufferevent_get_output(m_stream);
   bool Clean = evbuffer_get_length(Input) == 0 &&
                evbuffer_get_length(Output) == 0 && !m_suspect;
-  m_announcedEnd = !m_parser.keepAlive();
   bool Reusable = Clean && m_parser.keepAlive();
   Duration Announced = announcedIdleTime(Response.header("Keep-Alive"));
   if (Announced > Duration())
@@ -237,10 +236,7 @@
 void Channel::onEnd(short What) {
   if (!m_done) {
     m_dead = true;
-    bool Expected = m_announcedEnd;
     m_owner.release(this, false);
-    if (!Expected && m_owner.m_onUnexpectedEnd)
-      m_owner.m_onUnexpectedEnd();
     return;
   }
   if (!m_connected) {
--- a/src/libhttp/channel.h
+++ b/src/libhttp/channel.h
@@ -63,7 +63,6 @@
   bool m_suspect = false; ///< Bytes came that belong to no call.
   bool m_dead = false;
   bool m_abort = false; ///< A call was given up: the connection is reset.
-  bool m_announcedEnd = false;
 };
 
 } // namespace burdockpulley::detail
