gateway: the model's upstreams keep the longer of two grants

Cause: the coordinator waits for the longest grant after an outage of the store; it was to be known whether a later, shorter one ends that wait. Ruled out: that it does. Measured: gateway_test passes with the stricter model.

--- a/src/libgateway/key_coordinator_model.cpp
+++ b/src/libgateway/key_coordinator_model.cpp
@@ -129,7 +129,8 @@
   forSamples(Order.m_range, [&](std::uint32_t Key) {
     ModelUpstream::Key &Held = To.m_keys[Key];
     Held.m_token = Held.m_seen = Token;
-    Held.m_until = Arrived + Hold;
+    // A shorter grant does not shorten what an earlier one gave.
+    Held.m_until = std::max(Held.m_until, Arrived + Hold);
     if (Held.m_until <= m_now)
       return;
     for (const auto &[Who, Highest] : m_history[Key])
