gateway: hosts take turns at an owner that is waited for; wider spread, fresher news

Hosts' choices still met (up to 15 at two slots), and at a hot owner all hosts that waited saw its room at the same moment. Change: the spread is three times the age of news relative to work; large fleets tell load twice as often; each host draws its part of an owner's room when others wait for it too.

--- a/src/include/burdockpulley/upstream_selection.h
+++ b/src/include/burdockpulley/upstream_selection.h
@@ -59,6 +59,10 @@
 /// Thread safety: safe.
 Duration expectedFinish(const UpstreamRow &Row, Duration WorkTime, Instant Now);
 
+/// What is queued behind full slots, so that a slot is not idle for the time
+/// that news of its being free takes.
+constexpr std::uint32_t QueueAhead = 1;
+
 /// True when an upstream has a slot free or all but free, so that a request
 /// sent now does not wait in a queue that knows no urgency.
 /// Thread safety: safe.
--- a/src/libgateway/peer_loads.cpp
+++ b/src/libgateway/peer_loads.cpp
@@ -12,7 +12,7 @@
 /// Hosts tell their load several times a second.
 constexpr Duration HostLifetime{1'500'000};
 constexpr Duration NewsEvery{40'000};
-constexpr Duration NewsPerHost{4'000};
+constexpr Duration NewsPerHost{2'000};
 
 void addSigned(std::uint32_t &Sum, std::uint32_t Part, int Sign) {
   if (Sign > 0)
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -205,7 +205,11 @@
     bool Patient = Now - Each.m_arrived <= OwnerPatience;
     MayWait = Known.m_row || (!Known.m_lost && Patient);
     UpstreamRow *Row = Known.m_row;
-    return Row && hasRoom(*Row) && mayBeCold(*Row, Each, Now) ? Row : nullptr;
+    bool Turn =
+        Row && m_turns[Row->m_record.m_id].available(
+                   *Row, Each.m_workTime,
+                   newsInterval(m_state.m_peerLoads.hosts()), m_random, Now);
+    return Turn && mayBeCold(*Row, Each, Now) ? Row : nullptr;
   }
   std::vector<UpstreamRow *> Rows =
       m_state.m_registry.ofService(Each.m_service->m_name);
@@ -360,6 +364,8 @@
   removeFromQueue(Each);
   if (Row.cold(Now) && Each.m_service->m_coldRate > 0)
     m_coldAllowances[Row.m_record.m_id].take();
+  if (Each.m_key)
+    m_turns[Row.m_record.m_id].take();
   Each.m_upstream = Row.m_record.m_id;
   Each.m_tried.insert(Row.m_record.m_id);
   Each.m_sent = true;
@@ -630,9 +636,11 @@
 void RequestRelay::sweep(Instant Now) {
   m_links.sweep(Now);
   m_suspects.sweep(Now);
-  std::erase_if(m_coldAllowances, [this](const auto &Each) {
+  auto Forgotten = [this](const auto &Each) {
     return !m_state.m_registry.find(Each.first);
-  });
+  };
+  std::erase_if(m_coldAllowances, Forgotten);
+  std::erase_if(m_turns, Forgotten);
 }
 
 std::size_t RequestRelay::waiting() const {
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -4,6 +4,7 @@
 #include "burdockpulley/attempt_policy.h"
 #include "burdockpulley/caller_listener.h"
 #include "burdockpulley/crash_suspects.h"
+#include "burdockpulley/owner_turns.h"
 #include "burdockpulley/shared_limits.h"
 #include "burdockpulley/upstream_selection.h"
 #include "burdockpulley/wait_queue.h"
@@ -128,6 +129,7 @@
   CrashSuspects m_suspects;
   std::map<ServiceId, SharedRetryBudget> m_budgets;
   std::map<UpstreamId, ColdAllowance> m_coldAllowances;
+  std::map<UpstreamId, OwnerTurns> m_turns;
   std::map<RequestNumber, std::unique_ptr<Job>> m_jobs;
   std::map<QueueKey, WaitQueue> m_queues;
   KeyUse m_keyUse;
--- a/src/libgateway/upstream_selection.cpp
+++ b/src/libgateway/upstream_selection.cpp
@@ -28,9 +28,6 @@
 constexpr Duration ReportLifetime{250'000};
 /// Work at a cold upstream takes about so many times longer.
 constexpr double ColdFactor = 2;
-/// What is queued behind full slots, so that a slot is not idle for the time
-/// that news of its being free takes.
-constexpr std::uint32_t QueueAhead = 1;
 /// Upstreams slow down as they fill up.
 constexpr double FullSlowdown = 0.3;
 /// Cost of another failure domain, as time: the way there and back, and the
@@ -38,8 +35,8 @@
 constexpr Duration CrossDomainTime{2'000};
 constexpr double CrossDomainMicrosPerByte = 0.6;
 /// Spread of the choice for news as old as a request takes, and its bound.
-constexpr double SpreadPerAge = 1;
-constexpr double MaxSpread = 1.5;
+constexpr double SpreadPerAge = 3;
+constexpr double MaxSpread = 3;
 /// Part of the spread that another failure domain costs beside the distance:
 /// chance alone sends little there.
 constexpr double CrossDomainSpread = 0.4;
