gateway: configurations travel packed; watchers have wide links

A configuration of 929 routes (about 200 KB) did not fit a datagram, so that each of 87 hosts fetched it, and in a storm all of its versions, over 10 Mbit/s. Ruled out: the store, and processor time. Change: large values are compressed on their way to the other hosts of the domain; hosts tell in their record whether their link is wide, and such ones watch for the others first. zlib is a package of its own now.

--- a/src/cmake/Dependencies.cmake
+++ b/src/cmake/Dependencies.cmake
@@ -2,6 +2,7 @@
 find_package(Threads REQUIRED)
 find_package(PkgConfig REQUIRED)
 find_package(OpenSSL REQUIRED)
+find_package(ZLIB REQUIRED)
 find_package(glog REQUIRED)
 find_package(yaml-cpp REQUIRED)
 find_package(nlohmann_json REQUIRED)
--- a/src/include/burdockpulley/gateway_settings.h
+++ b/src/include/burdockpulley/gateway_settings.h
@@ -8,6 +8,9 @@
 
 namespace burdockpulley {
 
+/// A link of this bandwidth, in Mbit/s, has room for work for other hosts.
+constexpr double WideLinkMegabits = 50;
+
 /// Settings of one entry host that finds its upstreams in the platform's
 /// registry.
 struct GatewaySettings {
@@ -31,6 +34,10 @@
   double m_retryRatio = 0.2;
   Duration m_retryWindow = std::chrono::seconds(10);
   double m_retryAllowance = 60;
+
+  /// True when the link has room for work for other hosts: to coordinate, and
+  /// to watch the store for the failure domain. Thread safety: safe.
+  bool wideLink() const { return m_linkMegabits >= WideLinkMegabits; }
 };
 
 /// What came of reading the settings.
--- a/src/libgateway/coordinator_driver.cpp
+++ b/src/libgateway/coordinator_driver.cpp
@@ -24,9 +24,8 @@
 /// The same when hosts start, which they may all do at once.
 constexpr Duration MaxFirstElectionDelay{600'000};
 constexpr Duration ElectionRetry{400'000};
-/// Hosts whose link is slower than this leave the office to others, if there
-/// are any: they wait so much longer before they run for it.
-constexpr double OfficeLinkMegabits = 50;
+/// Hosts with a narrow link leave the office to others, if there are any: they
+/// wait so much longer before they run for it.
 constexpr Duration SlowLinkDelay{350'000};
 constexpr Duration WriteRetry{150'000};
 /// Keys are moved away from owners that are busy for this share of their time.
@@ -109,7 +108,7 @@
 void CoordinatorDriver::delayElection(Duration Most, Instant Now) {
   std::uniform_int_distribution<std::int64_t> Delay(0, Most.count());
   m_runAt = Now + Duration(Delay(m_random));
-  if (m_state.m_settings.m_linkMegabits < OfficeLinkMegabits)
+  if (!m_state.m_settings.wideLink())
     m_runAt += Most + SlowLinkDelay;
 }
 
--- a/src/libgateway/gateway.thrift
+++ b/src/libgateway/gateway.thrift
@@ -97,6 +97,8 @@
   2: binary value,
   3: i64 version,
   4: bool removed,
+  // True when the value is compressed.
+  5: optional bool packed,
 }
 
 // What a watch of the store has brought, passed on within a failure domain.
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -276,13 +276,10 @@
   }
 
   void onHost(const StoreEntry &Entry) {
-    Endpoint Where;
-    std::size_t Blank = std::min(Entry.m_value.find(' '), Entry.m_value.size());
-    bool Readable = Blank < Entry.m_value.size() &&
-                    parseEndpoint(Entry.m_value.substr(0, Blank), Where);
-    if (Readable)
+    auto Address = decodeHostAddress(Entry.m_value);
+    if (Address)
       m_news.addPeer(HostId(Entry.m_key.substr(store_keys::Hosts.size())),
-                     Where, DomainId(Entry.m_value.substr(Blank + 1)));
+                     *Address);
     else
       logEvent(Severity::Warning, "entry_unreadable", {{"key", Entry.m_key}});
   }
--- a/src/libgateway/gen/gateway_types.cpp
+++ b/src/libgateway/gen/gateway_types.cpp
@@ -1964,6 +1964,11 @@
 void StoreEventNews::__set_removed(const bool val) {
   this->removed = val;
 }
+
+void StoreEventNews::__set_packed(const bool val) {
+  this->packed = val;
+__isset.packed = true;
+}
 std::ostream& operator<<(std::ostream& out, const StoreEventNews& obj)
 {
   obj.printTo(out);
@@ -2024,6 +2029,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->packed);
+          this->__isset.packed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2057,6 +2070,11 @@
   xfer += oprot->writeBool(this->removed);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.packed) {
+    xfer += oprot->writeFieldBegin("packed", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->packed);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2068,6 +2086,7 @@
   swap(a.value, b.value);
   swap(a.version, b.version);
   swap(a.removed, b.removed);
+  swap(a.packed, b.packed);
   swap(a.__isset, b.__isset);
 }
 
@@ -2076,6 +2095,7 @@
   value = other80.value;
   version = other80.version;
   removed = other80.removed;
+  packed = other80.packed;
   __isset = other80.__isset;
 }
 StoreEventNews::StoreEventNews(StoreEventNews&& other81) noexcept {
@@ -2083,6 +2103,7 @@
   value = std::move(other81.value);
   version = other81.version;
   removed = other81.removed;
+  packed = other81.packed;
   __isset = other81.__isset;
 }
 StoreEventNews& StoreEventNews::operator=(const StoreEventNews& other82) {
@@ -2090,6 +2111,7 @@
   value = other82.value;
   version = other82.version;
   removed = other82.removed;
+  packed = other82.packed;
   __isset = other82.__isset;
   return *this;
 }
@@ -2098,6 +2120,7 @@
   value = std::move(other83.value);
   version = other83.version;
   removed = other83.removed;
+  packed = other83.packed;
   __isset = other83.__isset;
   return *this;
 }
@@ -2108,6 +2131,7 @@
   out << ", " << "value=" << to_string(value);
   out << ", " << "version=" << to_string(version);
   out << ", " << "removed=" << to_string(removed);
+  out << ", " << "packed="; (__isset.packed ? (out << to_string(packed)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libgateway/gen/gateway_types.h
+++ b/src/libgateway/gen/gateway_types.h
@@ -774,11 +774,12 @@
 std::ostream& operator<<(std::ostream& out, const CrashNews& obj);
 
 typedef struct _StoreEventNews__isset {
-  _StoreEventNews__isset() : key(false), value(false), version(false), removed(false) {}
+  _StoreEventNews__isset() : key(false), value(false), version(false), removed(false), packed(false) {}
   bool key :1;
   bool value :1;
   bool version :1;
   bool removed :1;
+  bool packed :1;
 } _StoreEventNews__isset;
 
 class StoreEventNews : public virtual ::apache::thrift::TBase {
@@ -792,7 +793,8 @@
                  : key(),
                    value(),
                    version(0),
-                   removed(0) {
+                   removed(0),
+                   packed(0) {
   }
 
   virtual ~StoreEventNews() noexcept;
@@ -800,6 +802,7 @@
   std::string value;
   int64_t version;
   bool removed;
+  bool packed;
 
   _StoreEventNews__isset __isset;
 
@@ -811,6 +814,8 @@
 
   void __set_removed(const bool val);
 
+  void __set_packed(const bool val);
+
   bool operator == (const StoreEventNews & rhs) const
   {
     if (!(key == rhs.key))
@@ -821,6 +826,10 @@
       return false;
     if (!(removed == rhs.removed))
       return false;
+    if (__isset.packed != rhs.__isset.packed)
+      return false;
+    else if (__isset.packed && !(packed == rhs.packed))
+      return false;
     return true;
   }
   bool operator != (const StoreEventNews &rhs) const {
--- a/src/libgateway/host_registration.cpp
+++ b/src/libgateway/host_registration.cpp
@@ -3,6 +3,7 @@
 #include "burdockpulley/clock.h"
 #include "burdockpulley/event_log.h"
 #include "burdockpulley/hashing.h"
+#include "peer_gossip.h"
 #include "store_keys.h"
 
 namespace burdockpulley {
@@ -61,8 +62,9 @@
   StoreTransaction Record;
   Record.m_writes.push_back(
       {store_keys::Hosts + m_state.m_settings.m_host.value(),
-       toString(m_state.m_settings.m_peerListen) + " " +
-           m_state.m_settings.m_domain.value(),
+       encodeHostAddress({m_state.m_settings.m_peerListen,
+                          m_state.m_settings.m_domain,
+                          m_state.m_settings.wideLink()}),
        false, m_lease});
   m_source.commit(Record, [this](const StoreReply<StoreCommit> &Reply) {
     m_calling = false;
--- a/src/libgateway/peer_gossip.cpp
+++ b/src/libgateway/peer_gossip.cpp
@@ -15,6 +15,8 @@
 
 #include <array>
 #include <ctime>
+#include <sstream>
+#include <tuple>
 
 namespace burdockpulley {
 
@@ -45,8 +47,32 @@
   return Now.tv_sec * PerSecond + Now.tv_nsec / NanosPerMicro;
 }
 
+constexpr std::string_view NarrowMark = "narrow";
+
 } // namespace
 
+std::string encodeHostAddress(const HostAddress &Address) {
+  std::string Record =
+      toString(Address.m_peers) + " " + Address.m_domain.value();
+  if (!Address.m_wideLink)
+    Record += " " + std::string(NarrowMark);
+  return Record;
+}
+
+std::optional<HostAddress> decodeHostAddress(const std::string &Record) {
+  std::istringstream Words(Record);
+  std::string Peers;
+  std::string Domain;
+  std::string Mark;
+  Words >> Peers >> Domain >> Mark;
+  HostAddress Address;
+  if (Domain.empty() || !parseEndpoint(Peers, Address.m_peers))
+    return std::nullopt;
+  Address.m_domain = DomainId(Domain);
+  Address.m_wideLink = Mark != NarrowMark;
+  return Address;
+}
+
 PeerGossip::PeerGossip(event_base *Base, HostId Self, Handler Handle)
     : m_base(Base), m_self(std::move(Self)), m_handle(std::move(Handle)),
       m_sequence(firstSequence()) {}
@@ -76,13 +102,11 @@
   return ntohs(Address.sin_port);
 }
 
-void PeerGossip::addPeer(const HostId &Host, const Endpoint &Where,
-                         const DomainId &Domain) {
+void PeerGossip::addPeer(const HostId &Host, const HostAddress &Where) {
   if (Host == m_self)
     return;
   Peer &Which = m_peers[Host];
-  Which.m_where = Where;
-  Which.m_domain = Domain;
+  Which.m_address = Where;
   Which.m_listed = true;
 }
 
@@ -125,7 +149,7 @@
   auto Found = m_peers.find(To);
   if (m_key.empty() || m_socket < 0 || Found == m_peers.end())
     return;
-  sendBytes(Found->second.m_where, seal(Message));
+  sendBytes(Found->second.m_address.m_peers, seal(Message));
 }
 
 std::size_t PeerGossip::sendAll(wire::Datagram Message) {
@@ -133,7 +157,7 @@
     return 0;
   std::string Bytes = seal(Message);
   for (const auto &[Host, Each] : m_peers)
-    sendBytes(Each.m_where, Bytes);
+    sendBytes(Each.m_address.m_peers, Bytes);
   return Bytes.size() * m_peers.size();
 }
 
@@ -145,15 +169,19 @@
   if (Bytes.size() > MaxDatagramBytes)
     return; // The others will have to ask for themselves.
   for (const auto &[Host, Each] : m_peers)
-    if ((Each.m_domain == Domain) == Inside)
-      sendBytes(Each.m_where, Bytes);
+    if ((Each.m_address.m_domain == Domain) == Inside)
+      sendBytes(Each.m_address.m_peers, Bytes);
 }
 
-bool PeerGossip::isFirstOf(const DomainId &Domain, Instant Now) const {
-  for (const auto &[Host, Each] : m_peers)
-    if (Each.m_domain == Domain && Host < m_self &&
+bool PeerGossip::isFirstOf(const DomainId &Domain, bool WideLink,
+                           Instant Now) const {
+  for (const auto &[Host, Each] : m_peers) {
+    bool Before = std::make_tuple(!Each.m_address.m_wideLink, Host) <
+                  std::make_tuple(!WideLink, m_self);
+    if (Each.m_address.m_domain == Domain && Before &&
         Now - Each.m_heard < PresentTime)
       return false;
+  }
   return true;
 }
 
--- a/src/libgateway/peer_gossip.h
+++ b/src/libgateway/peer_gossip.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +16,22 @@
 
 namespace burdockpulley {
 
+/// What a host tells of itself in the store.
+struct HostAddress {
+  Endpoint m_peers; ///< Where it takes datagrams.
+  DomainId m_domain;
+  /// Its link is wide enough to work for others.
+  bool m_wideLink = true;
+
+  friend bool operator==(const HostAddress &, const HostAddress &) = default;
+};
+
+/// A host's record as it stands in the store. Thread safety: safe.
+std::string encodeHostAddress(const HostAddress &Address);
+
+/// Nothing when the record can not be read. Thread safety: safe.
+std::optional<HostAddress> decodeHostAddress(const std::string &Record);
+
 /// Datagrams between the hosts of one deployment. Each carries a code made
 /// with a key that only hosts read; others are dropped. They may be lost.
 /// Thread safety: none; it belongs to the loop's thread.
@@ -37,8 +54,7 @@
   void setKey(const std::string &Key) { m_key = Key; }
   bool hasKey() const { return !m_key.empty(); }
 
-  void addPeer(const HostId &Host, const Endpoint &Where,
-               const DomainId &Domain);
+  void addPeer(const HostId &Host, const HostAddress &Where);
   /// The store does not list the host any more. It stays a peer for as long as
   /// it is heard of: its record may be gone because the store was.
   void unlistPeer(const HostId &Host);
@@ -52,16 +68,15 @@
   /// Sends to the peers of one failure domain, or to all others.
   void sendDomain(wire::Datagram Message, const DomainId &Domain, bool Inside);
   /// True when no peer of the failure domain that was heard of lately comes
-  /// before this host by name.
-  bool isFirstOf(const DomainId &Domain, Instant Now) const;
+  /// before this host: wide links before narrow ones, then by name.
+  bool isFirstOf(const DomainId &Domain, bool WideLink, Instant Now) const;
 
   /// Datagrams dropped because they were not made by a host.
   std::uint64_t rejected() const { return m_rejected; }
 
 private:
   struct Peer {
-    Endpoint m_where;
-    DomainId m_domain;
+    HostAddress m_address;
     std::int64_t m_lastSequence = 0;
     bool m_listed = true;
     Instant m_heard;
--- a/src/libgateway/peer_news.cpp
+++ b/src/libgateway/peer_news.cpp
@@ -1,6 +1,7 @@
 #include "peer_news.h"
 
 #include "burdockpulley/clock.h"
+#include "burdockpulley/compression.h"
 #include "burdockpulley/event_log.h"
 #include "burdockpulley/thrift_codec.h"
 
@@ -27,6 +28,8 @@
 constexpr Duration OwnersRequestEvery{300'000};
 /// Changes of the store are passed on in parts of about this size.
 constexpr std::size_t StorePartBytes = 16'000;
+/// Larger values are compressed on their way to other hosts.
+constexpr std::size_t PackedBytes = 2'000;
 /// A coordinator that is silent for longer may be gone: it tells owners twice
 /// a second, and the store takes longer to find out.
 constexpr Duration CoordinatorSilence{1'200'000};
@@ -260,7 +263,11 @@
   for (const StoreEvent &Event : Part.m_events) {
     wire::StoreEventNews Each;
     Each.key = Event.m_entry.m_key;
-    Each.value = Event.m_entry.m_value;
+    bool Large = Event.m_entry.m_value.size() > PackedBytes;
+    Each.value =
+        Large ? compress(Event.m_entry.m_value) : Event.m_entry.m_value;
+    if (Large)
+      Each.__set_packed(true);
     Each.version = Event.m_entry.m_modified.value();
     Each.removed = Event.m_removed;
     News.events.push_back(std::move(Each));
@@ -293,23 +300,37 @@
     onOwners(From, Message.owners, Now);
   if (Message.__isset.ownersRequest)
     onOwnersRequest(From, Message.ownersRequest, Now);
-  if (Message.__isset.store && m_onStoreNews) {
-    StoreEvents Changes;
-    Changes.m_version = StoreVersion(Message.store.version);
-    for (const wire::StoreEventNews &Each : Message.store.events)
-      Changes.m_events.push_back(
-          {{Each.key, Each.value, StoreVersion(Each.version)}, Each.removed});
-    m_onStoreNews(StoreVersion(Message.store.after), Changes);
-    for (std::int32_t Name : Message.store.renewed)
-      if (UpstreamRow *Row = m_state.m_peerLoads.find(ShortName(Name)))
-        m_state.m_registry.onRenewed(*Row, Now);
-  }
+  if (Message.__isset.store && m_onStoreNews)
+    onStoreNews(From, Message.store, Now);
   if (Message.__isset.crash)
     m_relay.suspects().onSuspicion(
         Fingerprint(static_cast<std::uint64_t>(Message.crash.fingerprint)),
         UpstreamId(Message.crash.upstream), Now);
 }
 
+void PeerNews::onStoreNews(const HostId &From, const wire::StoreNews &News,
+                           Instant Now) {
+  StoreEvents Changes;
+  Changes.m_version = StoreVersion(News.version);
+  for (const wire::StoreEventNews &Each : News.events) {
+    std::optional<std::string> Value = Each.value;
+    if (Each.packed)
+      Value = decompress(Each.value, MaxStoreValueBytes);
+    if (!Value) { // This host will miss it, and ask the store.
+      logEvent(Severity::Warning, "peer_news_unreadable",
+               {{"host", From.value()}, {"key", Each.key}});
+      return;
+    }
+    Changes.m_events.push_back(
+        {{Each.key, std::move(*Value), StoreVersion(Each.version)},
+         Each.removed});
+  }
+  m_onStoreNews(StoreVersion(News.after), Changes);
+  for (std::int32_t Name : News.renewed)
+    if (UpstreamRow *Row = m_state.m_peerLoads.find(ShortName(Name)))
+      m_state.m_registry.onRenewed(*Row, Now);
+}
+
 void PeerNews::onNews(const HostId &From, const wire::HostNews &News,
                       Instant Now) {
   PeerLoad Load;
--- a/src/libgateway/peer_news.h
+++ b/src/libgateway/peer_news.h
@@ -22,9 +22,8 @@
   /// See PeerGossip::listen().
   std::uint16_t listen(const Endpoint &Where) { return m_gossip.listen(Where); }
   void setKey(const std::string &Key) { m_gossip.setKey(Key); }
-  void addPeer(const HostId &Host, const Endpoint &Where,
-               const DomainId &Domain) {
-    m_gossip.addPeer(Host, Where, Domain);
+  void addPeer(const HostId &Host, const HostAddress &Where) {
+    m_gossip.addPeer(Host, Where);
   }
   void unlistPeer(const HostId &Host) { m_gossip.unlistPeer(Host); }
   std::uint64_t rejected() const { return m_gossip.rejected(); }
@@ -43,7 +42,8 @@
 
   /// True when this host is to watch the store for its failure domain.
   bool watchesStore(Instant Now) const {
-    return m_gossip.isFirstOf(m_state.m_settings.m_domain, Now);
+    return m_gossip.isFirstOf(m_state.m_settings.m_domain,
+                              m_state.m_settings.wideLink(), Now);
   }
 
   /// True when another host coordinates and has not been heard of lately.
@@ -59,6 +59,8 @@
 private:
   void onMessage(const HostId &From, const wire::Datagram &Message);
   void onNews(const HostId &From, const wire::HostNews &News, Instant Now);
+  void onStoreNews(const HostId &From, const wire::StoreNews &News,
+                   Instant Now);
   void onLoad(const wire::KeyLoadNews &News);
   void tellLoad(Instant Now);
   void tellKeyUse();
