gateway: callers of a crowd that is refused, or whose owner is lost, come back later

Cause: callers try two or three times. Change: the pause grows with the share of requests that were refused lately, to 3 s; for a lost owner it is half of the time that a grant lasts.

--- a/src/include/burdockpulley/wait_queue.h
+++ b/src/include/burdockpulley/wait_queue.h
@@ -46,6 +46,8 @@
 class WaitQueue {
 public:
   /// Refuses a request that would not be answered in time; nothing otherwise.
+  /// The more of them are refused, the later they are told to come back: room
+  /// for all is not to be expected soon, and callers try only a few times.
   std::optional<Refusal> offer(const WaitingRequest &Request,
                                const ServiceCapacity &Capacity, Instant Now);
 
@@ -62,12 +64,20 @@
 
   std::size_t size() const { return m_waiting.size(); }
 
+  /// True when nothing waits and no refusal is recent enough to matter.
+  bool forgettable(Instant Now) const;
+
 private:
   std::vector<const WaitingRequest *> ranked(Instant Now) const;
   Duration expectedWait(const WaitingRequest &Request,
                         const ServiceCapacity &Capacity, Instant Now) const;
 
+  void age(Instant Now);
+
   std::map<RequestNumber, WaitingRequest> m_waiting;
+  double m_taken = 0;   ///< Requests taken lately; older ones count for less.
+  double m_refused = 0; ///< The same for refused ones.
+  Instant m_agedAt;
 };
 
 } // namespace burdockpulley
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -22,6 +22,9 @@
 /// When a caller is told to come back if nothing better is known.
 constexpr Duration DefaultRetryAfter{250'000};
 constexpr Duration NoConfigurationRetryAfter{300'000};
+/// The same when the owner of a key is lost: half of the time for which it may
+/// hold the key. Callers try only a few times.
+constexpr Duration LostOwnerRetryAfter{1'750'000};
 /// Answers are about this large when nothing is known.
 constexpr std::size_t UsualAnswerBytes = 5000;
 /// Callers' deadlines are at most this far away.
@@ -235,7 +238,8 @@
   bool MayWait = false;
   UpstreamRow *Row = chooseRow(Each, MayWait, Now);
   if (!Row && !MayWait) {
-    refuse(Each, "no-upstream", refusalPause(Each, Now), Now);
+    refuse(Each, "no-upstream",
+           Each.m_key ? LostOwnerRetryAfter : refusalPause(Each, Now), Now);
     return true;
   }
   if (!Row)
@@ -287,8 +291,6 @@
   WaitingRequest Request{Each.m_number, Each.m_route->m_priority,
                          Each.m_workTime, Each.m_goal, Each.m_deadline};
   auto Refused = Queue.offer(Request, capacityFor(Each, Now), Now);
-  if (Queue.size() == 0)
-    m_queues.erase(Key);
   if (Refused)
     return refuse(Each, "no-room-in-time", Refused->m_retryAfter, Now);
   Each.m_queue = Key;
@@ -314,8 +316,6 @@
   if (Found == m_queues.end())
     return;
   Found->second.remove(Each.m_number);
-  if (Found->second.size() == 0)
-    m_queues.erase(Found);
   countWaiting(Owner);
 }
 
@@ -640,6 +640,9 @@
     return !m_state.m_registry.find(Each.first);
   };
   std::erase_if(m_coldAllowances, Forgotten);
+  std::erase_if(m_queues, [Now](const auto &Each) {
+    return Each.second.forgettable(Now);
+  });
   std::erase_if(m_turns, Forgotten);
 }
 
@@ -653,7 +656,8 @@
 std::map<ServiceId, std::uint32_t> RequestRelay::waitingByService() const {
   std::map<ServiceId, std::uint32_t> Counts;
   for (const auto &[Key, Queue] : m_queues)
-    Counts[Key.first] += static_cast<std::uint32_t>(Queue.size());
+    if (Queue.size() > 0)
+      Counts[Key.first] += static_cast<std::uint32_t>(Queue.size());
   return Counts;
 }
 
--- a/src/libgateway/wait_queue.cpp
+++ b/src/libgateway/wait_queue.cpp
@@ -1,6 +1,7 @@
 #include "burdockpulley/wait_queue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace burdockpulley {
@@ -10,6 +11,11 @@
 /// Bounds of the time after which a refused caller is told to come back.
 constexpr Duration MinRetryAfter{50'000};
 constexpr Duration MaxRetryAfter{1'000'000};
+/// The bound when many others were refused as well.
+constexpr Duration MaxCrowdedRetryAfter{3'000'000};
+/// Requests taken and refused are forgotten over about this time.
+constexpr Duration RecentTime{1'000'000};
+constexpr double FewRefusals = 0.05;
 /// Service times vary: a request whose deadline leaves at least this share of
 /// the expected time has a fair chance to be answered.
 constexpr double NeededTimeShare = 0.6;
@@ -49,14 +55,33 @@
 std::optional<Refusal> WaitQueue::offer(const WaitingRequest &Request,
                                         const ServiceCapacity &Capacity,
                                         Instant Now) {
+  age(Now);
   Duration Wait = expectedWait(Request, Capacity, Now);
   Instant End = Now + Wait + scaled(Request.m_workTime, NeededTimeShare);
   if (End < Request.m_deadline) {
     m_waiting[Request.m_number] = Request;
+    m_taken += 1;
     return std::nullopt;
   }
-  Duration RetryAfter = std::max(Wait / 2, Request.m_workTime / 2);
-  return Refusal{std::clamp(RetryAfter, MinRetryAfter, MaxRetryAfter)};
+  Duration Alone = std::clamp(std::max(Wait / 2, Request.m_workTime / 2),
+                              MinRetryAfter, MaxRetryAfter);
+  double Crowd = 1 + m_refused / std::max(m_taken, 1.0);
+  m_refused += 1;
+  return Refusal{std::min(scaled(Alone, Crowd), MaxCrowdedRetryAfter)};
+}
+
+void WaitQueue::age(Instant Now) {
+  double Kept = std::exp(-static_cast<double>((Now - m_agedAt).count()) /
+                         static_cast<double>(RecentTime.count()));
+  m_taken *= Kept;
+  m_refused *= Kept;
+  m_agedAt = Now;
+}
+
+bool WaitQueue::forgettable(Instant Now) const {
+  double Kept = std::exp(-static_cast<double>((Now - m_agedAt).count()) /
+                         static_cast<double>(RecentTime.count()));
+  return m_waiting.empty() && m_refused * Kept < FewRefusals;
 }
 
 std::vector<const WaitingRequest *> WaitQueue::ranked(Instant Now) const {
--- a/src/libgateway/wait_queue_test.cpp
+++ b/src/libgateway/wait_queue_test.cpp
@@ -156,3 +156,20 @@
   auto Order = Queue.order(at(250));
   BOOST_TEST(Order[0].value() == 2u);
 }
+
+BOOST_AUTO_TEST_CASE(one_of_a_crowd_that_is_refused_comes_back_later) {
+  WaitQueue Queue;
+  auto Offer = [&](std::uint64_t Number, std::int64_t Millis) {
+    auto Refused = Queue.offer(request(Number, Millis), {4, 100}, at(Millis));
+    return Refused ? Refused->m_retryAfter : Duration();
+  };
+  Duration First = Offer(1, 0);
+  BOOST_TEST((First >= Millisecond * 50));
+  Duration Last{};
+  for (std::uint64_t Count = 0; Count < 50; ++Count)
+    Last = Offer(2 + Count, static_cast<std::int64_t>(10 * Count));
+  BOOST_TEST((Last >= First * 2));
+  BOOST_TEST(!Queue.forgettable(at(600)));
+  BOOST_TEST(Queue.forgettable(at(9000)));
+  BOOST_TEST((Offer(99, 9000) <= First * 11 / 10));
+}
