gateway: failing tests of hosts that follow the store late

One replays, in virtual time, a host on a narrow link that watches the store for itself while key tables are written: every watch is given up after 1.1 s and the next one asks for more.

The watcher takes its clock as an argument, so that the first test can run in virtual time; nothing else is changed.

--- a/src/libgateway/registry_watcher.cpp
+++ b/src/libgateway/registry_watcher.cpp
@@ -1,6 +1,5 @@
 #include "registry_watcher.h"
 
-#include "burdockpulley/clock.h"
 #include "burdockpulley/event_log.h"
 
 #include <algorithm>
@@ -45,8 +44,9 @@
 
 } // namespace
 
-RegistryWatcher::RegistryWatcher(WatchableStore &Store, Listener &Observer)
-    : m_store(Store), m_listener(Observer) {}
+RegistryWatcher::RegistryWatcher(WatchableStore &Store, Listener &Observer,
+                                 Clock ReplyClock)
+    : m_store(Store), m_listener(Observer), m_clock(std::move(ReplyClock)) {}
 
 void RegistryWatcher::tick(Instant Now) {
   if (m_callInFlight)
@@ -74,7 +74,7 @@
 void RegistryWatcher::onLoadReply(const StoreReply<StoreRange> &Reply,
                                   Instant Began) {
   m_callInFlight = false;
-  Instant Now = bootClockNow();
+  Instant Now = m_clock();
   if (const auto *Error = std::get_if<StoreError>(&Reply))
     return onFailure(*Error, Now);
   const auto &Range = std::get<StoreRange>(Reply);
@@ -111,7 +111,7 @@
 void RegistryWatcher::onWatchReply(const StoreReply<StoreEvents> &Reply,
                                    Instant Began) {
   m_callInFlight = false;
-  Instant Now = bootClockNow();
+  Instant Now = m_clock();
   if (const auto *Error = std::get_if<StoreError>(&Reply)) {
     if (*Error != StoreError::Compacted)
       return onFailure(*Error, Now);
--- a/src/libgateway/registry_watcher.h
+++ b/src/libgateway/registry_watcher.h
@@ -1,6 +1,7 @@
 #ifndef BURDOCKPULLEY_LIBGATEWAY_REGISTRY_WATCHER_H
 #define BURDOCKPULLEY_LIBGATEWAY_REGISTRY_WATCHER_H
 
+#include "burdockpulley/clock.h"
 #include "burdockpulley/store.h"
 
 #include <functional>
@@ -44,8 +45,12 @@
     virtual void onStoreLost(StoreError Error, Instant Now) = 0;
   };
 
+  /// Returns the present time, for replies of the store.
+  using Clock = std::function<Instant()>;
+
   /// Preconditions: \p Store and \p Observer outlive the watcher.
-  RegistryWatcher(WatchableStore &Store, Listener &Observer);
+  RegistryWatcher(WatchableStore &Store, Listener &Observer,
+                  Clock ReplyClock = bootClockNow);
 
   /// Makes the next call to the store when it is due. To be called many times a
   /// second.
@@ -92,6 +97,7 @@
 
   WatchableStore &m_store;
   Listener &m_listener;
+  Clock m_clock;
   std::map<std::string, StoreVersion> m_knownVersions;
   StoreVersion m_version;
   bool m_loaded = false;
--- a/src/libgateway/registry_watcher_test.cpp
+++ b/src/libgateway/registry_watcher_test.cpp
@@ -1,4 +1,5 @@
 #include "registry_watcher.h"
+#include "store_keys.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -66,6 +67,59 @@
   RegistryWatcher m_watcher{m_store, m_listener};
 };
 
+/// Virtual time in steps of 20 ms, in which a store's responses arrive over a
+/// link of limited bandwidth.
+class SlowLinkStore : public FakeStore {
+public:
+  static constexpr std::int64_t LinkBytesPerMilli = 600;
+  /// Key tables, written whole at every move of keys.
+  static constexpr std::int64_t TableBytesPerMilli = 900;
+  static constexpr std::int64_t RecordBytesPerMilli = 60;
+  /// A call without a complete response is given up after this time.
+  static constexpr int CallTimeoutMillis = 1100;
+
+  void watch(const std::string &Prefix, StoreVersion After, Duration,
+             StoreCallback<StoreEvents> Done) override {
+    // The version of the store is the time in milliseconds.
+    std::int64_t Millis = m_now.time_since_epoch().count() / 1000;
+    std::int64_t BytesPerMilli = 0;
+    if (store_keys::KeyTables.starts_with(Prefix))
+      BytesPerMilli += TableBytesPerMilli;
+    if (Prefix.empty() || Prefix == "servers/")
+      BytesPerMilli += RecordBytesPerMilli;
+    std::int64_t Bytes = (Millis - After.value()) * BytesPerMilli;
+    int TransferMillis = static_cast<int>(Bytes / LinkBytesPerMilli);
+    bool InTime = TransferMillis <= CallTimeoutMillis;
+    StoreEvents Events;
+    Events.m_version = StoreVersion(Millis);
+    if (BytesPerMilli > 0)
+      Events.m_events = {written("servers/u1", "beat", Millis)};
+    m_replies.push_back(
+        {m_now + std::chrono::milliseconds(InTime ? TransferMillis
+                                                  : CallTimeoutMillis),
+         [=] {
+           InTime ? Done(Events)
+                  : Done(StoreReply<StoreEvents>(StoreError::Unknown));
+         }});
+  }
+
+  void advanceTo(Instant Now) {
+    m_now = Now;
+    for (std::size_t Index = 0; Index < m_replies.size();) {
+      if (m_replies[Index].first > Now) {
+        ++Index;
+        continue;
+      }
+      auto Reply = std::move(m_replies[Index].second);
+      m_replies.erase(m_replies.begin() + static_cast<std::ptrdiff_t>(Index));
+      Reply();
+    }
+  }
+
+  Instant m_now;
+  std::vector<std::pair<Instant, std::function<void()>>> m_replies;
+};
+
 /// Later than any due time: callbacks take the time from the real clock.
 Instant later() { return Instant::max() - std::chrono::hours(1); }
 
@@ -149,4 +203,24 @@
   BOOST_TEST(Fixture.m_listener.m_regained == 1);
 }
 
+// Issue 19: a host without forwarded changes gave up each watch before it was
+// complete, and asked for more in the next one.
+BOOST_AUTO_TEST_CASE(a_host_with_a_slow_link_keeps_up_with_the_store) {
+  SlowLinkStore Store;
+  FakeListener Listener;
+  RegistryWatcher Watcher(Store, Listener, [&Store] { return Store.m_now; });
+  Watcher.setWatchesForDomain(false);
+  Watcher.tick(at(0));
+  Store.m_reads.at(0)(StoreRange());
+  constexpr int NoticeMillis = 2500; // Bound of the time to notice a drain.
+  for (int Millis = 0; Millis <= 15'000; Millis += 20) {
+    Store.advanceTo(at(Millis));
+    Watcher.tick(at(Millis));
+    BOOST_REQUIRE(Watcher.lastContact().has_value());
+    BOOST_REQUIRE((at(Millis) - *Watcher.lastContact() <=
+                   std::chrono::milliseconds(NoticeMillis)));
+  }
+  BOOST_TEST(Listener.m_lost == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
