gateway: hosts with narrow links do not follow the key tables

Cause: a host that gets no forwarded changes watches the store for itself, and such a watch returned everything that was written. On a link of 10 Mbit/s the watch took longer than the 1.1 s after which a call is given up, and the next one asked for more, so the host never caught up.

Change: hosts with narrow links watch the keys of operators, upstreams, hosts and the coordinator, one call for each prefix; a round without any change does not advance the version. Any host reads the key tables while it can not reach a coordinator, and reads the peer key once it is known to be stored.

--- a/src/include/burdockpulley/platform_codec.h
+++ b/src/include/burdockpulley/platform_codec.h
@@ -69,6 +69,9 @@
   /// Decodes the removal of an entry from the store.
   virtual RegistryChange decodeRemoval(const std::string &Key) = 0;
 
+  /// Prefixes of all keys for which decodeEntry() returns a change.
+  virtual std::vector<std::string> followedPrefixes() const = 0;
+
   /// Returns the upstream whose record is stored under \p Key, or nothing when
   /// the key is not that of an upstream's record.
   virtual std::optional<UpstreamId>
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -28,6 +28,7 @@
 constexpr Duration TickInterval{20'000};
 constexpr Duration SweepInterval{250'000};
 constexpr Duration LogFlushInterval{100'000};
+constexpr Duration KeyTableReadInterval{700'000};
 /// File descriptors kept free for connections to upstreams, peers and the
 /// store.
 constexpr std::size_t ReservedDescriptors = 1200;
@@ -52,8 +53,9 @@
                  std::unique_ptr<WatchableStore> Store,
                  std::unique_ptr<PlatformCodec> Codec)
       : m_store(std::move(Store)), m_codec(std::move(Codec)),
-        m_state(Base, Settings, *m_codec), m_watcher(*m_store, *this),
-        m_relay(m_state), m_coordinator(m_state, *m_store),
+        m_state(Base, Settings, *m_codec),
+        m_watcher(*m_store, *this, followedPrefixes(m_state)), m_relay(m_state),
+        m_coordinator(m_state, *m_store),
         m_stateExchange(m_state, m_relay, m_coordinator),
         m_registration(m_state, *m_store),
         m_callerListener(Base, callerLimit(Settings),
@@ -84,6 +86,9 @@
                                             Instant Now) {
       m_relay.onUpstreamDown(Upstream, Now);
     };
+    m_registration.m_onPeerKey = [this](const std::string &Key) {
+      m_stateExchange.setKey(Key);
+    };
     m_watcher.m_onWatchResult =
         [this](StoreVersion After, const StoreEvents &Changes,
                const std::vector<std::string> &Renewed) {
@@ -153,6 +158,17 @@
     return std::max(MinCallerConnections, Settings.m_descriptors - Reserved);
   }
 
+  /// Key tables are written whole at every move of keys, which is more than a
+  /// low-bandwidth link can carry.
+  static std::vector<std::string> followedPrefixes(const GatewayState &State) {
+    if (State.m_settings.highBandwidth())
+      return {""};
+    std::vector<std::string> Prefixes = State.m_codec.followedPrefixes();
+    Prefixes.push_back(store_keys::Coordinator);
+    Prefixes.push_back(store_keys::Hosts);
+    return Prefixes;
+  }
+
   /// Calls \p Listen with an address, and stores the bound port in it. Returns
   /// false when the address cannot be bound.
   template <class ListenFunction>
@@ -207,6 +223,7 @@
       m_coordinator.onRegistryLoaded(Now);
     m_coordinator.tick(Now);
     m_stateExchange.tick(Now);
+    readKeyTablesIfDue(Now);
     m_registration.tick(m_watcher.loaded() && m_watcher.storeReachable(), Now);
     if (m_relay.waiting() > 0)
       m_relay.dispatchWaiting(Now);
@@ -216,6 +233,27 @@
       checkStop(Now);
   }
 
+  /// While no coordinator can be reached, the stored key tables say who owns
+  /// which keys.
+  void readKeyTablesIfDue(Instant Now) {
+    if (!m_watcher.loaded() || m_tableReadInFlight || Now < m_nextTableRead ||
+        m_stateExchange.coordinatorReachable(Now))
+      return;
+    m_tableReadInFlight = true;
+    m_nextTableRead = Now + KeyTableReadInterval;
+    StoreQuery Query;
+    Query.m_key = store_keys::KeyTables;
+    Query.m_prefix = true;
+    m_store->read(Query, [this](const StoreReply<StoreRange> &Reply) {
+      m_tableReadInFlight = false;
+      if (const auto *Error = std::get_if<StoreError>(&Reply))
+        return logEvent(Severity::Warning, "key_tables_not_read",
+                        {{"reason", toString(*Error)}});
+      for (const StoreEntry &Entry : std::get<StoreRange>(Reply).m_entries)
+        onKeyTable(Entry, bootClockNow());
+    });
+  }
+
   void sweep(Instant Now) {
     for (const UpstreamId &Upstream : m_state.m_registry.sweep(Now))
       logEvent(Severity::Warning, "upstream_not_returned",
@@ -394,6 +432,8 @@
   std::unique_ptr<RepeatingTimer> m_tickTimer;
   std::unique_ptr<RepeatingTimer> m_sweepTimer;
   std::unique_ptr<RepeatingTimer> m_flushTimer;
+  bool m_tableReadInFlight = false;
+  Instant m_nextTableRead;
   Instant m_stopStarted;
   bool m_registrationEnded = false;
 };
--- a/src/libgateway/host_registration.cpp
+++ b/src/libgateway/host_registration.cpp
@@ -24,6 +24,8 @@
   m_nextCall = Now + LeaseRenewalInterval;
   if (!m_peerKeyExists)
     createPeerKey();
+  else if (!m_peerKeyRead)
+    readPeerKey();
   else if (m_lease.value() == 0)
     acquireLease();
   else if (!m_registered)
@@ -51,6 +53,20 @@
   });
 }
 
+void HostRegistration::readPeerKey() {
+  StoreQuery Query;
+  Query.m_key = store_keys::PeerKey;
+  m_store.read(Query, [this](const StoreReply<StoreRange> &Reply) {
+    m_callInFlight = false;
+    const auto *Range = std::get_if<StoreRange>(&Reply);
+    if (!Range || Range->m_entries.empty())
+      return scheduleRetry();
+    m_peerKeyRead = true;
+    m_nextCall = Instant();
+    m_onPeerKey(Range->m_entries.front().m_value);
+  });
+}
+
 void HostRegistration::acquireLease() {
   m_store.grantLease(LeaseTimeToLive,
                      [this](const StoreReply<StoreLease> &Reply) {
--- a/src/libgateway/host_registration.h
+++ b/src/libgateway/host_registration.h
@@ -3,6 +3,9 @@
 
 #include "gateway_state.h"
 
+#include <functional>
+#include <string>
+
 namespace burdockpulley {
 
 /// Registers this host in the store under a lease, and creates the shared
@@ -18,6 +21,9 @@
   /// to be unreachable. To be called many times a second.
   void tick(bool StoreReachable, Instant Now);
 
+  /// Called with the shared secret that is stored.
+  std::function<void(const std::string &)> m_onPeerKey;
+
   /// Removes this host's record by ending its lease.
   void end();
 
@@ -25,6 +31,7 @@
   void acquireLease();
   void writeRecord();
   void createPeerKey();
+  void readPeerKey();
   void renewLease();
   void scheduleRetry();
 
@@ -33,6 +40,7 @@
   StoreLease m_lease; ///< Zero when there is none.
   bool m_registered = false;
   bool m_peerKeyExists = false;
+  bool m_peerKeyRead = false;
   bool m_callInFlight = false;
   Instant m_nextCall;
 };
--- a/src/libgateway/registry_watcher.cpp
+++ b/src/libgateway/registry_watcher.cpp
@@ -3,6 +3,8 @@
 #include "burdockpulley/event_log.h"
 
 #include <algorithm>
+#include <limits>
+#include <memory>
 #include <set>
 
 namespace burdockpulley {
@@ -45,8 +47,10 @@
 } // namespace
 
 RegistryWatcher::RegistryWatcher(WatchableStore &Store, Listener &Observer,
+                                 std::vector<std::string> Prefixes,
                                  Clock ReplyClock)
-    : m_store(Store), m_listener(Observer), m_clock(std::move(ReplyClock)) {}
+    : m_store(Store), m_listener(Observer), m_prefixes(std::move(Prefixes)),
+      m_clock(std::move(ReplyClock)) {}
 
 void RegistryWatcher::tick(Instant Now) {
   if (m_callInFlight)
@@ -101,14 +105,56 @@
   m_nextCall = Now + WatchInterval;
 }
 
+struct RegistryWatcher::WatchRound {
+  Instant m_began;
+  std::size_t m_pending = 0; ///< Watches without a reply.
+  StoreEvents m_events;
+  std::optional<StoreError> m_error; ///< The first one.
+};
+
 void RegistryWatcher::watch(Instant Now) {
-  m_store.watch("", m_version, WatchTimeout,
-                [this, Now](const StoreReply<StoreEvents> &Reply) {
-                  onWatchReply(Reply, Now);
-                });
+  auto Round = std::make_shared<WatchRound>();
+  Round->m_began = Now;
+  Round->m_pending = m_prefixes.size();
+  Round->m_events.m_version =
+      StoreVersion(std::numeric_limits<std::int64_t>::max());
+  // The changes of a round are applied together, so no watch may wait for
+  // changes of its own prefix while others have returned some.
+  Duration Wait = m_prefixes.size() == 1 ? WatchTimeout : Duration();
+  for (const std::string &Prefix : m_prefixes)
+    m_store.watch(Prefix, m_version, Wait,
+                  [this, Round](const StoreReply<StoreEvents> &Reply) {
+                    onWatchReply(*Round, Reply);
+                  });
+}
+
+void RegistryWatcher::onWatchReply(WatchRound &Round,
+                                   const StoreReply<StoreEvents> &Reply) {
+  --Round.m_pending;
+  if (const auto *Error = std::get_if<StoreError>(&Reply)) {
+    if (!Round.m_error)
+      Round.m_error = *Error;
+  } else {
+    const auto &Changes = std::get<StoreEvents>(Reply);
+    StoreEvents &All = Round.m_events;
+    All.m_events.insert(All.m_events.end(), Changes.m_events.begin(),
+                        Changes.m_events.end());
+    // Later changes of the other prefixes are returned by the next round.
+    All.m_version = std::min(All.m_version, Changes.m_version);
+  }
+  if (Round.m_pending > 0)
+    return;
+  if (Round.m_error)
+    return onRoundEnded(*Round.m_error, Round.m_began);
+  std::stable_sort(Round.m_events.m_events.begin(),
+                   Round.m_events.m_events.end(),
+                   [](const StoreEvent &Left, const StoreEvent &Right) {
+                     return Left.m_entry.m_modified < Right.m_entry.m_modified;
+                   });
+  onRoundEnded(std::move(Round.m_events), Round.m_began);
 }
 
-void RegistryWatcher::onWatchReply(const StoreReply<StoreEvents> &Reply,
+void RegistryWatcher::onRoundEnded(StoreReply<StoreEvents> Reply,
                                    Instant Began) {
   m_callInFlight = false;
   Instant Now = m_clock();
@@ -121,11 +167,16 @@
     m_nextCall = Now;
     return;
   }
-  const auto &Changes = std::get<StoreEvents>(Reply);
+  auto &Changes = std::get<StoreEvents>(Reply);
+  // Records are renewed all the time, so watches that report nothing may have
+  // missed changes. The next round asks for them again.
+  if (!followsWholeStore() && Changes.m_events.empty())
+    Changes.m_version = m_version;
   onSuccess(Began, Now);
   m_nextCall =
       Now + (m_watchesForDomain ? WatchInterval : ForwardedWatchInterval);
-  if (Changes.m_events.empty() && Changes.m_version > m_version) {
+  if (followsWholeStore() && Changes.m_events.empty() &&
+      Changes.m_version > m_version) {
     // The store has changed, but the watch reports no events.
     logEvent(Severity::Warning, "registry_watch_silent",
              {{"store_version", m_version.value()},
--- a/src/libgateway/registry_watcher.h
+++ b/src/libgateway/registry_watcher.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace burdockpulley {
 
@@ -18,7 +19,10 @@
 /// call per write. Instead, a new watch is started at a fixed interval and
 /// returns all changes since the previous one. The whole store is read again
 /// when the store no longer keeps the history that is needed, or when a watch
-/// reports a new version without any change.
+/// of the whole store reports a new version without any change.
+///
+/// A watcher may be limited to keys with certain prefixes. It then makes one
+/// watch for each of them, and the changes are applied when all have ended.
 /// Thread safety: none; all calls come from the event loop's thread.
 class RegistryWatcher {
 public:
@@ -48,8 +52,11 @@
   /// Returns the present time, for replies of the store.
   using Clock = std::function<Instant()>;
 
-  /// Preconditions: \p Store and \p Observer outlive the watcher.
+  /// \p Prefixes: those of the keys to follow; an empty one is that of all.
+  /// Preconditions: \p Store and \p Observer outlive the watcher; \p Prefixes
+  /// is not empty.
   RegistryWatcher(WatchableStore &Store, Listener &Observer,
+                  std::vector<std::string> Prefixes = {""},
                   Clock ReplyClock = bootClockNow);
 
   /// Makes the next call to the store when it is due. To be called many times a
@@ -87,16 +94,21 @@
   bool storeReachable() const { return m_storeReachable; }
 
 private:
+  /// Replies to the watches of one round, one for each prefix.
+  struct WatchRound;
   void load(Instant Now);
   void onLoadReply(const StoreReply<StoreRange> &Reply, Instant Began);
   void watch(Instant Now);
-  void onWatchReply(const StoreReply<StoreEvents> &Reply, Instant Began);
+  void onWatchReply(WatchRound &Round, const StoreReply<StoreEvents> &Reply);
+  void onRoundEnded(StoreReply<StoreEvents> Reply, Instant Began);
+  bool followsWholeStore() const { return m_prefixes.front().empty(); }
   void onFailure(StoreError Error, Instant Now);
   void onSuccess(Instant Began, Instant Now);
   EntryEffect applyEvent(const StoreEvent &Event, Instant Now);
 
   WatchableStore &m_store;
   Listener &m_listener;
+  const std::vector<std::string> m_prefixes;
   Clock m_clock;
   std::map<std::string, StoreVersion> m_knownVersions;
   StoreVersion m_version;
--- a/src/libgateway/registry_watcher_test.cpp
+++ b/src/libgateway/registry_watcher_test.cpp
@@ -208,7 +208,10 @@
 BOOST_AUTO_TEST_CASE(a_host_with_a_slow_link_keeps_up_with_the_store) {
   SlowLinkStore Store;
   FakeListener Listener;
-  RegistryWatcher Watcher(Store, Listener, [&Store] { return Store.m_now; });
+  RegistryWatcher Watcher(
+      Store, Listener,
+      {"op/", "servers/", store_keys::Coordinator, store_keys::Hosts},
+      [&Store] { return Store.m_now; });
   Watcher.setWatchesForDomain(false);
   Watcher.tick(at(0));
   Store.m_reads.at(0)(StoreRange());
