--- a/src/libgateway/gateway.thrift
+++ b/src/libgateway/gateway.thrift
@@ -86,6 +86,8 @@
   3: bool stopping,
   // Epoch of this host's coordinator lease; zero when it is not coordinator.
   4: i64 coordinatorEpoch,
+  // True when this host's last call to the store has failed.
+  5: optional bool storeLost,
 }
 
 // Number of requests for one key.
@@ -118,7 +120,7 @@
   5: optional bool packed,
 }
 
-// Result of a watch of the store, forwarded within a failure domain.
+// Changes of the store, forwarded to the hosts of two failure domains.
 struct StoreUpdate {
   // Versions of the store before and after the events.
   1: i64 after,
@@ -128,6 +130,12 @@
   4: optional list<i32> renewed,
 }
 
+// Asks the sender of a StoreUpdate for the changes that it has sent since a
+// version of the store.
+struct StoreUpdateRequest {
+  1: i64 after,
+}
+
 // One datagram with one of the messages above as its body.
 struct Datagram {
   1: string host,
@@ -139,4 +147,5 @@
   7: optional StoreUpdate storeUpdate,
   8: optional OwnersUpdate ownersUpdate,
   9: optional OwnersRequest ownersRequest,
+  10: optional StoreUpdateRequest storeUpdateRequest,
 }
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -96,7 +96,10 @@
         };
     m_stateExchange.m_onStoreUpdate = [this](StoreVersion After,
                                              const StoreEvents &Changes) {
-      m_watcher.onForwardedChanges(After, Changes, bootClockNow());
+      return m_watcher.onForwardedChanges(After, Changes, bootClockNow());
+    };
+    m_stateExchange.m_storeChanges = [this](StoreVersion After) {
+      return m_watcher.changesSince(After);
     };
     m_stateExchange.m_onChange = [this] {
       m_relay.dispatchWaiting(bootClockNow());
@@ -211,13 +214,18 @@
         Contact
             ? std::chrono::duration<double>(bootClockNow() - *Contact).count()
             : -1);
+    auto News = m_watcher.lastNews();
+    m_state.m_metrics.setStoreNewsAge(
+        News ? std::chrono::duration<double>(bootClockNow() - *News).count()
+             : -1);
     m_state.m_metrics.setWaiting(m_relay.waiting());
     m_state.m_metrics.setRejectedDatagrams(m_stateExchange.rejected());
     return m_state.m_metrics.text();
   }
 
   void tick(Instant Now) {
-    m_watcher.setWatchesForDomain(m_stateExchange.watchesStore(Now));
+    m_stateExchange.setReachesStore(m_watcher.lastCallSucceeded(), Now);
+    chooseWatcher(Now);
     m_watcher.tick(Now);
     if (m_watcher.loaded())
       m_coordinator.onRegistryLoaded(Now);
@@ -254,6 +262,15 @@
     });
   }
 
+  void chooseWatcher(Instant Now) {
+    bool Watches = m_stateExchange.watchesStore(Now);
+    if (Watches != m_watchesForDomain)
+      logEvent(Severity::Info, "store_watcher_changed",
+               {{"watches_for_domain", Watches}});
+    m_watchesForDomain = Watches;
+    m_watcher.setWatchesForDomain(Watches);
+  }
+
   void sweep(Instant Now) {
     for (const UpstreamId &Upstream : m_state.m_registry.sweep(Now))
       logEvent(Severity::Warning, "upstream_not_returned",
@@ -432,6 +449,7 @@
   std::unique_ptr<RepeatingTimer> m_tickTimer;
   std::unique_ptr<RepeatingTimer> m_sweepTimer;
   std::unique_ptr<RepeatingTimer> m_flushTimer;
+  bool m_watchesForDomain = true;
   bool m_tableReadInFlight = false;
   Instant m_nextTableRead;
   Instant m_stopStarted;
--- a/src/libgateway/gateway_metrics.cpp
+++ b/src/libgateway/gateway_metrics.cpp
@@ -46,7 +46,11 @@
                            "One while this host gives out keys")),
       m_storeContactAge(gauge(m_registry,
                               "burdockpulley_gateway_store_contact_seconds",
-                              "Time since the store answered; -1 is never")) {}
+                              "Time since the store answered; -1 is never")),
+      m_storeNewsAge(gauge(m_registry,
+                           "burdockpulley_gateway_store_news_seconds",
+                           "Time since the store answered or another host "
+                           "forwarded its changes; -1 is never")) {}
 
 void GatewayMetrics::onRequestEnded(const std::string &Route,
                                     std::string_view Outcome, Duration Time) {
@@ -85,6 +89,10 @@
   m_coordinating.Set(IsCoordinator);
 }
 
+void GatewayMetrics::setStoreNewsAge(double Seconds) {
+  m_storeNewsAge.Set(Seconds);
+}
+
 void GatewayMetrics::setStoreContactAge(double Seconds) {
   m_storeContactAge.Set(Seconds);
 }
--- a/src/libgateway/gateway_metrics.h
+++ b/src/libgateway/gateway_metrics.h
@@ -35,6 +35,7 @@
   void setCoordinating(bool IsCoordinator);
   /// Negative if the store has never responded.
   void setStoreContactAge(double Seconds);
+  void setStoreNewsAge(double Seconds);
 
   /// All values in the Prometheus text format.
   std::string text() const;
@@ -50,6 +51,7 @@
   prometheus::Gauge &m_waitingRequests;
   prometheus::Gauge &m_coordinating;
   prometheus::Gauge &m_storeContactAge;
+  prometheus::Gauge &m_storeNewsAge;
 };
 
 } // namespace burdockpulley
--- a/src/libgateway/gen/gateway_types.cpp
+++ b/src/libgateway/gen/gateway_types.cpp
@@ -1368,6 +1368,11 @@
 void HostStatus::__set_coordinatorEpoch(const int64_t val) {
   this->coordinatorEpoch = val;
 }
+
+void HostStatus::__set_storeLost(const bool val) {
+  this->storeLost = val;
+__isset.storeLost = true;
+}
 std::ostream& operator<<(std::ostream& out, const HostStatus& obj)
 {
   obj.printTo(out);
@@ -1452,6 +1457,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->storeLost);
+          this->__isset.storeLost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1501,6 +1514,11 @@
   xfer += oprot->writeI64(this->coordinatorEpoch);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.storeLost) {
+    xfer += oprot->writeFieldBegin("storeLost", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->storeLost);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1512,6 +1530,7 @@
   swap(a.queues, b.queues);
   swap(a.stopping, b.stopping);
   swap(a.coordinatorEpoch, b.coordinatorEpoch);
+  swap(a.storeLost, b.storeLost);
   swap(a.__isset, b.__isset);
 }
 
@@ -1520,6 +1539,7 @@
   queues = other58.queues;
   stopping = other58.stopping;
   coordinatorEpoch = other58.coordinatorEpoch;
+  storeLost = other58.storeLost;
   __isset = other58.__isset;
 }
 HostStatus::HostStatus(HostStatus&& other59) noexcept {
@@ -1527,6 +1547,7 @@
   queues = std::move(other59.queues);
   stopping = other59.stopping;
   coordinatorEpoch = other59.coordinatorEpoch;
+  storeLost = other59.storeLost;
   __isset = other59.__isset;
 }
 HostStatus& HostStatus::operator=(const HostStatus& other60) {
@@ -1534,6 +1555,7 @@
   queues = other60.queues;
   stopping = other60.stopping;
   coordinatorEpoch = other60.coordinatorEpoch;
+  storeLost = other60.storeLost;
   __isset = other60.__isset;
   return *this;
 }
@@ -1542,6 +1564,7 @@
   queues = std::move(other61.queues);
   stopping = other61.stopping;
   coordinatorEpoch = other61.coordinatorEpoch;
+  storeLost = other61.storeLost;
   __isset = other61.__isset;
   return *this;
 }
@@ -1552,6 +1575,7 @@
   out << ", " << "queues=" << to_string(queues);
   out << ", " << "stopping=" << to_string(stopping);
   out << ", " << "coordinatorEpoch=" << to_string(coordinatorEpoch);
+  out << ", " << "storeLost="; (__isset.storeLost ? (out << to_string(storeLost)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2345,6 +2369,107 @@
 }
 
 
+StoreUpdateRequest::~StoreUpdateRequest() noexcept {
+}
+
+
+void StoreUpdateRequest::__set_after(const int64_t val) {
+  this->after = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoreUpdateRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreUpdateRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->after);
+          this->__isset.after = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreUpdateRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreUpdateRequest");
+
+  xfer += oprot->writeFieldBegin("after", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->after);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreUpdateRequest &a, StoreUpdateRequest &b) {
+  using ::std::swap;
+  swap(a.after, b.after);
+  swap(a.__isset, b.__isset);
+}
+
+StoreUpdateRequest::StoreUpdateRequest(const StoreUpdateRequest& other100) noexcept {
+  after = other100.after;
+  __isset = other100.__isset;
+}
+StoreUpdateRequest::StoreUpdateRequest(StoreUpdateRequest&& other101) noexcept {
+  after = other101.after;
+  __isset = other101.__isset;
+}
+StoreUpdateRequest& StoreUpdateRequest::operator=(const StoreUpdateRequest& other102) noexcept {
+  after = other102.after;
+  __isset = other102.__isset;
+  return *this;
+}
+StoreUpdateRequest& StoreUpdateRequest::operator=(StoreUpdateRequest&& other103) noexcept {
+  after = other103.after;
+  __isset = other103.__isset;
+  return *this;
+}
+void StoreUpdateRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreUpdateRequest(";
+  out << "after=" << to_string(after);
+  out << ")";
+}
+
+
 Datagram::~Datagram() noexcept {
 }
 
@@ -2386,6 +2511,11 @@
   this->ownersRequest = val;
 __isset.ownersRequest = true;
 }
+
+void Datagram::__set_storeUpdateRequest(const StoreUpdateRequest& val) {
+  this->storeUpdateRequest = val;
+__isset.storeUpdateRequest = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -2478,6 +2608,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->storeUpdateRequest.read(iprot);
+          this->__isset.storeUpdateRequest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2533,6 +2671,11 @@
     xfer += this->ownersRequest.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.storeUpdateRequest) {
+    xfer += oprot->writeFieldBegin("storeUpdateRequest", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->storeUpdateRequest.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2548,53 +2691,58 @@
   swap(a.storeUpdate, b.storeUpdate);
   swap(a.ownersUpdate, b.ownersUpdate);
   swap(a.ownersRequest, b.ownersRequest);
+  swap(a.storeUpdateRequest, b.storeUpdateRequest);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other100) {
-  host = other100.host;
-  sequence = other100.sequence;
-  hostStatus = other100.hostStatus;
-  keyLoad = other100.keyLoad;
-  crash = other100.crash;
-  storeUpdate = other100.storeUpdate;
-  ownersUpdate = other100.ownersUpdate;
-  ownersRequest = other100.ownersRequest;
-  __isset = other100.__isset;
-}
-Datagram::Datagram(Datagram&& other101) noexcept {
-  host = std::move(other101.host);
-  sequence = other101.sequence;
-  hostStatus = std::move(other101.hostStatus);
-  keyLoad = std::move(other101.keyLoad);
-  crash = std::move(other101.crash);
-  storeUpdate = std::move(other101.storeUpdate);
-  ownersUpdate = std::move(other101.ownersUpdate);
-  ownersRequest = std::move(other101.ownersRequest);
-  __isset = other101.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other102) {
-  host = other102.host;
-  sequence = other102.sequence;
-  hostStatus = other102.hostStatus;
-  keyLoad = other102.keyLoad;
-  crash = other102.crash;
-  storeUpdate = other102.storeUpdate;
-  ownersUpdate = other102.ownersUpdate;
-  ownersRequest = other102.ownersRequest;
-  __isset = other102.__isset;
+Datagram::Datagram(const Datagram& other104) {
+  host = other104.host;
+  sequence = other104.sequence;
+  hostStatus = other104.hostStatus;
+  keyLoad = other104.keyLoad;
+  crash = other104.crash;
+  storeUpdate = other104.storeUpdate;
+  ownersUpdate = other104.ownersUpdate;
+  ownersRequest = other104.ownersRequest;
+  storeUpdateRequest = other104.storeUpdateRequest;
+  __isset = other104.__isset;
+}
+Datagram::Datagram(Datagram&& other105) noexcept {
+  host = std::move(other105.host);
+  sequence = other105.sequence;
+  hostStatus = std::move(other105.hostStatus);
+  keyLoad = std::move(other105.keyLoad);
+  crash = std::move(other105.crash);
+  storeUpdate = std::move(other105.storeUpdate);
+  ownersUpdate = std::move(other105.ownersUpdate);
+  ownersRequest = std::move(other105.ownersRequest);
+  storeUpdateRequest = std::move(other105.storeUpdateRequest);
+  __isset = other105.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other106) {
+  host = other106.host;
+  sequence = other106.sequence;
+  hostStatus = other106.hostStatus;
+  keyLoad = other106.keyLoad;
+  crash = other106.crash;
+  storeUpdate = other106.storeUpdate;
+  ownersUpdate = other106.ownersUpdate;
+  ownersRequest = other106.ownersRequest;
+  storeUpdateRequest = other106.storeUpdateRequest;
+  __isset = other106.__isset;
   return *this;
 }
-Datagram& Datagram::operator=(Datagram&& other103) noexcept {
-  host = std::move(other103.host);
-  sequence = other103.sequence;
-  hostStatus = std::move(other103.hostStatus);
-  keyLoad = std::move(other103.keyLoad);
-  crash = std::move(other103.crash);
-  storeUpdate = std::move(other103.storeUpdate);
-  ownersUpdate = std::move(other103.ownersUpdate);
-  ownersRequest = std::move(other103.ownersRequest);
-  __isset = other103.__isset;
+Datagram& Datagram::operator=(Datagram&& other107) noexcept {
+  host = std::move(other107.host);
+  sequence = other107.sequence;
+  hostStatus = std::move(other107.hostStatus);
+  keyLoad = std::move(other107.keyLoad);
+  crash = std::move(other107.crash);
+  storeUpdate = std::move(other107.storeUpdate);
+  ownersUpdate = std::move(other107.ownersUpdate);
+  ownersRequest = std::move(other107.ownersRequest);
+  storeUpdateRequest = std::move(other107.storeUpdateRequest);
+  __isset = other107.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -2608,6 +2756,7 @@
   out << ", " << "storeUpdate="; (__isset.storeUpdate ? (out << to_string(storeUpdate)) : (out << "<null>"));
   out << ", " << "ownersUpdate="; (__isset.ownersUpdate ? (out << to_string(ownersUpdate)) : (out << "<null>"));
   out << ", " << "ownersRequest="; (__isset.ownersRequest ? (out << to_string(ownersRequest)) : (out << "<null>"));
+  out << ", " << "storeUpdateRequest="; (__isset.storeUpdateRequest ? (out << to_string(storeUpdateRequest)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libgateway/gen/gateway_types.h
+++ b/src/libgateway/gen/gateway_types.h
@@ -47,6 +47,8 @@
 
 class StoreUpdate;
 
+class StoreUpdateRequest;
+
 class Datagram;
 
 typedef struct _KeyRangeRecord__isset {
@@ -555,11 +557,12 @@
 std::ostream& operator<<(std::ostream& out, const QueueLength& obj);
 
 typedef struct _HostStatus__isset {
-  _HostStatus__isset() : upstreams(false), queues(false), stopping(false), coordinatorEpoch(false) {}
+  _HostStatus__isset() : upstreams(false), queues(false), stopping(false), coordinatorEpoch(false), storeLost(false) {}
   bool upstreams :1;
   bool queues :1;
   bool stopping :1;
   bool coordinatorEpoch :1;
+  bool storeLost :1;
 } _HostStatus__isset;
 
 class HostStatus : public virtual ::apache::thrift::TBase {
@@ -571,7 +574,8 @@
   HostStatus& operator=(HostStatus&&) noexcept;
   HostStatus() noexcept
              : stopping(0),
-               coordinatorEpoch(0) {
+               coordinatorEpoch(0),
+               storeLost(0) {
   }
 
   virtual ~HostStatus() noexcept;
@@ -579,6 +583,7 @@
   std::vector<QueueLength>  queues;
   bool stopping;
   int64_t coordinatorEpoch;
+  bool storeLost;
 
   _HostStatus__isset __isset;
 
@@ -590,6 +595,8 @@
 
   void __set_coordinatorEpoch(const int64_t val);
 
+  void __set_storeLost(const bool val);
+
   bool operator == (const HostStatus & rhs) const
   {
     if (!(upstreams == rhs.upstreams))
@@ -600,6 +607,10 @@
       return false;
     if (!(coordinatorEpoch == rhs.coordinatorEpoch))
       return false;
+    if (__isset.storeLost != rhs.__isset.storeLost)
+      return false;
+    else if (__isset.storeLost && !(storeLost == rhs.storeLost))
+      return false;
     return true;
   }
   bool operator != (const HostStatus &rhs) const {
@@ -914,8 +925,53 @@
 
 std::ostream& operator<<(std::ostream& out, const StoreUpdate& obj);
 
+typedef struct _StoreUpdateRequest__isset {
+  _StoreUpdateRequest__isset() : after(false) {}
+  bool after :1;
+} _StoreUpdateRequest__isset;
+
+class StoreUpdateRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoreUpdateRequest(const StoreUpdateRequest&) noexcept;
+  StoreUpdateRequest(StoreUpdateRequest&&) noexcept;
+  StoreUpdateRequest& operator=(const StoreUpdateRequest&) noexcept;
+  StoreUpdateRequest& operator=(StoreUpdateRequest&&) noexcept;
+  StoreUpdateRequest() noexcept
+                     : after(0) {
+  }
+
+  virtual ~StoreUpdateRequest() noexcept;
+  int64_t after;
+
+  _StoreUpdateRequest__isset __isset;
+
+  void __set_after(const int64_t val);
+
+  bool operator == (const StoreUpdateRequest & rhs) const
+  {
+    if (!(after == rhs.after))
+      return false;
+    return true;
+  }
+  bool operator != (const StoreUpdateRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoreUpdateRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoreUpdateRequest &a, StoreUpdateRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const StoreUpdateRequest& obj);
+
 typedef struct _Datagram__isset {
-  _Datagram__isset() : host(false), sequence(false), hostStatus(false), keyLoad(false), crash(false), storeUpdate(false), ownersUpdate(false), ownersRequest(false) {}
+  _Datagram__isset() : host(false), sequence(false), hostStatus(false), keyLoad(false), crash(false), storeUpdate(false), ownersUpdate(false), ownersRequest(false), storeUpdateRequest(false) {}
   bool host :1;
   bool sequence :1;
   bool hostStatus :1;
@@ -924,6 +980,7 @@
   bool storeUpdate :1;
   bool ownersUpdate :1;
   bool ownersRequest :1;
+  bool storeUpdateRequest :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -947,6 +1004,7 @@
   StoreUpdate storeUpdate;
   OwnersUpdate ownersUpdate;
   OwnersRequest ownersRequest;
+  StoreUpdateRequest storeUpdateRequest;
 
   _Datagram__isset __isset;
 
@@ -966,6 +1024,8 @@
 
   void __set_ownersRequest(const OwnersRequest& val);
 
+  void __set_storeUpdateRequest(const StoreUpdateRequest& val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (!(host == rhs.host))
@@ -996,6 +1056,10 @@
       return false;
     else if (__isset.ownersRequest && !(ownersRequest == rhs.ownersRequest))
       return false;
+    if (__isset.storeUpdateRequest != rhs.__isset.storeUpdateRequest)
+      return false;
+    else if (__isset.storeUpdateRequest && !(storeUpdateRequest == rhs.storeUpdateRequest))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
--- a/src/libgateway/peer_state_exchange.cpp
+++ b/src/libgateway/peer_state_exchange.cpp
@@ -22,10 +22,12 @@
 constexpr Duration OwnersUpdateInterval{500'000};
 /// Bandwidth for updates of owners, suitable for links of 10 Mbit/s.
 constexpr double OwnersBytesPerSecond = 250e3;
-/// Rate and burst at which requests for all owners are answered.
-constexpr double FullTablesPerSecond = 60;
-constexpr double MaxFullTableBurst = 12;
+/// Rate and burst at which requests for all owners, and those for missed
+/// changes of the store, are answered.
+constexpr double RepliesPerSecond = 60;
+constexpr double MaxReplyBurst = 12;
 constexpr Duration OwnersRequestInterval{300'000};
+constexpr Duration StoreUpdateRequestInterval{100'000};
 /// Approximate size at which changes of the store are split into several
 /// messages.
 constexpr std::size_t MaxStoreUpdateBytes = 16'000;
@@ -61,8 +63,39 @@
   return Load;
 }
 
+wire::StoreUpdate toWire(StoreVersion After, const StoreEvents &Changes) {
+  wire::StoreUpdate Update;
+  Update.after = After.value();
+  Update.version = Changes.m_version.value();
+  for (const StoreEvent &Event : Changes.m_events) {
+    wire::StoreChange Change;
+    Change.key = Event.m_entry.m_key;
+    bool Compress = Event.m_entry.m_value.size() > CompressionThresholdBytes;
+    Change.value =
+        Compress ? compress(Event.m_entry.m_value) : Event.m_entry.m_value;
+    if (Compress)
+      Change.__set_packed(true);
+    Change.version = Event.m_entry.m_modified.value();
+    Change.removed = Event.m_removed;
+    Update.events.push_back(std::move(Change));
+  }
+  return Update;
+}
+
 } // namespace
 
+bool PeerStateExchange::ReplyAllowance::take(Instant Now) {
+  double SecondsPassed =
+      std::chrono::duration<double>(Now - m_updatedAt).count();
+  m_updatedAt = Now;
+  m_replies =
+      std::min(MaxReplyBurst, m_replies + SecondsPassed * RepliesPerSecond);
+  if (m_replies < 1)
+    return false;
+  m_replies -= 1;
+  return true;
+}
+
 PeerStateExchange::PeerStateExchange(GatewayState &State, RequestRelay &Relay,
                                      CoordinatorDriver &Coordinator)
     : m_state(State), m_relay(Relay), m_coordinator(Coordinator),
@@ -153,15 +186,8 @@
   if (SnapshotIt == m_state.m_owners.all().end() ||
       !m_coordinator.coordinating())
     return;
-  double SecondsPassed =
-      std::chrono::duration<double>(Now - m_fullTableAllowanceAt).count();
-  m_fullTableAllowanceAt = Now;
-  m_fullTableAllowance =
-      std::min(MaxFullTableBurst,
-               m_fullTableAllowance + SecondsPassed * FullTablesPerSecond);
-  if (m_fullTableAllowance < 1)
-    return; // The host will repeat its request.
-  m_fullTableAllowance -= 1;
+  if (!m_ownersReplies.take(Now))
+    return;
   wire::Datagram Message;
   Message.__set_ownersUpdate(toWire(SnapshotIt->second));
   m_transport.send(Sender, std::move(Message));
@@ -172,6 +198,8 @@
   wire::HostStatus Status;
   Status.stopping = m_state.m_stopping;
   Status.coordinatorEpoch = m_coordinator.epoch();
+  if (!m_reachesStore)
+    Status.__set_storeLost(true);
   for (auto &[Id, Upstream] : m_state.m_registry.upstreams()) {
     // A report that came from a peer is not sent on: the peer sends it to all
     // hosts itself.
@@ -249,6 +277,24 @@
   for (const std::string &Key : Renewed)
     if (auto Upstream = m_state.m_codec.upstreamOfKey(Key))
       RenewedHashes.push_back(nameHash(Upstream->value()).value());
+  const DomainId &LocalDomain = m_state.m_settings.m_domain;
+  auto NextDomain = m_transport.domainAfter(LocalDomain);
+  splitStoreUpdate(
+      After, Changes,
+      [&](StoreVersion PartAfter, const StoreEvents &Part, bool LastPart) {
+        wire::Datagram Message;
+        Message.__set_storeUpdate(toWire(PartAfter, Part));
+        if (NextDomain)
+          m_transport.sendToDomain(Message, *NextDomain, true);
+        if (LastPart && !RenewedHashes.empty())
+          Message.storeUpdate.__set_renewed(RenewedHashes);
+        m_transport.sendToDomain(std::move(Message), LocalDomain, true);
+      });
+}
+
+void PeerStateExchange::splitStoreUpdate(StoreVersion After,
+                                         const StoreEvents &Changes,
+                                         const StoreUpdateSender &Send) {
   StoreEvents Part;
   std::size_t Bytes = 0;
   for (const StoreEvent &Event : Changes.m_events) {
@@ -257,7 +303,7 @@
     bool NextVersion =
         !Part.m_events.empty() && Part.m_version != Event.m_entry.m_modified;
     if (NextVersion && Bytes + Size > MaxStoreUpdateBytes) {
-      sendStoreUpdate(After, Part, {});
+      Send(After, Part, false);
       After = Part.m_version;
       Part.m_events.clear();
       Bytes = 0;
@@ -267,33 +313,45 @@
     Bytes += Size;
   }
   Part.m_version = Changes.m_version;
-  sendStoreUpdate(After, Part, RenewedHashes);
+  Send(After, Part, true);
 }
 
-void PeerStateExchange::sendStoreUpdate(
-    StoreVersion After, const StoreEvents &Changes,
-    const std::vector<std::int32_t> &Renewed) {
-  wire::StoreUpdate Update;
-  Update.after = After.value();
-  Update.version = Changes.m_version.value();
-  if (!Renewed.empty())
-    Update.__set_renewed(Renewed);
-  for (const StoreEvent &Event : Changes.m_events) {
-    wire::StoreChange Change;
-    Change.key = Event.m_entry.m_key;
-    bool Compress = Event.m_entry.m_value.size() > CompressionThresholdBytes;
-    Change.value =
-        Compress ? compress(Event.m_entry.m_value) : Event.m_entry.m_value;
-    if (Compress)
-      Change.__set_packed(true);
-    Change.version = Event.m_entry.m_modified.value();
-    Change.removed = Event.m_removed;
-    Update.events.push_back(std::move(Change));
-  }
+void PeerStateExchange::setReachesStore(bool Reaches, Instant Now) {
+  if (Reaches == m_reachesStore)
+    return;
+  m_reachesStore = Reaches;
+  m_transport.setReachesStore(Reaches);
+  m_nextStatus = Now;
+}
+
+void PeerStateExchange::requestStoreUpdate(const HostId &Host,
+                                           StoreVersion After, Instant Now) {
+  if (Now - m_lastStoreUpdateRequest < StoreUpdateRequestInterval)
+    return;
+  m_lastStoreUpdateRequest = Now;
+  logEvent(
+      Severity::Info, "store_changes_missed",
+      {{"store_version", After.value()}, {"requested_from", Host.value()}});
+  wire::StoreUpdateRequest Request;
+  Request.after = After.value();
   wire::Datagram Message;
-  Message.__set_storeUpdate(std::move(Update));
-  m_transport.sendToDomain(std::move(Message), m_state.m_settings.m_domain,
-                           true);
+  Message.__set_storeUpdateRequest(Request);
+  m_transport.send(Host, std::move(Message));
+}
+
+void PeerStateExchange::onStoreUpdateRequest(
+    const HostId &Sender, const wire::StoreUpdateRequest &Request,
+    Instant Now) {
+  StoreVersion After(Request.after);
+  auto Changes = m_storeChanges(After);
+  if (!Changes || !m_storeUpdateReplies.take(Now))
+    return;
+  splitStoreUpdate(After, *Changes,
+                   [&](StoreVersion PartAfter, const StoreEvents &Part, bool) {
+                     wire::Datagram Message;
+                     Message.__set_storeUpdate(toWire(PartAfter, Part));
+                     m_transport.send(Sender, std::move(Message));
+                   });
 }
 
 bool PeerStateExchange::coordinatorSilent(Instant Now) const {
@@ -322,6 +380,8 @@
     onOwnersRequest(Sender, Message.ownersRequest, Now);
   if (Message.__isset.storeUpdate && m_onStoreUpdate)
     onStoreUpdate(Sender, Message.storeUpdate, Now);
+  if (Message.__isset.storeUpdateRequest && m_storeChanges)
+    onStoreUpdateRequest(Sender, Message.storeUpdateRequest, Now);
   if (Message.__isset.crash)
     m_relay.suspects().onSuspicion(
         Fingerprint(static_cast<std::uint64_t>(Message.crash.fingerprint)),
@@ -346,7 +406,9 @@
         {{Change.key, std::move(*Value), StoreVersion(Change.version)},
          Change.removed});
   }
-  m_onStoreUpdate(StoreVersion(Update.after), Changes);
+  auto MissedAfter = m_onStoreUpdate(StoreVersion(Update.after), Changes);
+  if (MissedAfter)
+    requestStoreUpdate(Sender, *MissedAfter, Now);
   for (std::int32_t UpstreamHash : Update.renewed)
     if (UpstreamState *Upstream =
             m_state.m_peerLoads.find(NameHash(UpstreamHash)))
@@ -356,6 +418,7 @@
 void PeerStateExchange::onHostStatus(const HostId &Sender,
                                      const wire::HostStatus &Status,
                                      Instant Now) {
+  m_transport.setReachesStore(Sender, !Status.storeLost);
   PeerLoad Load;
   for (const wire::UpstreamLoadEntry &Entry : Status.upstreams)
     Load.m_upstreams.push_back(fromWire(Entry));
--- a/src/libgateway/peer_state_exchange.h
+++ b/src/libgateway/peer_state_exchange.h
@@ -44,12 +44,17 @@
   void onTableChanged(Instant Now);
 
   /// Forwards the result of a watch of the store to the hosts of this failure
-  /// domain.
+  /// domain and of the next one. Each host thus receives changes from two
+  /// hosts, so that none depends on one of them.
   /// \p After: version of the store before the changes.
   /// \p Renewed: keys of upstreams' records that were renewed unchanged.
   void publishStoreUpdate(StoreVersion After, const StoreEvents &Changes,
                           const std::vector<std::string> &Renewed);
 
+  /// Says whether this host's last call to the store has succeeded. The other
+  /// hosts are told at once when that changes.
+  void setReachesStore(bool Reaches, Instant Now);
+
   /// True when this host has to watch the store for its failure domain.
   bool watchesStore(Instant Now) const {
     return m_transport.isFirstInDomain(m_state.m_settings.m_domain,
@@ -65,10 +70,26 @@
   /// Called when an update may let waiting requests be sent, because an
   /// upstream has free slots or a key has got an owner.
   std::function<void()> m_onChange;
-  /// Called with the result of another host's watch of the store.
-  std::function<void(StoreVersion After, const StoreEvents &)> m_onStoreUpdate;
+  /// Called with the result of another host's watch of the store. Returns the
+  /// version after which this host has missed changes, if it has.
+  std::function<std::optional<StoreVersion>(StoreVersion After,
+                                            const StoreEvents &)>
+      m_onStoreUpdate;
+  /// Returns the changes of the store after a version, if all are known.
+  std::function<std::optional<StoreEvents>(StoreVersion After)> m_storeChanges;
 
 private:
+  /// Limits the rate of large replies to other hosts.
+  struct ReplyAllowance {
+    /// Returns false when the rate is exceeded; the host will ask again.
+    bool take(Instant Now);
+
+    double m_replies = 0; ///< That may be sent now; grows with time.
+    Instant m_updatedAt;
+  };
+  using StoreUpdateSender = std::function<void(
+      StoreVersion After, const StoreEvents &Part, bool LastPart)>;
+
   void onMessage(const HostId &Sender, const wire::Datagram &Message);
   void onHostStatus(const HostId &Sender, const wire::HostStatus &Status,
                     Instant Now);
@@ -82,8 +103,13 @@
                       Instant Now);
   void onOwnersRequest(const HostId &Sender, const wire::OwnersRequest &Request,
                        Instant Now);
-  void sendStoreUpdate(StoreVersion After, const StoreEvents &Changes,
-                       const std::vector<std::int32_t> &Renewed);
+  void requestStoreUpdate(const HostId &Host, StoreVersion After, Instant Now);
+  void onStoreUpdateRequest(const HostId &Sender,
+                            const wire::StoreUpdateRequest &Request,
+                            Instant Now);
+  /// Splits changes so that each part fits into a datagram.
+  static void splitStoreUpdate(StoreVersion After, const StoreEvents &Changes,
+                               const StoreUpdateSender &Send);
 
   GatewayState &m_state;
   RequestRelay &m_relay;
@@ -97,10 +123,10 @@
   /// When the bandwidth for updates of owners is free again after the last one.
   Instant m_ownersBandwidthFreeAt;
   Instant m_lastOwnersRequest; ///< When this host last requested all owners.
-  /// Number of requests for all owners that may be answered now; grows with
-  /// time.
-  double m_fullTableAllowance = 0;
-  Instant m_fullTableAllowanceAt;
+  ReplyAllowance m_ownersReplies;
+  ReplyAllowance m_storeUpdateReplies;
+  bool m_reachesStore = true;
+  Instant m_lastStoreUpdateRequest;
   /// The coordinator from which messages are expected.
   HostId m_monitoredCoordinator;
   Instant m_lastCoordinatorMessage;
--- a/src/libgateway/peer_transport.cpp
+++ b/src/libgateway/peer_transport.cpp
@@ -15,6 +15,7 @@
 
 #include <array>
 #include <ctime>
+#include <set>
 #include <sstream>
 #include <tuple>
 
@@ -117,6 +118,12 @@
     PeerIt->second.m_listed = false;
 }
 
+void PeerTransport::setReachesStore(const HostId &Host, bool Reaches) {
+  auto PeerIt = m_peers.find(Host);
+  if (PeerIt != m_peers.end())
+    PeerIt->second.m_reachesStore = Reaches;
+}
+
 void PeerTransport::sweep(Instant Now) {
   std::erase_if(m_peers, [Now](const auto &HostAndPeer) {
     return !HostAndPeer.second.m_listed &&
@@ -176,11 +183,24 @@
       sendBytes(Peer.m_record.m_peerEndpoint, Bytes);
 }
 
+std::optional<DomainId>
+PeerTransport::domainAfter(const DomainId &Domain) const {
+  std::set<DomainId> Others;
+  for (const auto &[Host, Peer] : m_peers)
+    if (Peer.m_record.m_domain != Domain)
+      Others.insert(Peer.m_record.m_domain);
+  if (Others.empty())
+    return std::nullopt;
+  auto Next = Others.upper_bound(Domain);
+  return Next == Others.end() ? *Others.begin() : *Next;
+}
+
 bool PeerTransport::isFirstInDomain(const DomainId &Domain, bool HighBandwidth,
                                     Instant Now) const {
   for (const auto &[Host, Peer] : m_peers) {
-    bool Precedes = std::make_tuple(!Peer.m_record.m_highBandwidth, Host) <
-                    std::make_tuple(!HighBandwidth, m_self);
+    bool Precedes = std::make_tuple(!Peer.m_reachesStore,
+                                    !Peer.m_record.m_highBandwidth, Host) <
+                    std::make_tuple(!m_reachesStore, !HighBandwidth, m_self);
     if (Peer.m_record.m_domain == Domain && Precedes &&
         Now - Peer.m_lastReceived < PeerTimeout)
       return false;
--- a/src/libgateway/peer_transport.h
+++ b/src/libgateway/peer_transport.h
@@ -66,6 +66,9 @@
   /// as long as datagrams arrive from it, because an outage of the store also
   /// removes records.
   void markUnlisted(const HostId &Host);
+  /// Says whether the store responds to a host: this one, or a peer.
+  void setReachesStore(bool Reaches) { m_reachesStore = Reaches; }
+  void setReachesStore(const HostId &Host, bool Reaches);
   /// Forgets peers that are unlisted and have sent nothing for 3 s.
   void sweep(Instant Now);
   std::size_t peers() const { return m_peers.size(); }
@@ -78,9 +81,13 @@
   /// those outside it. A message that does not fit in a datagram is dropped.
   void sendToDomain(wire::Datagram Message, const DomainId &Domain,
                     bool InDomain);
+  /// The failure domain of peers that follows \p Domain in the order of names,
+  /// the first one after the last; nothing when there is no other.
+  std::optional<DomainId> domainAfter(const DomainId &Domain) const;
   /// True when no peer of the failure domain that has sent a datagram within
-  /// the last 700 ms precedes this host. Hosts with a high-bandwidth link come
-  /// first, then hosts in order of their ids.
+  /// the last 700 ms precedes this host. Hosts to which the store responds come
+  /// first, of these the ones with a high-bandwidth link, then hosts in order
+  /// of their ids.
   bool isFirstInDomain(const DomainId &Domain, bool HighBandwidth,
                        Instant Now) const;
 
@@ -93,6 +100,7 @@
     HostRecord m_record;
     std::int64_t m_lastSequence = 0;
     bool m_listed = true; ///< The store has a record of the host.
+    bool m_reachesStore = true;
     Instant m_lastReceived;
   };
 
@@ -109,6 +117,7 @@
   int m_socket = -1;
   event *m_event = nullptr;
   std::string m_key;
+  bool m_reachesStore = true;
   std::int64_t m_sequence;
   std::map<HostId, Peer> m_peers;
   std::vector<char> m_buffer;
--- a/src/libgateway/peer_transport_test.cpp
+++ b/src/libgateway/peer_transport_test.cpp
@@ -30,4 +30,36 @@
   BOOST_TEST(Transport.isFirstInDomain(Domain, true, Instant()));
 }
 
+// Issue 19: a host that the store turned away remained the watcher.
+BOOST_AUTO_TEST_CASE(a_host_that_does_not_reach_the_store_is_not_first) {
+  PeerTransport Transport(nullptr, HostId("a2"),
+                          [](const auto &, const auto &) {});
+  DomainId Domain("a");
+  Transport.addPeer(HostId("a1"), {{"10.1.0.18", 7200}, Domain, true});
+  // At this instant the peer counts as present.
+  Instant Present;
+  BOOST_TEST(!Transport.isFirstInDomain(Domain, true, Present));
+  Transport.setReachesStore(HostId("a1"), false);
+  BOOST_TEST(Transport.isFirstInDomain(Domain, true, Present));
+  BOOST_TEST(Transport.isFirstInDomain(Domain, false, Present));
+  // When none reaches it, the order is the usual one.
+  Transport.setReachesStore(false);
+  BOOST_TEST(!Transport.isFirstInDomain(Domain, true, Present));
+  Transport.setReachesStore(HostId("a1"), true);
+  Transport.setReachesStore(true);
+  BOOST_TEST(!Transport.isFirstInDomain(Domain, true, Present));
+}
+
+BOOST_AUTO_TEST_CASE(each_domain_follows_another_one) {
+  PeerTransport Transport(nullptr, HostId("a1"),
+                          [](const auto &, const auto &) {});
+  Transport.addPeer(HostId("a2"), {{"10.1.0.18", 7200}, DomainId("a"), true});
+  BOOST_TEST(!Transport.domainAfter(DomainId("a")).has_value());
+  Transport.addPeer(HostId("b1"), {{"10.2.0.18", 7200}, DomainId("b"), true});
+  Transport.addPeer(HostId("c1"), {{"10.3.0.18", 7200}, DomainId("c"), true});
+  BOOST_TEST(Transport.domainAfter(DomainId("a"))->value() == "b");
+  BOOST_TEST(Transport.domainAfter(DomainId("b"))->value() == "c");
+  BOOST_TEST(Transport.domainAfter(DomainId("c"))->value() == "a");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libgateway/registry_watcher.cpp
+++ b/src/libgateway/registry_watcher.cpp
@@ -19,8 +19,12 @@
 constexpr Duration ForwardedWatchInterval{1'000'000};
 /// Pause between calls while a change is expected.
 constexpr Duration ShortWatchInterval{150'000};
-/// Delay before the store is watched again after forwarded changes left a gap.
-constexpr Duration GapDelay{30'000};
+/// Delay before the store is watched again after forwarded changes left a gap,
+/// so that the host that forwarded them can send the missing ones.
+constexpr Duration GapDelay{200'000};
+/// A host whose calls fail calls the store again after this time while it
+/// receives forwarded changes.
+constexpr Duration ProbeInterval{2'000'000};
 /// How long a watch waits when nothing changes.
 constexpr Duration WatchTimeout{500'000};
 /// Delay after a failed call, multiplied by the number of consecutive failures
@@ -89,14 +93,22 @@
   m_knownVersions.clear();
   for (const StoreEntry &Entry : Range.m_entries)
     m_knownVersions[Entry.m_key] = Entry.m_modified;
-  for (const auto &[Key, Version] : PreviousVersions)
-    if (!m_knownVersions.count(Key))
-      m_listener.onRemoval(Key, m_version, Now);
+  if (!m_loaded)
+    m_changeLog.reset(m_version);
+  for (const auto &[Key, Version] : PreviousVersions) {
+    if (m_knownVersions.count(Key))
+      continue;
+    m_listener.onRemoval(Key, m_version, Now);
+    m_changeLog.add({{Key, "", m_version}, true});
+  }
   for (const StoreEntry &Entry : Range.m_entries) {
     auto PreviousIt = PreviousVersions.find(Entry.m_key);
-    if (PreviousIt == PreviousVersions.end() ||
-        PreviousIt->second < Entry.m_modified)
-      m_listener.onEntry(Entry, Now);
+    if (PreviousIt != PreviousVersions.end() &&
+        PreviousIt->second >= Entry.m_modified)
+      continue;
+    EntryEffect Effect = m_listener.onEntry(Entry, Now);
+    if (m_loaded && Effect == EntryEffect::Change)
+      m_changeLog.add({Entry, false});
   }
   logEvent(Severity::Info, "registry_loaded",
            {{"entries", Range.m_entries.size()},
@@ -201,15 +213,46 @@
     m_onWatchResult(After, Forwarded, Renewed);
 }
 
-void RegistryWatcher::onForwardedChanges(StoreVersion After,
-                                         const StoreEvents &Changes,
-                                         Instant Now) {
-  if (!m_loaded || m_reloadNeeded)
-    return;
+void RegistryWatcher::setWatchesForDomain(bool Enabled) {
+  if (Enabled && !m_watchesForDomain)
+    m_nextCall = Instant();
+  m_watchesForDomain = Enabled;
+}
+
+bool RegistryWatcher::receivesForwardedChanges(Instant Now) const {
+  return m_lastForwarded && Now - *m_lastForwarded <= ForwardedWatchInterval;
+}
+
+std::optional<Instant> RegistryWatcher::lastNews() const {
+  return std::max(m_lastContact, m_lastForwarded);
+}
+
+std::optional<StoreEvents>
+RegistryWatcher::changesSince(StoreVersion After) const {
+  if (!m_loaded || m_reloadNeeded || After > m_version)
+    return std::nullopt;
+  auto Changes = m_changeLog.changesAfter(After);
+  if (!Changes)
+    return std::nullopt;
+  StoreEvents Events;
+  Events.m_events = std::move(*Changes);
+  Events.m_version = m_version;
+  return Events;
+}
+
+std::optional<StoreVersion>
+RegistryWatcher::onForwardedChanges(StoreVersion After,
+                                    const StoreEvents &Changes, Instant Now) {
+  bool WatchesItself = m_watchesForDomain && m_failures == 0;
+  // The reply to a read of the whole store may be older than these changes.
+  bool LoadInFlight = m_reloadNeeded && m_callInFlight;
+  if (!m_loaded || LoadInFlight || WatchesItself)
+    return std::nullopt;
   if (After > m_version) {
     m_nextCall = std::min(m_nextCall, Now + GapDelay);
-    return;
+    return m_version;
   }
+  m_lastForwarded = Now;
   if (!m_storeReachable) {
     // The forwarding host reaches the store. Removals among the changes may be
     // due to the outage, so the listener has to be notified before them.
@@ -219,8 +262,13 @@
   for (const StoreEvent &Event : Changes.m_events)
     applyEvent(Event, Now);
   m_version = std::max(m_version, Changes.m_version);
-  if (!m_watchesForDomain)
-    m_nextCall = std::max(m_nextCall, Now + ForwardedWatchInterval);
+  if (m_watchesForDomain)
+    return std::nullopt;
+  Instant NextCall = Now + ForwardedWatchInterval;
+  if (m_failures > 0)
+    NextCall = std::min(NextCall, m_lastFailure + ProbeInterval);
+  m_nextCall = std::max(m_nextCall, NextCall);
+  return std::nullopt;
 }
 
 RegistryWatcher::EntryEffect
@@ -232,16 +280,23 @@
       return EntryEffect::None;
     m_knownVersions.erase(KnownIt);
     m_listener.onRemoval(Entry.m_key, Entry.m_modified, Now);
+    m_changeLog.add(Event);
     return EntryEffect::Change;
   }
   StoreVersion &KnownVersion = m_knownVersions[Entry.m_key];
   if (Entry.m_modified <= KnownVersion)
     return EntryEffect::None;
   KnownVersion = Entry.m_modified;
-  return m_listener.onEntry(Entry, Now);
+  EntryEffect Effect = m_listener.onEntry(Entry, Now);
+  if (Effect == EntryEffect::Change)
+    m_changeLog.add(Event);
+  return Effect;
 }
 
 void RegistryWatcher::onSuccess(Instant Began, Instant Now) {
+  if (m_failures > 0)
+    logEvent(Severity::Info, "store_call_recovered",
+             {{"store_version", m_version.value()}});
   m_failures = 0;
   m_lastContact = Began;
   if (m_storeReachable)
@@ -251,11 +306,21 @@
 }
 
 void RegistryWatcher::onFailure(StoreError Error, Instant Now) {
+  if (m_failures == 0)
+    logEvent(Severity::Warning, "store_call_failed",
+             {{"reason", toString(Error)},
+              {"store_version", m_version.value()},
+              {"watches_for_domain", m_watchesForDomain},
+              {"receives_forwarded", receivesForwardedChanges(Now)}});
   m_failures = std::min(m_failures + 1, MaxRetryFactor);
+  m_lastFailure = Now;
   m_nextCall = Now + (m_loaded ? RetryDelay * m_failures : RetryDelay);
   if (m_reloadNeeded && m_loaded)
     m_nextCall = std::max(m_nextCall, Now + ReloadRetryDelay / MaxRetryFactor);
-  if (!m_storeReachable)
+  if (!m_watchesForDomain && receivesForwardedChanges(Now))
+    m_nextCall = std::max(m_nextCall, Now + ForwardedWatchInterval);
+  // A host that forwards changes reaches the store.
+  if (!m_storeReachable || receivesForwardedChanges(Now))
     return;
   m_storeReachable = false;
   m_listener.onStoreLost(Error, Now);
--- a/src/libgateway/registry_watcher.h
+++ b/src/libgateway/registry_watcher.h
@@ -3,6 +3,7 @@
 
 #include "burdockpulley/clock.h"
 #include "burdockpulley/store.h"
+#include "store_change_log.h"
 
 #include <functional>
 #include <map>
@@ -63,17 +64,25 @@
   /// second.
   void tick(Instant Now);
 
-  /// Applies changes that another host has watched and forwarded. Changes that
-  /// do not follow on the version that this host knows are ignored; the
-  /// next watch then starts within 30 ms.
+  /// Applies changes that another host has watched and forwarded. A host that
+  /// watches the store for its failure domain ignores them while the store
+  /// responds to it. Changes that do not follow on the version that this host
+  /// knows are ignored too; the version after which changes are missing is
+  /// returned, and the next watch starts within 200 ms unless they arrive.
   /// \p After: version of the store before the changes.
-  void onForwardedChanges(StoreVersion After, const StoreEvents &Changes,
-                          Instant Now);
+  std::optional<StoreVersion> onForwardedChanges(StoreVersion After,
+                                                 const StoreEvents &Changes,
+                                                 Instant Now);
 
-  /// Says whether this host watches the store for its failure domain. Otherwise
-  /// another host does so, and this one calls the store only when it receives
-  /// no forwarded changes.
-  void setWatchesForDomain(bool Enabled) { m_watchesForDomain = Enabled; }
+  /// Says whether this host watches the store for its failure domain, which it
+  /// does at once when it has not done so before. Otherwise another host does
+  /// so, and this one calls the store only when it receives no forwarded
+  /// changes.
+  void setWatchesForDomain(bool Enabled);
+
+  /// The changes after a version that this host has applied, the last one of
+  /// each key. Returns nothing when it does not know all of them.
+  std::optional<StoreEvents> changesSince(StoreVersion After) const;
 
   /// Called with the result of each watch that this host has made: the changes,
   /// and the keys of entries that were renewed without a change.
@@ -89,9 +98,14 @@
   bool loaded() const { return m_loaded; }
   /// Start time of the last successful call; nothing before the first one.
   std::optional<Instant> lastContact() const { return m_lastContact; }
-  /// False after a failed call, until a call succeeds or changes arrive from
-  /// another host.
+  /// Time of the last successful call or of the last changes that another host
+  /// has forwarded; nothing before the first one.
+  std::optional<Instant> lastNews() const;
+  /// False after a failed call while no changes arrive from other hosts, until
+  /// a call succeeds or changes arrive.
   bool storeReachable() const { return m_storeReachable; }
+  /// True unless this host's last call has failed.
+  bool lastCallSucceeded() const { return m_failures == 0; }
 
 private:
   /// Replies to the watches of one round, one for each prefix.
@@ -105,6 +119,7 @@
   void onFailure(StoreError Error, Instant Now);
   void onSuccess(Instant Began, Instant Now);
   EntryEffect applyEvent(const StoreEvent &Event, Instant Now);
+  bool receivesForwardedChanges(Instant Now) const;
 
   WatchableStore &m_store;
   Listener &m_listener;
@@ -120,7 +135,10 @@
   std::uint32_t m_failures = 0;
   Instant m_nextCall;
   Instant m_shortIntervalUntil;
+  Instant m_lastFailure;
   std::optional<Instant> m_lastContact;
+  std::optional<Instant> m_lastForwarded;
+  StoreChangeLog m_changeLog;
 };
 
 } // namespace burdockpulley
--- a/src/libgateway/registry_watcher_test.cpp
+++ b/src/libgateway/registry_watcher_test.cpp
@@ -203,6 +203,115 @@
   BOOST_TEST(Fixture.m_listener.m_regained == 1);
 }
 
+BOOST_AUTO_TEST_CASE(missed_changes_are_named_and_supplied_by_another_host) {
+  LoadedWatcher Sender;
+  LoadedWatcher Receiver;
+  Receiver.m_watcher.setWatchesForDomain(false);
+  Sender.m_watcher.tick(later());
+  StoreEvents WatchResult;
+  WatchResult.m_version = StoreVersion(15);
+  WatchResult.m_events = {written("a", "1", 11),
+                          written("a", "2", 12),
+                          {{"b", "", StoreVersion(13)}, true},
+                          written("u1", "beat", 14)};
+  Sender.m_store.m_watches.at(0)(WatchResult);
+  StoreEvents Next;
+  Next.m_version = StoreVersion(20);
+  auto MissedAfter =
+      Receiver.m_watcher.onForwardedChanges(StoreVersion(15), Next, at(1));
+  BOOST_REQUIRE(MissedAfter.has_value());
+  BOOST_TEST(MissedAfter->value() == 10);
+  auto Changes = Sender.m_watcher.changesSince(*MissedAfter);
+  BOOST_REQUIRE(Changes.has_value());
+  // "b" was never known, so its removal changes nothing.
+  BOOST_REQUIRE(Changes->m_events.size() == 1u);
+  BOOST_TEST(Changes->m_events[0].m_entry.m_value == "2");
+  BOOST_TEST(Changes->m_version.value() == 15);
+  BOOST_TEST(
+      !Receiver.m_watcher.onForwardedChanges(*MissedAfter, *Changes, at(2)));
+  BOOST_TEST(
+      !Receiver.m_watcher.onForwardedChanges(StoreVersion(15), Next, at(3)));
+  BOOST_TEST(Receiver.m_listener.m_seen.size() == 1u);
+  // Changes from before the sender's start are not known to it.
+  BOOST_TEST(!Sender.m_watcher.changesSince(StoreVersion(9)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_working_watcher_ignores_forwarded_changes) {
+  LoadedWatcher Fixture;
+  StoreEvents Changes;
+  Changes.m_version = StoreVersion(12);
+  Changes.m_events = {written("a", "1", 12)};
+  Fixture.m_watcher.onForwardedChanges(StoreVersion(10), Changes, later());
+  BOOST_TEST(Fixture.m_listener.m_seen.empty());
+  Fixture.m_watcher.tick(later());
+  Fixture.m_store.m_watches.at(0)(StoreError::Unavailable);
+  Fixture.m_watcher.onForwardedChanges(StoreVersion(10), Changes, later());
+  BOOST_TEST(Fixture.m_listener.m_seen.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(forwarded_changes_are_applied_until_the_store_is_reread) {
+  LoadedWatcher Fixture;
+  Fixture.m_watcher.setWatchesForDomain(false);
+  Fixture.m_watcher.tick(later());
+  Fixture.m_store.m_watches.at(0)(StoreError::Compacted);
+  StoreEvents Changes;
+  Changes.m_version = StoreVersion(12);
+  Changes.m_events = {written("a", "1", 12)};
+  Fixture.m_watcher.tick(later());
+  BOOST_REQUIRE(Fixture.m_store.m_reads.size() == 2u);
+  // The read may have started before the change.
+  Fixture.m_watcher.onForwardedChanges(StoreVersion(10), Changes, later());
+  BOOST_TEST(Fixture.m_listener.m_seen.empty());
+  Fixture.m_store.m_reads[1](StoreError::Unavailable);
+  Fixture.m_watcher.onForwardedChanges(StoreVersion(10), Changes, later());
+  BOOST_TEST(Fixture.m_listener.m_seen.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_takes_over_watches_at_once) {
+  LoadedWatcher Fixture;
+  Fixture.m_watcher.setWatchesForDomain(false);
+  StoreEvents NoChanges;
+  NoChanges.m_version = StoreVersion(10);
+  Instant Received = later();
+  Fixture.m_watcher.onForwardedChanges(StoreVersion(10), NoChanges, Received);
+  Fixture.m_watcher.setWatchesForDomain(true);
+  Fixture.m_watcher.tick(Received);
+  BOOST_TEST(Fixture.m_store.m_watches.size() == 1u);
+}
+
+// Virtual time: a host whose calls fail, while another one forwards changes.
+BOOST_AUTO_TEST_CASE(a_host_that_the_store_turns_away_is_served_by_others) {
+  FakeStore Store;
+  FakeListener Listener;
+  Instant Now = at(0);
+  RegistryWatcher Watcher(Store, Listener, {""}, [&Now] { return Now; });
+  Watcher.tick(Now);
+  Store.m_reads.at(0)(StoreRange());
+  Watcher.setWatchesForDomain(false);
+  StoreEvents Changes;
+  std::size_t Calls = 0;
+  for (int Millis = 0; Millis < 20'000; Millis += 20) {
+    Now = at(Millis);
+    if (Millis % 700 == 0) {
+      StoreVersion After = Changes.m_version;
+      Changes.m_version = StoreVersion(Millis + 1);
+      Watcher.onForwardedChanges(After, Changes, Now);
+    }
+    // Being the watcher for a moment makes it call the store.
+    Watcher.setWatchesForDomain(Millis == 3000);
+    Watcher.tick(Now);
+    for (; Calls < Store.m_watches.size(); ++Calls)
+      Store.m_watches[Calls](StoreError::Unavailable);
+    if (Millis >= 3000)
+      BOOST_REQUIRE(!Watcher.lastCallSucceeded());
+    BOOST_REQUIRE((Now - *Watcher.lastNews() <= std::chrono::seconds(1)));
+  }
+  // One call in two seconds, and no outage is reported.
+  BOOST_TEST(Calls >= 7u);
+  BOOST_TEST(Calls <= 10u);
+  BOOST_TEST(Listener.m_lost == 0);
+}
+
 // Issue 19: a host without forwarded changes gave up each watch before it was
 // complete, and asked for more in the next one.
 BOOST_AUTO_TEST_CASE(a_host_with_a_slow_link_keeps_up_with_the_store) {
--- /dev/null
+++ b/src/libgateway/store_change_log.h
@@ -0,0 +1,37 @@
+#ifndef BURDOCKPULLEY_LIBGATEWAY_STORE_CHANGE_LOG_H
+#define BURDOCKPULLEY_LIBGATEWAY_STORE_CHANGE_LOG_H
+
+#include "burdockpulley/store.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace burdockpulley {
+
+/// Keeps the last change of each key of the store, for hosts that have missed
+/// some changes. When there are too many, the oldest ones are discarded.
+/// Thread safety: none.
+class StoreChangeLog {
+public:
+  /// Discards everything. All changes after \p Version are added from now on.
+  void reset(StoreVersion Version);
+
+  /// Adds a change. Precondition: it is newer than the last one of its key.
+  void add(const StoreEvent &Event);
+
+  /// Returns the changes after \p Version in the order of their versions.
+  /// Returns nothing when some of them may have been discarded.
+  std::optional<std::vector<StoreEvent>>
+  changesAfter(StoreVersion Version) const;
+
+private:
+  std::map<std::string, StoreEvent> m_lastChanges; ///< By key.
+  /// All last changes of keys after this version are kept.
+  StoreVersion m_completeAfter;
+};
+
+} // namespace burdockpulley
+
+#endif
