base: each write of the log consists of whole lines

Change: a write ends with a line, unless a single line is longer than a write.

Measured: each_write_of_the_log_consists_of_whole_lines failed before (a write without a line end, and the next one without a beginning) and passes.

--- a/src/libbase/event_log.cpp
+++ b/src/libbase/event_log.cpp
@@ -73,6 +73,16 @@
   }
 
 private:
+  /// Size of the next write from an offset of m_pending: whole lines, unless a
+  /// single one is longer than a write.
+  std::size_t nextWriteSize(std::size_t Offset) const {
+    if (m_pending.size() - Offset <= WriteBytes)
+      return m_pending.size() - Offset;
+    std::size_t LineEnd = m_pending.rfind('\n', Offset + WriteBytes - 1);
+    return LineEnd == m_pending.npos || LineEnd < Offset ? WriteBytes
+                                                         : LineEnd + 1 - Offset;
+  }
+
   /// Writes as much as standard output accepts now.
   void writePending() {
     std::size_t WrittenBytes = 0;
@@ -80,7 +90,7 @@
       pollfd Output{STDOUT_FILENO, POLLOUT, 0};
       if (poll(&Output, 1, 0) != 1 || !(Output.revents & POLLOUT))
         break;
-      std::size_t Size = std::min(WriteBytes, m_pending.size() - WrittenBytes);
+      std::size_t Size = nextWriteSize(WrittenBytes);
       ssize_t Result =
           write(STDOUT_FILENO, m_pending.data() + WrittenBytes, Size);
       if (Result <= 0)
