gateway: hosts that miss the coordinator watch only its record

Cause: while the coordinator is silent, each host watched all that it follows every 0.15 s, which is four calls on a narrow link. Every host also forwarded the result of its own watches to its whole domain, whether it watched for it or not.

Change: the record that is expected to change is watched by itself, which leaves the regular watches and the known version alone; only the watcher of a domain forwards.

Measured: an_expected_change_is_watched_by_itself and the other cases of registry_watcher and case_platform pass.

--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -236,7 +236,7 @@
     if (m_relay.waiting() > 0)
       m_relay.dispatchWaiting(Now);
     if (m_stateExchange.coordinatorSilent(Now))
-      m_watcher.shortenIntervalUntil(Now + TickInterval * 2);
+      m_watcher.expectChangeOf(store_keys::Coordinator, Now + TickInterval * 2);
     if (m_state.m_stopping)
       checkStop(Now);
   }
--- a/src/libgateway/registry_watcher.cpp
+++ b/src/libgateway/registry_watcher.cpp
@@ -59,11 +59,12 @@
 void RegistryWatcher::tick(Instant Now) {
   if (m_callInFlight)
     return;
-  bool ShortInterval = Now < m_shortIntervalUntil && m_failures == 0 &&
-                       m_loaded &&
-                       Now + WatchInterval - ShortWatchInterval >= m_nextCall;
-  if (Now < m_nextCall && !ShortInterval)
+  if (Now < m_nextCall) {
+    if (Now < m_expectedUntil && Now >= m_nextExpectedWatch && m_loaded &&
+        m_failures == 0)
+      watchExpectedKey();
     return;
+  }
   m_callInFlight = true;
   if (m_reloadNeeded)
     load(Now);
@@ -140,6 +141,40 @@
                   });
 }
 
+void RegistryWatcher::watchExpectedKey() {
+  m_callInFlight = true;
+  m_store.watch(m_expectedKey, m_version, Duration(),
+                [this](const StoreReply<StoreEvents> &Reply) {
+                  onExpectedKeyReply(Reply);
+                });
+}
+
+void RegistryWatcher::onExpectedKeyReply(const StoreReply<StoreEvents> &Reply) {
+  m_callInFlight = false;
+  Instant Now = m_clock();
+  m_nextExpectedWatch = Now + ShortWatchInterval;
+  if (const auto *Error = std::get_if<StoreError>(&Reply)) {
+    if (*Error != StoreError::Compacted)
+      return onFailure(*Error, Now);
+    m_nextCall = Now; // The regular watch finds the history lost too.
+    return;
+  }
+  // The version stays, as changes of other keys are not known.
+  StoreEvents Forwarded;
+  Forwarded.m_version = m_version;
+  for (const StoreEvent &Event : std::get<StoreEvents>(Reply).m_events)
+    if (applyEvent(Event, Now) == EntryEffect::Change)
+      Forwarded.m_events.push_back(Event);
+  if (!Forwarded.m_events.empty())
+    forward(m_version, Forwarded, {});
+}
+
+void RegistryWatcher::forward(StoreVersion After, const StoreEvents &Changes,
+                              const std::vector<std::string> &Renewed) const {
+  if (m_watchesForDomain && m_onWatchResult)
+    m_onWatchResult(After, Changes, Renewed);
+}
+
 void RegistryWatcher::onWatchReply(WatchRound &Round,
                                    const StoreReply<StoreEvents> &Reply) {
   --Round.m_pending;
@@ -209,8 +244,7 @@
   }
   m_version = std::max(m_version, Changes.m_version);
   dropSuperseded(Forwarded.m_events);
-  if (m_onWatchResult)
-    m_onWatchResult(After, Forwarded, Renewed);
+  forward(After, Forwarded, Renewed);
 }
 
 void RegistryWatcher::setWatchesForDomain(bool Enabled) {
--- a/src/libgateway/registry_watcher.h
+++ b/src/libgateway/registry_watcher.h
@@ -84,15 +84,19 @@
   /// each key. Returns nothing when it does not know all of them.
   std::optional<StoreEvents> changesSince(StoreVersion After) const;
 
-  /// Called with the result of each watch that this host has made: the changes,
-  /// and the keys of entries that were renewed without a change.
+  /// Called with the result of each watch that this host has made for its
+  /// failure domain: the changes, and the keys of entries that were renewed
+  /// without a change.
   std::function<void(StoreVersion After, const StoreEvents &Changes,
                      const std::vector<std::string> &Renewed)>
       m_onWatchResult;
 
-  /// Shortens the interval between calls until \p Until, because a change is
-  /// expected.
-  void shortenIntervalUntil(Instant Until) { m_shortIntervalUntil = Until; }
+  /// A change of an entry is expected: until \p Until it is also watched by
+  /// itself, at a shorter interval.
+  void expectChangeOf(const std::string &Key, Instant Until) {
+    m_expectedKey = Key;
+    m_expectedUntil = Until;
+  }
 
   /// True once the store has been read completely.
   bool loaded() const { return m_loaded; }
@@ -113,11 +117,15 @@
   void load(Instant Now);
   void onLoadReply(const StoreReply<StoreRange> &Reply, Instant Began);
   void watch(Instant Now);
+  void watchExpectedKey();
+  void onExpectedKeyReply(const StoreReply<StoreEvents> &Reply);
   void onWatchReply(WatchRound &Round, const StoreReply<StoreEvents> &Reply);
   void onRoundEnded(StoreReply<StoreEvents> Reply, Instant Began);
   bool followsWholeStore() const { return m_prefixes.front().empty(); }
   void onFailure(StoreError Error, Instant Now);
   void onSuccess(Instant Began, Instant Now);
+  void forward(StoreVersion After, const StoreEvents &Changes,
+               const std::vector<std::string> &Renewed) const;
   EntryEffect applyEvent(const StoreEvent &Event, Instant Now);
   bool receivesForwardedChanges(Instant Now) const;
 
@@ -134,7 +142,9 @@
   bool m_storeReachable = true;
   std::uint32_t m_failures = 0;
   Instant m_nextCall;
-  Instant m_shortIntervalUntil;
+  std::string m_expectedKey;
+  Instant m_expectedUntil;
+  Instant m_nextExpectedWatch;
   Instant m_lastFailure;
   std::optional<Instant> m_lastContact;
   std::optional<Instant> m_lastForwarded;
--- a/src/libgateway/registry_watcher_test.cpp
+++ b/src/libgateway/registry_watcher_test.cpp
@@ -21,14 +21,16 @@
   void grantLease(Duration, StoreCallback<StoreLease>) override {}
   void keepAlive(StoreLease, StoreCallback<StoreLease>) override {}
   void endLease(StoreLease, StoreCallback<StoreLease>) override {}
-  void watch(const std::string &, StoreVersion After, Duration,
+  void watch(const std::string &Prefix, StoreVersion After, Duration,
              StoreCallback<StoreEvents> Done) override {
     m_after = After;
+    m_prefixes.push_back(Prefix);
     m_watches.push_back(std::move(Done));
   }
 
   std::vector<StoreCallback<StoreRange>> m_reads;
   std::vector<StoreCallback<StoreEvents>> m_watches;
+  std::vector<std::string> m_prefixes;
   StoreVersion m_after;
 };
 
@@ -279,6 +281,32 @@
   BOOST_TEST(Fixture.m_store.m_watches.size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(an_expected_change_is_watched_by_itself) {
+  FakeStore Store;
+  FakeListener Listener;
+  Instant Now = at(0);
+  RegistryWatcher Watcher(Store, Listener, {"op/", "servers/"},
+                          [&Now] { return Now; });
+  Watcher.tick(Now);
+  Store.m_reads.at(0)(StoreRange());
+  std::size_t Calls = 0;
+  for (int Millis = 20; Millis < 600; Millis += 20) {
+    Now = at(Millis);
+    Watcher.expectChangeOf("leader", Now + std::chrono::milliseconds(40));
+    Watcher.tick(Now);
+    for (; Calls < Store.m_watches.size(); ++Calls) {
+      BOOST_TEST(Store.m_prefixes[Calls] == "leader");
+      BOOST_TEST(Store.m_after.value() == 0);
+      StoreEvents Events;
+      Events.m_version = StoreVersion(9);
+      Events.m_events = {written("leader", "h1", 5)};
+      Store.m_watches[Calls](Events);
+    }
+  }
+  BOOST_TEST(Calls == 4u);
+  BOOST_TEST(Listener.m_seen.size() == 1u);
+}
+
 // Virtual time: a host whose calls fail, while another one forwards changes.
 BOOST_AUTO_TEST_CASE(a_host_that_the_store_turns_away_is_served_by_others) {
   FakeStore Store;
