gateway: no host follows the key tables

Cause: the same as on narrow links. A watch of the whole store returns a limited number of bytes, and key tables are most of what is written. Watchers on wide links got the changes in order, but seconds late.

Change: the watchers of all domains leave the key tables out. A round of watches without any change does not advance the version, which takes the place of the check that a watch of the whole store is not silent: what was missed is asked for again, or the history is found lost.

Measured: a_watcher_keeps_up_while_key_tables_are_written fails when the watcher follows the whole store and passes now.

--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -54,8 +54,8 @@
                  std::unique_ptr<PlatformCodec> Codec)
       : m_store(std::move(Store)), m_codec(std::move(Codec)),
         m_state(Base, Settings, *m_codec),
-        m_watcher(*m_store, *this, followedPrefixes(m_state)), m_relay(m_state),
-        m_coordinator(m_state, *m_store),
+        m_watcher(*m_store, *this, followedPrefixes(*m_codec)),
+        m_relay(m_state), m_coordinator(m_state, *m_store),
         m_stateExchange(m_state, m_relay, m_coordinator),
         m_registration(m_state, *m_store),
         m_callerListener(Base, callerLimit(Settings),
@@ -161,12 +161,10 @@
     return std::max(MinCallerConnections, Settings.m_descriptors - Reserved);
   }
 
-  /// Key tables are written whole at every move of keys, which is more than a
-  /// low-bandwidth link can carry.
-  static std::vector<std::string> followedPrefixes(const GatewayState &State) {
-    if (State.m_settings.highBandwidth())
-      return {""};
-    std::vector<std::string> Prefixes = State.m_codec.followedPrefixes();
+  /// Key tables are not followed: they are written whole at every move of keys,
+  /// which is more than a watch returns or a low-bandwidth link carries.
+  static std::vector<std::string> followedPrefixes(const PlatformCodec &Codec) {
+    std::vector<std::string> Prefixes = Codec.followedPrefixes();
     Prefixes.push_back(store_keys::Coordinator);
     Prefixes.push_back(store_keys::Hosts);
     return Prefixes;
--- a/src/libgateway/registry_watcher.cpp
+++ b/src/libgateway/registry_watcher.cpp
@@ -25,8 +25,6 @@
 /// A host whose calls fail calls the store again after this time while it
 /// receives forwarded changes.
 constexpr Duration ProbeInterval{2'000'000};
-/// How long a watch waits when nothing changes.
-constexpr Duration WatchTimeout{500'000};
 /// Delay after a failed call, multiplied by the number of consecutive failures
 /// up to a limit.
 constexpr Duration RetryDelay{150'000};
@@ -133,9 +131,8 @@
       StoreVersion(std::numeric_limits<std::int64_t>::max());
   // The changes of a round are applied together, so no watch may wait for
   // changes of its own prefix while others have returned some.
-  Duration Wait = m_prefixes.size() == 1 ? WatchTimeout : Duration();
   for (const std::string &Prefix : m_prefixes)
-    m_store.watch(Prefix, m_version, Wait,
+    m_store.watch(Prefix, m_version, Duration(),
                   [this, Round](const StoreReply<StoreEvents> &Reply) {
                     onWatchReply(*Round, Reply);
                   });
@@ -217,20 +214,11 @@
   auto &Changes = std::get<StoreEvents>(Reply);
   // Records are renewed all the time, so watches that report nothing may have
   // missed changes. The next round asks for them again.
-  if (!followsWholeStore() && Changes.m_events.empty())
+  if (Changes.m_events.empty())
     Changes.m_version = m_version;
   onSuccess(Began, Now);
   m_nextCall =
       Now + (m_watchesForDomain ? WatchInterval : ForwardedWatchInterval);
-  if (followsWholeStore() && Changes.m_events.empty() &&
-      Changes.m_version > m_version) {
-    // The store has changed, but the watch reports no events.
-    logEvent(Severity::Warning, "registry_watch_silent",
-             {{"store_version", m_version.value()},
-              {"reported_version", Changes.m_version.value()}});
-    m_reloadNeeded = true;
-    m_nextCall = Now;
-  }
   StoreVersion After = m_version;
   StoreEvents Forwarded;
   Forwarded.m_version = Changes.m_version;
--- a/src/libgateway/registry_watcher.h
+++ b/src/libgateway/registry_watcher.h
@@ -15,15 +15,16 @@
 
 /// Follows all changes of the store and reports them to a listener.
 ///
-/// One watch covers all keys. Upstreams write their heartbeats all the time, so
-/// a watch that waits for the next change would return at once and cost one
-/// call per write. Instead, a new watch is started at a fixed interval and
-/// returns all changes since the previous one. The whole store is read again
-/// when the store no longer keeps the history that is needed, or when a watch
-/// of the whole store reports a new version without any change.
+/// Upstreams write their heartbeats all the time, so a watch that waits for the
+/// next change would return at once and cost one call per write. Instead, a new
+/// watch is started at a fixed interval and returns all changes since the
+/// previous one. The whole store is read again when the store no longer keeps
+/// the history that is needed.
 ///
 /// A watcher may be limited to keys with certain prefixes. It then makes one
-/// watch for each of them, and the changes are applied when all have ended.
+/// watch for each of them, and the changes are applied when all have ended. A
+/// watch returns a limited number of bytes, so prefixes under which more is
+/// written than that must not be followed.
 /// Thread safety: none; all calls come from the event loop's thread.
 class RegistryWatcher {
 public:
@@ -121,7 +122,6 @@
   void onExpectedKeyReply(const StoreReply<StoreEvents> &Reply);
   void onWatchReply(WatchRound &Round, const StoreReply<StoreEvents> &Reply);
   void onRoundEnded(StoreReply<StoreEvents> Reply, Instant Began);
-  bool followsWholeStore() const { return m_prefixes.front().empty(); }
   void onFailure(StoreError Error, Instant Now);
   void onSuccess(Instant Began, Instant Now);
   void forward(StoreVersion After, const StoreEvents &Changes,
--- a/src/libgateway/registry_watcher_test.cpp
+++ b/src/libgateway/registry_watcher_test.cpp
@@ -363,4 +363,48 @@
   BOOST_TEST(Listener.m_lost == 0);
 }
 
+/// In virtual time, a store whose watches return a limited number of bytes.
+class LimitedStore : public FakeStore {
+public:
+  static constexpr std::int64_t MaxWatchBytes = 1'000'000;
+
+  void watch(const std::string &Prefix, StoreVersion After, Duration,
+             StoreCallback<StoreEvents> Done) override {
+    // The version of the store is the time in milliseconds.
+    std::int64_t BytesPerMilli = SlowLinkStore::RecordBytesPerMilli +
+                                 (store_keys::KeyTables.starts_with(Prefix)
+                                      ? 2 * SlowLinkStore::TableBytesPerMilli
+                                      : 0);
+    StoreEvents Events;
+    Events.m_version =
+        StoreVersion(std::min(m_now.time_since_epoch().count() / 1000,
+                              After.value() + MaxWatchBytes / BytesPerMilli));
+    Events.m_events = {written("servers/u1", "beat", Events.m_version.value())};
+    Done(Events);
+  }
+
+  Instant m_now;
+};
+
+// Issue 19: with 45 key tables a second, watchers on wide links fell seconds
+// behind.
+BOOST_AUTO_TEST_CASE(a_watcher_keeps_up_while_key_tables_are_written) {
+  LimitedStore Store;
+  FakeListener Listener;
+  RegistryWatcher Watcher(
+      Store, Listener,
+      {"op/", "servers/", store_keys::Coordinator, store_keys::Hosts},
+      [&Store] { return Store.m_now; });
+  Watcher.tick(at(0));
+  Store.m_reads.at(0)(StoreRange());
+  constexpr int NoticeMillis = 2500; // Bound of the time to notice a drain.
+  for (int Millis = 0; Millis <= 15'000; Millis += 20) {
+    Store.m_now = at(Millis);
+    Watcher.tick(at(Millis));
+    // The watcher knows all changes up to the bound.
+    BOOST_REQUIRE(
+        Watcher.changesSince(StoreVersion(std::max(0, Millis - NoticeMillis))));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
