--- a/src/include/burdockpulley/gateway_settings.h
+++ b/src/include/burdockpulley/gateway_settings.h
@@ -44,9 +44,9 @@
   /// Thread safety: safe.
   bool highBandwidth() const { return m_linkMegabits >= HighBandwidthMegabits; }
 
-  /// Limit for all responses that are being received, in bytes: an eighth of the
-  /// memory. A response that grows is copied, and so takes up to three times its
-  /// size for a moment. Thread safety: safe.
+  /// Limit for all responses that are being received, in bytes: an eighth of
+  /// the memory. A response that grows is copied, and so takes up to three
+  /// times its size for a moment. Thread safety: safe.
   std::size_t maxResponseMemory() const {
     constexpr std::size_t Divisor = 8;
     return (m_memoryMegabytes << 20) / Divisor;
