--- a/src/libgateway/host_registration.cpp
+++ b/src/libgateway/host_registration.cpp
@@ -59,8 +59,12 @@
   m_store.read(Query, [this](const StoreReply<StoreRange> &Reply) {
     m_callInFlight = false;
     const auto *Range = std::get_if<StoreRange>(&Reply);
-    if (!Range || Range->m_entries.empty())
+    if (!Range || Range->m_entries.empty()) {
+      logEvent(Severity::Warning, "peer_key_not_read",
+               {{"reason",
+                 Range ? "missing" : toString(std::get<StoreError>(Reply))}});
       return scheduleRetry();
+    }
     m_peerKeyRead = true;
     m_nextCall = Instant();
     m_onPeerKey(Range->m_entries.front().m_value);
