--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -162,7 +162,7 @@
   }
 
   /// Key tables are not followed: they are written whole at every move of keys,
-  /// which is more than a watch returns or a low-bandwidth link carries.
+  /// and watches that return them fall behind.
   static std::vector<std::string> followedPrefixes(const PlatformCodec &Codec) {
     std::vector<std::string> Prefixes = Codec.followedPrefixes();
     Prefixes.push_back(store_keys::Coordinator);
--- a/src/libgateway/registry_watcher.h
+++ b/src/libgateway/registry_watcher.h
@@ -22,9 +22,9 @@
 /// the history that is needed.
 ///
 /// A watcher may be limited to keys with certain prefixes. It then makes one
-/// watch for each of them, and the changes are applied when all have ended. A
-/// watch returns a limited number of bytes, so prefixes under which more is
-/// written than that must not be followed.
+/// watch for each of them, and the changes are applied when all have ended.
+/// Prefixes under which large values are written often must not be followed:
+/// the watches fall behind.
 /// Thread safety: none; all calls come from the event loop's thread.
 class RegistryWatcher {
 public:
