gateway: keep to the request limits that upstreams name

Cause: nothing read the limit. What an upstream takes was derived from its slots, its speed and its load report only, by the hosts as by the coordinator. Ruled out by the record: a limit that each host takes for itself (the load did not change at 8 s at all, and no decision mentions it).

Change, in the order in which a request meets it: - The codec decodes the limit. The newest response counts, whichever host it came to; hosts tell each other limit, age and how much they have sent there. - A token bucket on every host, charged with the requests of all hosts.

--- a/src/include/burdockpulley/key_planner.h
+++ b/src/include/burdockpulley/key_planner.h
@@ -3,6 +3,7 @@
 
 #include "burdockpulley/key_table.h"
 
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -42,7 +43,9 @@
 struct KeyCandidate {
   UpstreamId m_id;
   UpstreamIncarnation m_incarnation;
-  double m_capacity = 1;      ///< Slots, weighted by speed.
+  double m_capacity = 1; ///< Slots, weighted by speed.
+  /// Requests a second that it takes at most.
+  double m_maxRate = std::numeric_limits<double>::infinity();
   bool m_eligible = false;    ///< May be assigned keys.
   bool m_mustRelease = false; ///< Draining, gone, or its domain is out.
   /// The process to which keys were granted has ended.
--- a/src/include/burdockpulley/peer_loads.h
+++ b/src/include/burdockpulley/peer_loads.h
@@ -25,6 +25,12 @@
   bool m_hasReport = false; ///< True when the members below are set.
   LoadReport m_report;      ///< Newest report that the host has received.
   Duration m_reportAge{};
+  bool m_hasRequestLimit = false; ///< True when the two members below are set.
+  std::optional<double> m_requestLimit; ///< See RequestLimit::m_rate.
+  Duration m_requestLimitAge{};
+  /// Requests that the host has sent to the upstream since the host's start;
+  /// only reported while the upstream limits them.
+  std::optional<std::uint32_t> m_sent;
 };
 
 /// Load report of one host.
@@ -33,6 +39,9 @@
   std::map<NameHash, std::uint32_t> m_waiting; ///< Requests by service.
 };
 
+/// Hosts of other failure domains receive one load report out of this many.
+constexpr std::uint64_t RemoteStatusPeriod = 3;
+
 /// Interval at which each of \p Hosts hosts sends its load to the others of its
 /// failure domain. It grows with the number of hosts, so that the messages of
 /// one host grow no faster than that number. Thread safety: safe.
@@ -67,6 +76,10 @@
     Instant m_receivedAt;
   };
 
+  /// Applies what a host reports of one upstream. \p Previous is its previous
+  /// report; null when there is none.
+  void onUpstreamLoad(const HostId &Host, const PeerUpstreamLoad &Reported,
+                      const PeerUpstreamLoad *Previous, Instant Now);
   /// Adds a host's load to the totals, or subtracts it if \p Sign is negative.
   void addToTotals(const PeerLoad &Load, int Sign);
 
--- a/src/include/burdockpulley/platform_codec.h
+++ b/src/include/burdockpulley/platform_codec.h
@@ -51,6 +51,7 @@
   /// Present in a response when the upstream did not run the request.
   std::string m_notRun;
   std::string m_load;         ///< Load report of the responding upstream.
+  std::string m_requestLimit; ///< Request rate that the upstream takes at most.
   std::string m_upstreamName; ///< The responding upstream.
 };
 
@@ -82,6 +83,11 @@
   virtual std::optional<LoadReport>
   decodeLoad(std::string_view HeaderValue) const = 0;
 
+  /// Decodes the request limit header of an upstream's response, in requests a
+  /// second. Returns nothing when it cannot be decoded.
+  virtual std::optional<double>
+  decodeRequestLimit(std::string_view HeaderValue) const = 0;
+
   virtual HttpRequest encodeGrant(const GrantCommand &Command) const = 0;
   virtual GrantOutcome decodeGrant(const HttpResponse &Response) const = 0;
   virtual HttpRequest encodeRelease(const ReleaseCommand &Command) const = 0;
--- a/src/include/burdockpulley/upstream_registry.h
+++ b/src/include/burdockpulley/upstream_registry.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,6 +36,15 @@
   double m_slowness = 1; ///< Current service time relative to the usual one.
 };
 
+/// What an upstream has said last about the requests that it takes.
+struct RequestLimit {
+  /// Requests a second from all hosts together; nothing if it has no limit.
+  std::optional<double> m_rate;
+  Instant m_statedAt;     ///< When a host received the response that says so.
+  Instant m_changedAt;    ///< When m_rate was last set or cleared on this host.
+  bool m_isLocal = false; ///< The response came to this host.
+};
+
 /// One upstream as this host sees it.
 struct UpstreamState {
   UpstreamRecord m_record;
@@ -59,6 +69,11 @@
   double m_serviceTimeRatio = 1;
   std::uint32_t m_serviceTimeSamples = 0;
   Instant m_serviceTimeObservedAt; ///< Time of the last sample.
+  RequestLimit m_requestLimit;
+  std::uint32_t m_sent = 0; ///< Requests that this host has sent to it.
+  /// Requests that the other hosts have sent to it while it limits them, as far
+  /// as they have reported them.
+  std::uint32_t m_peerSent = 0;
   double m_localRatioSum = 0; ///< Sum of this host's samples not sent to peers.
   std::uint32_t m_localRatioCount = 0; ///< Number of these samples.
 
--- a/src/include/burdockpulley/wait_queue.h
+++ b/src/include/burdockpulley/wait_queue.h
@@ -4,6 +4,7 @@
 #include "burdockpulley/types.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -27,6 +28,8 @@
 struct ServiceCapacity {
   double m_slots = 0;        ///< Usable slots, weighted by speed.
   std::size_t m_waiting = 0; ///< Requests waiting for them at peers.
+  /// Requests a second that they take at most.
+  double m_requestRate = std::numeric_limits<double>::infinity();
 };
 
 /// A refusal, with the delay after which a retry may succeed.
--- a/src/libgateway/coordinator_driver.cpp
+++ b/src/libgateway/coordinator_driver.cpp
@@ -2,6 +2,7 @@
 
 #include "burdockpulley/clock.h"
 #include "burdockpulley/event_log.h"
+#include "burdockpulley/request_limiter.h"
 #include "store_keys.h"
 
 #include <algorithm>
@@ -345,6 +346,7 @@
     Candidate.m_capacity =
         Upstream.m_record.m_slots /
         std::pow(std::max(Upstream.m_serviceTimeRatio, 0.1), SpeedExponent);
+    Candidate.m_maxRate = requestRate(Upstream);
     Candidate.m_mustRelease =
         Upstream.leaving() ||
         m_state.m_registry.domainOut(Upstream.m_record.m_domain);
--- a/src/libgateway/gateway.thrift
+++ b/src/libgateway/gateway.thrift
@@ -71,6 +71,14 @@
   // usual one, and the number of requests that it is the mean of.
   8: optional i32 serviceTimePercent,
   9: optional i32 serviceTimeSamples,
+  // Requests a second that the upstream takes from all hosts together, as it
+  // said in a response to this host; negative when it no longer says so.
+  10: optional double requestLimit,
+  // Time since that response.
+  11: optional i32 requestLimitAgeMillis,
+  // Requests that the host has sent there since its start, while the upstream
+  // limits them.
+  12: optional i32 sent,
 }
 
 // Requests of one service that are queued at the host.
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -217,6 +217,12 @@
         News ? std::chrono::duration<double>(bootClockNow() - *News).count()
              : -1);
     m_state.m_metrics.setWaiting(m_relay.waiting());
+    const auto &Upstreams = m_state.m_registry.upstreams();
+    m_state.m_metrics.setLimitedUpstreams(
+        static_cast<std::size_t>(std::count_if(
+            Upstreams.begin(), Upstreams.end(), [](const auto &Entry) {
+              return Entry.second.m_requestLimit.m_rate.has_value();
+            })));
     m_state.m_metrics.setRejectedDatagrams(m_stateExchange.rejected());
     return m_state.m_metrics.text();
   }
--- a/src/libgateway/gateway_metrics.cpp
+++ b/src/libgateway/gateway_metrics.cpp
@@ -42,6 +42,9 @@
       m_waitingRequests(gauge(m_registry,
                               "burdockpulley_gateway_requests_waiting",
                               "Requests that wait for room at an upstream")),
+      m_limitedUpstreams(gauge(m_registry,
+                               "burdockpulley_gateway_limited_upstreams",
+                               "Upstreams that limit their requests")),
       m_coordinating(gauge(m_registry, "burdockpulley_gateway_coordinating",
                            "One while this host gives out keys")),
       m_storeContactAge(gauge(m_registry,
@@ -85,6 +88,10 @@
   m_waitingRequests.Set(static_cast<double>(Requests));
 }
 
+void GatewayMetrics::setLimitedUpstreams(std::size_t Count) {
+  m_limitedUpstreams.Set(static_cast<double>(Count));
+}
+
 void GatewayMetrics::setCoordinating(bool IsCoordinator) {
   m_coordinating.Set(IsCoordinator);
 }
--- a/src/libgateway/gateway_metrics.h
+++ b/src/libgateway/gateway_metrics.h
@@ -32,6 +32,7 @@
   void setRejectedDatagrams(std::uint64_t Count);
   void setRevision(Revision Number);
   void setWaiting(std::size_t Requests);
+  void setLimitedUpstreams(std::size_t Count);
   void setCoordinating(bool IsCoordinator);
   /// Negative if the store has never responded.
   void setStoreContactAge(double Seconds);
@@ -49,6 +50,7 @@
   prometheus::Gauge &m_rejectedDatagrams;
   prometheus::Gauge &m_revision;
   prometheus::Gauge &m_waitingRequests;
+  prometheus::Gauge &m_limitedUpstreams;
   prometheus::Gauge &m_coordinating;
   prometheus::Gauge &m_storeContactAge;
   prometheus::Gauge &m_storeNewsAge;
--- a/src/libgateway/gateway_state.h
+++ b/src/libgateway/gateway_state.h
@@ -37,6 +37,9 @@
   /// speed.
   std::map<ServiceId, Duration> m_workTimes;
 
+  /// Number of hosts that the store lists, including this one.
+  std::size_t m_registeredHosts = 1;
+
   /// Number of hosts that share retry budgets, including this one.
   std::size_t hosts() const { return m_peerLoads.hosts() + 1; }
 };
--- a/src/libgateway/gen/gateway_types.cpp
+++ b/src/libgateway/gen/gateway_types.cpp
@@ -981,6 +981,21 @@
   this->serviceTimeSamples = val;
 __isset.serviceTimeSamples = true;
 }
+
+void UpstreamLoadEntry::__set_requestLimit(const double val) {
+  this->requestLimit = val;
+__isset.requestLimit = true;
+}
+
+void UpstreamLoadEntry::__set_requestLimitAgeMillis(const int32_t val) {
+  this->requestLimitAgeMillis = val;
+__isset.requestLimitAgeMillis = true;
+}
+
+void UpstreamLoadEntry::__set_sent(const int32_t val) {
+  this->sent = val;
+__isset.sent = true;
+}
 std::ostream& operator<<(std::ostream& out, const UpstreamLoadEntry& obj)
 {
   obj.printTo(out);
@@ -1081,6 +1096,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->requestLimit);
+          this->__isset.requestLimit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->requestLimitAgeMillis);
+          this->__isset.requestLimitAgeMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sent);
+          this->__isset.sent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1141,6 +1180,21 @@
     xfer += oprot->writeI32(this->serviceTimeSamples);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.requestLimit) {
+    xfer += oprot->writeFieldBegin("requestLimit", ::apache::thrift::protocol::T_DOUBLE, 10);
+    xfer += oprot->writeDouble(this->requestLimit);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.requestLimitAgeMillis) {
+    xfer += oprot->writeFieldBegin("requestLimitAgeMillis", ::apache::thrift::protocol::T_I32, 11);
+    xfer += oprot->writeI32(this->requestLimitAgeMillis);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.sent) {
+    xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_I32, 12);
+    xfer += oprot->writeI32(this->sent);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1157,6 +1211,9 @@
   swap(a.hostWaiting, b.hostWaiting);
   swap(a.serviceTimePercent, b.serviceTimePercent);
   swap(a.serviceTimeSamples, b.serviceTimeSamples);
+  swap(a.requestLimit, b.requestLimit);
+  swap(a.requestLimitAgeMillis, b.requestLimitAgeMillis);
+  swap(a.sent, b.sent);
   swap(a.__isset, b.__isset);
 }
 
@@ -1170,6 +1227,9 @@
   hostWaiting = other38.hostWaiting;
   serviceTimePercent = other38.serviceTimePercent;
   serviceTimeSamples = other38.serviceTimeSamples;
+  requestLimit = other38.requestLimit;
+  requestLimitAgeMillis = other38.requestLimitAgeMillis;
+  sent = other38.sent;
   __isset = other38.__isset;
 }
 UpstreamLoadEntry::UpstreamLoadEntry(UpstreamLoadEntry&& other39) noexcept {
@@ -1182,6 +1242,9 @@
   hostWaiting = other39.hostWaiting;
   serviceTimePercent = other39.serviceTimePercent;
   serviceTimeSamples = other39.serviceTimeSamples;
+  requestLimit = other39.requestLimit;
+  requestLimitAgeMillis = other39.requestLimitAgeMillis;
+  sent = other39.sent;
   __isset = other39.__isset;
 }
 UpstreamLoadEntry& UpstreamLoadEntry::operator=(const UpstreamLoadEntry& other40) noexcept {
@@ -1194,6 +1257,9 @@
   hostWaiting = other40.hostWaiting;
   serviceTimePercent = other40.serviceTimePercent;
   serviceTimeSamples = other40.serviceTimeSamples;
+  requestLimit = other40.requestLimit;
+  requestLimitAgeMillis = other40.requestLimitAgeMillis;
+  sent = other40.sent;
   __isset = other40.__isset;
   return *this;
 }
@@ -1207,6 +1273,9 @@
   hostWaiting = other41.hostWaiting;
   serviceTimePercent = other41.serviceTimePercent;
   serviceTimeSamples = other41.serviceTimeSamples;
+  requestLimit = other41.requestLimit;
+  requestLimitAgeMillis = other41.requestLimitAgeMillis;
+  sent = other41.sent;
   __isset = other41.__isset;
   return *this;
 }
@@ -1222,6 +1291,9 @@
   out << ", " << "hostWaiting="; (__isset.hostWaiting ? (out << to_string(hostWaiting)) : (out << "<null>"));
   out << ", " << "serviceTimePercent="; (__isset.serviceTimePercent ? (out << to_string(serviceTimePercent)) : (out << "<null>"));
   out << ", " << "serviceTimeSamples="; (__isset.serviceTimeSamples ? (out << to_string(serviceTimeSamples)) : (out << "<null>"));
+  out << ", " << "requestLimit="; (__isset.requestLimit ? (out << to_string(requestLimit)) : (out << "<null>"));
+  out << ", " << "requestLimitAgeMillis="; (__isset.requestLimitAgeMillis ? (out << to_string(requestLimitAgeMillis)) : (out << "<null>"));
+  out << ", " << "sent="; (__isset.sent ? (out << to_string(sent)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libgateway/gen/gateway_types.h
+++ b/src/libgateway/gen/gateway_types.h
@@ -390,7 +390,7 @@
 std::ostream& operator<<(std::ostream& out, const OwnersRequest& obj);
 
 typedef struct _UpstreamLoadEntry__isset {
-  _UpstreamLoadEntry__isset() : upstream(false), outstanding(false), running(false), waiting(false), slownessPercent(false), reportAgeMillis(false), hostWaiting(false), serviceTimePercent(false), serviceTimeSamples(false) {}
+  _UpstreamLoadEntry__isset() : upstream(false), outstanding(false), running(false), waiting(false), slownessPercent(false), reportAgeMillis(false), hostWaiting(false), serviceTimePercent(false), serviceTimeSamples(false), requestLimit(false), requestLimitAgeMillis(false), sent(false) {}
   bool upstream :1;
   bool outstanding :1;
   bool running :1;
@@ -400,6 +400,9 @@
   bool hostWaiting :1;
   bool serviceTimePercent :1;
   bool serviceTimeSamples :1;
+  bool requestLimit :1;
+  bool requestLimitAgeMillis :1;
+  bool sent :1;
 } _UpstreamLoadEntry__isset;
 
 class UpstreamLoadEntry : public virtual ::apache::thrift::TBase {
@@ -418,7 +421,10 @@
                       reportAgeMillis(0),
                       hostWaiting(0),
                       serviceTimePercent(0),
-                      serviceTimeSamples(0) {
+                      serviceTimeSamples(0),
+                      requestLimit(0),
+                      requestLimitAgeMillis(0),
+                      sent(0) {
   }
 
   virtual ~UpstreamLoadEntry() noexcept;
@@ -431,6 +437,9 @@
   int32_t hostWaiting;
   int32_t serviceTimePercent;
   int32_t serviceTimeSamples;
+  double requestLimit;
+  int32_t requestLimitAgeMillis;
+  int32_t sent;
 
   _UpstreamLoadEntry__isset __isset;
 
@@ -452,6 +461,12 @@
 
   void __set_serviceTimeSamples(const int32_t val);
 
+  void __set_requestLimit(const double val);
+
+  void __set_requestLimitAgeMillis(const int32_t val);
+
+  void __set_sent(const int32_t val);
+
   bool operator == (const UpstreamLoadEntry & rhs) const
   {
     if (!(upstream == rhs.upstream))
@@ -486,6 +501,18 @@
       return false;
     else if (__isset.serviceTimeSamples && !(serviceTimeSamples == rhs.serviceTimeSamples))
       return false;
+    if (__isset.requestLimit != rhs.__isset.requestLimit)
+      return false;
+    else if (__isset.requestLimit && !(requestLimit == rhs.requestLimit))
+      return false;
+    if (__isset.requestLimitAgeMillis != rhs.__isset.requestLimitAgeMillis)
+      return false;
+    else if (__isset.requestLimitAgeMillis && !(requestLimitAgeMillis == rhs.requestLimitAgeMillis))
+      return false;
+    if (__isset.sent != rhs.__isset.sent)
+      return false;
+    else if (__isset.sent && !(sent == rhs.sent))
+      return false;
     return true;
   }
   bool operator != (const UpstreamLoadEntry &rhs) const {
--- a/src/libgateway/key_planner.cpp
+++ b/src/libgateway/key_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <optional>
 
 namespace burdockpulley {
@@ -41,6 +42,13 @@
 /// An upstream that owns no keys yet gets its share in this many parts, from
 /// several owners.
 constexpr double NewcomerParts = 3;
+/// Share of an owner's highest request rate that it is meant to have. The rest
+/// is room for load that changes before keys have moved.
+constexpr double MaxRateShare = 0.7;
+/// Keys are moved away from an owner with more than this share of its highest
+/// request rate, because requests beyond the rate wait or are refused.
+constexpr double OverMaxRateShare = 0.9;
+constexpr double MinCapacity = 0.01;
 
 /// Standard deviation of an estimated rate of requests, which are counted with
 /// exponentially decaying weights.
@@ -52,11 +60,13 @@
 /// The load of one owner and the keys that it owns.
 struct OwnerLoad {
   const KeyCandidate *m_candidate = nullptr;
+  double m_capacity = 1; ///< See limitCapacities().
   double m_load = 0;
   std::uint32_t m_keys = 0;
 
-  double utilization() const {
-    return m_load / std::max(m_candidate->m_capacity, 0.01);
+  double utilization() const { return m_load / m_capacity; }
+  bool overMaxRate() const {
+    return m_load > m_candidate->m_maxRate * OverMaxRateShare;
   }
 };
 
@@ -111,6 +121,36 @@
   return OwnerLoads;
 }
 
+/// Sets the capacities of owners that are counted by \p Counted so that, when
+/// all have the same utilization, those with a highest request rate stay below
+/// it. Returns that utilization: the load of all owners for each unit of
+/// capacity, or \p MinUtilization if it is higher.
+double limitCapacities(std::map<UpstreamId, OwnerLoad> &OwnerLoads,
+                       const std::function<bool(const KeyCandidate &)> &Counted,
+                       double Total, double MinUtilization) {
+  for (auto &[Id, Owner] : OwnerLoads)
+    Owner.m_capacity = std::max(Owner.m_candidate->m_capacity, MinCapacity);
+  auto Utilization = [&] {
+    double Capacity = 0;
+    for (const auto &[Id, Owner] : OwnerLoads)
+      Capacity += Counted(*Owner.m_candidate) ? Owner.m_capacity : 0;
+    return Capacity > 0 ? std::max(Total / Capacity, MinUtilization) : 0;
+  };
+  // Limiting one owner raises the utilization of the others, which limits it
+  // further.
+  constexpr int Rounds = 3;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    double Common = Utilization();
+    if (Common <= 0)
+      return 0;
+    for (auto &[Id, Owner] : OwnerLoads)
+      Owner.m_capacity = std::clamp(
+          Owner.m_candidate->m_maxRate * MaxRateShare / Common, MinCapacity,
+          std::max(Owner.m_candidate->m_capacity, MinCapacity));
+  }
+  return Utilization();
+}
+
 /// The eligible candidate with the lowest utilization once \p AddedLoad is
 /// added to it; null when none is eligible.
 OwnerLoad *leastUtilized(std::map<UpstreamId, OwnerLoad> &OwnerLoads,
@@ -120,8 +160,7 @@
   for (auto &[Id, Owner] : OwnerLoads) {
     if (!Owner.m_candidate->m_eligible)
       continue;
-    double Utilization = (Owner.m_load + AddedLoad) /
-                         std::max(Owner.m_candidate->m_capacity, 0.01);
+    double Utilization = (Owner.m_load + AddedLoad) / Owner.m_capacity;
     if (Best && Utilization >= BestUtilization)
       continue;
     Best = &Owner;
@@ -130,10 +169,15 @@
   return Best;
 }
 
+/// The owner from which to move keys first: the one with the highest
+/// utilization, of those over their highest request rate if there are any.
 OwnerLoad *mostUtilized(std::map<UpstreamId, OwnerLoad> &OwnerLoads) {
   OwnerLoad *Most = nullptr;
+  auto Rank = [](const OwnerLoad &Owner) {
+    return std::make_pair(Owner.overMaxRate(), Owner.utilization());
+  };
   for (auto &[Id, Owner] : OwnerLoads)
-    if (!Most || Owner.utilization() > Most->utilization())
+    if (!Most || Rank(Owner) > Rank(*Most))
       Most = &Owner;
   return Most;
 }
@@ -172,12 +216,12 @@
                                  const OwnerLoad &Target, double WantedLoad,
                                  double WantedUtilization,
                                  const RangeLoadEstimator &Estimator) {
-  double MinLoad = std::min(Source.m_load * MinPieceShare,
-                            WantedUtilization * Target.m_candidate->m_capacity *
-                                MinReceiverShare);
+  double MinLoad =
+      std::min(Source.m_load * MinPieceShare,
+               WantedUtilization * Target.m_capacity * MinReceiverShare);
   auto Worthwhile = [&](const Piece &Candidate) {
     double TargetUtilization =
-        (Target.m_load + Candidate.m_load) / Target.m_candidate->m_capacity;
+        (Target.m_load + Candidate.m_load) / Target.m_capacity;
     return Candidate.m_load > MinLoad &&
            TargetUtilization < Source.utilization() * MaxReceiverRatio;
   };
@@ -264,18 +308,18 @@
                                         const KeyLoad &Load) {
   RangeLoadEstimator Estimator(Load);
   auto OwnerLoads = sumOwnerLoads(Owned, Candidates, Estimator);
-  double Capacity = 0;
-  double LargestCapacity = 0;
-  for (const auto &[Id, Owner] : OwnerLoads) {
-    if (!Owner.m_candidate->m_eligible)
-      continue;
-    Capacity += Owner.m_candidate->m_capacity;
-    LargestCapacity = std::max(LargestCapacity, Owner.m_candidate->m_capacity);
-  }
-  if (Capacity <= 0)
-    return {};
   double Total = Estimator.loadOf(0, ShardKeyCount - 1);
-  double LargestShare = Total * LargestCapacity / Capacity;
+  auto Eligible = [](const KeyCandidate &Candidate) {
+    return Candidate.m_eligible;
+  };
+  double MeanUtilization = limitCapacities(OwnerLoads, Eligible, Total, 0);
+  if (MeanUtilization <= 0)
+    return {};
+  double LargestCapacity = 0;
+  for (const auto &[Id, Owner] : OwnerLoads)
+    if (Owner.m_candidate->m_eligible)
+      LargestCapacity = std::max(LargestCapacity, Owner.m_capacity);
+  double LargestShare = MeanUtilization * LargestCapacity;
   bool NoneOwned = Owned.empty();
   auto Pieces =
       cutPieces(Free, Estimator,
@@ -286,9 +330,9 @@
   // that each owner has few ranges.
   OwnerLoad *Current = nullptr;
   for (const Piece &NewPiece : Pieces) {
-    bool Full = !Current || (Current->m_load + NewPiece.m_load) /
-                                    Current->m_candidate->m_capacity >
-                                Total / Capacity;
+    bool Full =
+        !Current || (Current->m_load + NewPiece.m_load) / Current->m_capacity >
+                        MeanUtilization;
     if (Full)
       Current = leastUtilized(OwnerLoads, NewPiece.m_load);
     Current->m_load += NewPiece.m_load;
@@ -313,40 +357,43 @@
   auto OwnerLoads = sumOwnerLoads(Owned, Candidates, Estimator);
   double Capacity = 0;
   double Total = 0;
-  for (const auto &[Id, Owner] : OwnerLoads) {
-    Capacity += Owner.m_candidate->m_capacity;
+  for (const auto &[Id, Owner] : OwnerLoads)
     Total += Owner.m_load;
-  }
+  // Owners below m_busyRate may have more than their share of the load of a hot
+  // spot, so that fewer moves are needed to spread it.
+  double BusyUtilization = limitCapacities(
+      OwnerLoads, [](const KeyCandidate &) { return true; }, Total,
+      Limits.m_busyRate);
+  for (const auto &[Id, Owner] : OwnerLoads)
+    Capacity += Owner.m_capacity;
   if (Capacity <= 0)
     return {};
   double MeanUtilization = Total / Capacity;
-  // Owners below m_busyRate may have more than their share of the load of a hot
-  // spot, so that fewer moves are needed to spread it.
-  double BusyUtilization = std::max(MeanUtilization, Limits.m_busyRate);
   std::vector<KeyRange> Remaining = Owned;
   std::vector<KeyPlacement> Moves;
   while (Moves.size() < Limits.m_moves) {
     OwnerLoad *Target = leastUtilized(OwnerLoads, 0);
     bool Newcomer = Target && Target->m_keys == 0;
     OwnerLoad *Source = mostUtilized(OwnerLoads);
+    bool OverMaxRate = Source && Source->overMaxRate();
     double WantedUtilization = Newcomer ? MeanUtilization : BusyUtilization;
+    if (OverMaxRate)
+      WantedUtilization = BusyUtilization * BusyRatio;
     if (!Target || Source == Target ||
         Target->utilization() >= WantedUtilization * IdleRatio)
       break;
     double CertainLoad =
         Source->m_load - CertaintyDeviations * deviation(Source->m_load);
-    bool Busy = CertainLoad >
-                BusyUtilization * BusyRatio * Source->m_candidate->m_capacity;
-    if (!Busy && !Newcomer)
+    bool Busy = CertainLoad > BusyUtilization * BusyRatio * Source->m_capacity;
+    if (!Busy && !Newcomer && !OverMaxRate)
       break;
     KeyRange *Range =
         heaviestRange(Remaining, Source->m_candidate->m_id, Estimator);
     if (!Range)
       break;
-    double Surplus =
-        Source->m_load - BusyUtilization * Source->m_candidate->m_capacity;
+    double Surplus = Source->m_load - BusyUtilization * Source->m_capacity;
     double TargetShortfall =
-        WantedUtilization * Target->m_candidate->m_capacity - Target->m_load;
+        WantedUtilization * Target->m_capacity - Target->m_load;
     double WantedLoad = std::min(
         std::max(Surplus, Newcomer ? TargetShortfall / NewcomerParts : 0),
         TargetShortfall);
--- a/src/libgateway/key_planner_test.cpp
+++ b/src/libgateway/key_planner_test.cpp
@@ -223,3 +223,39 @@
   Load.add(ShardKey(100), 3);
   BOOST_TEST(planMoves(Ranges, Candidates, Load, {8, 5}).empty());
 }
+
+// Issue 22: keys stayed at an upstream that took fewer requests than came.
+BOOST_AUTO_TEST_CASE(keys_move_away_from_an_owner_that_limits_its_requests) {
+  constexpr int Owners = 19;
+  constexpr double RequestsPerSecond = 480;
+  constexpr double Limit = 14;
+  auto Candidates = candidates(Owners);
+  KeyLoad Load;
+  std::mt19937 Random(7);
+  for (double Seconds = 0; Seconds < 5; Seconds += 0.1) {
+    Load.decay(at(Seconds));
+    for (int Count = 0; Count < RequestsPerSecond / 10; ++Count)
+      Load.add(ShardKey(Random() % ShardKeyCount), 1);
+  }
+  std::vector<KeyRange> Free = {
+      {0, ShardKeyCount - 1, UpstreamId(), {}, {}, ""}};
+  auto Ranges = toRanges(placeFreeKeys(Free, {}, Candidates, Load));
+  auto RateOf = [&](const UpstreamId &Owner) {
+    double Rate = 0;
+    for (const KeyRange &Range : Ranges)
+      if (Range.m_owner == Owner)
+        Rate += Load.rate(Range.m_first, Range.m_last);
+    return Rate;
+  };
+  KeyCandidate &Limited = Candidates.begin()->second;
+  BOOST_REQUIRE(RateOf(Limited.m_id) > Limit);
+  Limited.m_maxRate = Limit;
+  for (int Round = 0; Round < 20; ++Round)
+    for (const KeyPlacement &Move :
+         planMoves(Ranges, Candidates, Load, {4, 5.0}))
+      apply(Ranges, Move);
+  BOOST_TEST(RateOf(Limited.m_id) <= Limit);
+  BOOST_TEST(RateOf(Limited.m_id) > Limit / 4);
+  Ranges = toRanges(placeFreeKeys(Free, {}, Candidates, Load));
+  BOOST_TEST(RateOf(Limited.m_id) <= Limit);
+}
--- a/src/libgateway/peer_loads.cpp
+++ b/src/libgateway/peer_loads.cpp
@@ -1,6 +1,7 @@
 #include "burdockpulley/peer_loads.h"
 
 #include "burdockpulley/hashing.h"
+#include "burdockpulley/request_limiter.h"
 #include "burdockpulley/upstream_selection.h"
 
 #include <algorithm>
@@ -56,21 +57,37 @@
   }
 }
 
-void PeerLoads::onLoad(const HostId &Host, PeerLoad Load, Instant Now) {
-  HostLoad &Current = m_hosts[Host];
-  addToTotals(Current.m_load, -1);
-  for (const PeerUpstreamLoad &Reported : Load.m_upstreams) {
-    UpstreamState *Upstream = find(Reported.m_upstream);
-    if (Upstream)
-      mergeServiceTimeRatio(*Upstream, Reported.m_serviceTimeRatio,
-                            Reported.m_serviceTimeSamples, Now);
-    if (!Upstream || !Reported.m_hasReport ||
-        Now - Reported.m_reportAge <= Upstream->m_reportAt)
-      continue;
+void PeerLoads::onUpstreamLoad(const HostId &Host,
+                               const PeerUpstreamLoad &Reported,
+                               const PeerUpstreamLoad *Previous, Instant Now) {
+  UpstreamState *Upstream = find(Reported.m_upstream);
+  if (!Upstream)
+    return;
+  mergeServiceTimeRatio(*Upstream, Reported.m_serviceTimeRatio,
+                        Reported.m_serviceTimeSamples, Now);
+  if (Reported.m_hasReport &&
+      Now - Reported.m_reportAge > Upstream->m_reportAt) {
     Upstream->m_report = Reported.m_report;
     Upstream->m_reportAt = Now - Reported.m_reportAge;
     Upstream->m_reportIsLocal = false;
   }
+  if (Reported.m_hasRequestLimit)
+    onRequestLimit(*Upstream, Reported.m_requestLimit,
+                   Now - Reported.m_requestLimitAge, Host, false, Now);
+  // A count that went back is that of a restarted host.
+  if (Reported.m_sent && Previous && Previous->m_sent &&
+      *Reported.m_sent > *Previous->m_sent)
+    Upstream->m_peerSent += *Reported.m_sent - *Previous->m_sent;
+}
+
+void PeerLoads::onLoad(const HostId &Host, PeerLoad Load, Instant Now) {
+  HostLoad &Current = m_hosts[Host];
+  addToTotals(Current.m_load, -1);
+  std::map<NameHash, const PeerUpstreamLoad *> Previous;
+  for (const PeerUpstreamLoad &Reported : Current.m_load.m_upstreams)
+    Previous[Reported.m_upstream] = &Reported;
+  for (const PeerUpstreamLoad &Reported : Load.m_upstreams)
+    onUpstreamLoad(Host, Reported, Previous[Reported.m_upstream], Now);
   Current.m_load = std::move(Load);
   Current.m_receivedAt = Now;
   addToTotals(Current.m_load, 1);
--- a/src/libgateway/peer_state_exchange.cpp
+++ b/src/libgateway/peer_state_exchange.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-/// Hosts of other failure domains receive one status message out of this many.
-constexpr std::uint64_t RemoteStatusPeriod = 3;
 /// Changes of owners are collected for this time and sent together.
 constexpr Duration OwnersUpdateDelay{50'000};
 constexpr Duration KeyLoadInterval{200'000};
@@ -39,6 +37,10 @@
 /// Older load reports are not sent.
 constexpr Duration MaxReportAge{200'000};
 constexpr double Percent = 100;
+/// How long hosts are told that an upstream no longer limits its requests.
+constexpr Duration LimitEndAnnouncementTime{2'000'000};
+/// Value of UpstreamLoadEntry.requestLimit for an upstream without a limit.
+constexpr double NoRequestLimit = -1;
 
 std::int32_t count(std::size_t Number) {
   return static_cast<std::int32_t>(Number);
@@ -53,6 +55,14 @@
   Load.m_serviceTimeRatio = Entry.serviceTimePercent / Percent;
   Load.m_serviceTimeSamples =
       static_cast<std::uint32_t>(std::max(Entry.serviceTimeSamples, 0));
+  if (Entry.__isset.sent)
+    Load.m_sent = static_cast<std::uint32_t>(Entry.sent);
+  Load.m_hasRequestLimit =
+      Entry.__isset.requestLimit && Entry.__isset.requestLimitAgeMillis;
+  if (Load.m_hasRequestLimit && Entry.requestLimit >= 0)
+    Load.m_requestLimit = Entry.requestLimit;
+  Load.m_requestLimitAge =
+      std::chrono::milliseconds(Entry.requestLimitAgeMillis);
   Load.m_hasReport = Entry.__isset.reportAgeMillis;
   if (!Load.m_hasReport)
     return Load;
@@ -119,6 +129,7 @@
     m_monitoredCoordinator = m_coordinator.coordinator();
     m_lastCoordinatorMessage = Now;
   }
+  m_state.m_registeredHosts = m_transport.peers() + 1;
   if (!m_transport.hasKey())
     return;
   if (Now >= m_nextStatus) {
@@ -205,8 +216,12 @@
     // hosts itself.
     bool SendReport =
         Upstream.m_reportIsLocal && Now - Upstream.m_reportAt < MaxReportAge;
+    const RequestLimit &Limit = Upstream.m_requestLimit;
+    bool SendLimit =
+        Limit.m_isLocal &&
+        (Limit.m_rate || Now - Limit.m_changedAt < LimitEndAnnouncementTime);
     if (Upstream.m_outstanding == 0 && Upstream.m_waiting == 0 && !SendReport &&
-        Upstream.m_localRatioCount == 0)
+        Upstream.m_localRatioCount == 0 && !Limit.m_rate && !SendLimit)
       continue;
     wire::UpstreamLoadEntry Entry;
     Entry.upstream = nameHash(Id.value()).value();
@@ -231,6 +246,13 @@
       Entry.__set_reportAgeMillis(static_cast<std::int32_t>(
           (Now - Upstream.m_reportAt).count() / 1000));
     }
+    if (SendLimit) {
+      Entry.__set_requestLimit(Limit.m_rate.value_or(NoRequestLimit));
+      Entry.__set_requestLimitAgeMillis(
+          static_cast<std::int32_t>((Now - Limit.m_statedAt).count() / 1000));
+    }
+    if (Limit.m_rate)
+      Entry.__set_sent(static_cast<std::int32_t>(Upstream.m_sent));
     Status.upstreams.push_back(std::move(Entry));
   }
   for (const auto &[Service, Waiting] : m_relay.waitingByService()) {
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <limits>
 
 namespace burdockpulley {
@@ -194,6 +195,19 @@
                                    m_state.hosts(), Now);
 }
 
+bool RequestRelay::allowedByRequestLimit(const UpstreamState &Upstream,
+                                         Instant Now) {
+  if (!Upstream.m_requestLimit.m_rate)
+    return true;
+  LimitSharers Sharers;
+  Sharers.m_reporting = m_state.hosts();
+  Sharers.m_registered = m_state.m_registeredHosts;
+  Sharers.m_reportInterval = statusInterval(m_state.m_peerLoads.hosts()) *
+                             static_cast<int>(RemoteStatusPeriod);
+  return m_requestLimiters[Upstream.m_record.m_id].available(Upstream, Sharers,
+                                                             m_random, Now);
+}
+
 RequestRelay::OwnerLookup RequestRelay::findOwner(const PendingRequest &Pending,
                                                   Instant Now) {
   UpstreamState *Upstream = m_state.m_registry.find(
@@ -228,14 +242,22 @@
         m_ownerThrottles[Upstream->m_record.m_id].available(
             *Upstream, Pending.m_workTime,
             statusInterval(m_state.m_peerLoads.hosts()), m_random, Now);
-    return HasShare && allowedByColdStartLimit(*Upstream, Pending, Now)
+    return HasShare && allowedByColdStartLimit(*Upstream, Pending, Now) &&
+                   allowedByRequestLimit(*Upstream, Now)
                ? Upstream
                : nullptr;
   }
   std::vector<UpstreamState *> Upstreams =
       m_state.m_registry.ofService(Pending.m_service->m_name);
+  bool AwaitsLimit = false;
   std::erase_if(Upstreams, [&](const UpstreamState *Upstream) {
-    return !allowedByColdStartLimit(*Upstream, Pending, Now);
+    if (!allowedByColdStartLimit(*Upstream, Pending, Now))
+      return true;
+    if (allowedByRequestLimit(*Upstream, Now))
+      return false;
+    AwaitsLimit |= m_state.m_registry.usable(*Upstream) &&
+                   !Pending.m_triedUpstreams.count(Upstream->m_record.m_id);
+    return true;
   });
   SelectionRequest Request;
   Request.m_workTime = Pending.m_workTime;
@@ -248,7 +270,7 @@
   Request.m_random = &m_random;
   Selection Selected =
       selectUpstream(m_state.m_registry, Upstreams, Request, Now);
-  CanWait = Selected.m_anyUsable;
+  CanWait = Selected.m_anyUsable || AwaitsLimit;
   return Selected.m_upstream;
 }
 
@@ -294,17 +316,27 @@
         Upstream ? Upstream->m_record.m_slots / slownessFactor(*Upstream, Now)
                  : std::numeric_limits<double>::max();
     // Requests in progress at the owner are half done on average.
-    if (Upstream)
+    if (Upstream) {
+      Capacity.m_requestRate = requestRate(*Upstream);
       Capacity.m_waiting =
           Upstream->m_peerWaiting +
           (Upstream->m_outstanding + Upstream->m_peerOutstanding) / 2;
+    }
     return Capacity;
   }
+  double WorkSeconds =
+      std::chrono::duration<double>(Pending.m_workTime).count();
+  Capacity.m_requestRate = 0;
   for (const UpstreamState *Upstream :
-       m_state.m_registry.ofService(Pending.m_service->m_name))
-    if (m_state.m_registry.usable(*Upstream))
-      Capacity.m_slots +=
-          Upstream->m_record.m_slots / slownessFactor(*Upstream, Now);
+       m_state.m_registry.ofService(Pending.m_service->m_name)) {
+    if (!m_state.m_registry.usable(*Upstream))
+      continue;
+    double Rate = requestRate(*Upstream);
+    Capacity.m_requestRate += Rate;
+    Capacity.m_slots +=
+        std::min(Upstream->m_record.m_slots / slownessFactor(*Upstream, Now),
+                 Rate * WorkSeconds);
+  }
   Capacity.m_waiting = m_state.m_peerLoads.waiting(Pending.m_service->m_name);
   return Capacity;
 }
@@ -319,9 +351,13 @@
   WaitingRequest Request{Pending.m_number, Pending.m_route->m_priority,
                          Pending.m_workTime, Pending.m_goalTime,
                          Pending.m_deadline};
-  auto Refusal = Queue.offer(Request, capacityFor(Pending, Now), Now);
+  ServiceCapacity Capacity = capacityFor(Pending, Now);
+  auto Refusal = Queue.offer(Request, Capacity, Now);
   if (Refusal)
-    return refuse(Pending, "no-room-in-time", Refusal->m_retryAfter, Now);
+    return refuse(Pending,
+                  std::isfinite(Capacity.m_requestRate) ? "upstream-limit"
+                                                        : "no-room-in-time",
+                  Refusal->m_retryAfter, Now);
   Pending.m_queue = Key;
   updateWaitingCount(Owner);
 }
@@ -397,6 +433,9 @@
     m_coldStartLimiters[Upstream.m_record.m_id].take();
   if (Pending.m_key)
     m_ownerThrottles[Upstream.m_record.m_id].take();
+  if (Upstream.m_requestLimit.m_rate)
+    m_requestLimiters[Upstream.m_record.m_id].take();
+  ++Upstream.m_sent;
   Pending.m_upstream = Upstream.m_record.m_id;
   Pending.m_triedUpstreams.insert(Upstream.m_record.m_id);
   Pending.m_attemptInFlight = true;
@@ -498,6 +537,7 @@
       Upstream->m_reportAt = Now;
       Upstream->m_reportIsLocal = true;
     }
+    recordRequestLimit(*Upstream, Result.m_response, Outcome, Now);
   }
   bool Misdirected = Result.m_error == ChannelError::None && !Pending.m_key &&
                      Result.m_response.m_status == StatusMisdirected;
@@ -519,6 +559,25 @@
     onUpstreamDown(Pending.m_upstream, Now);
 }
 
+void RequestRelay::recordRequestLimit(UpstreamState &Upstream,
+                                      const HttpResponse &Response,
+                                      AttemptOutcome Outcome, Instant Now) {
+  std::string_view Header =
+      Response.header(m_state.m_codec.headers().m_requestLimit);
+  // Only a response to a request that has run shows that the limit has ended.
+  // Some errors come from other parts of an upstream, or from another one.
+  if (Header.empty() && Outcome != AttemptOutcome::Answered)
+    return;
+  std::optional<double> Rate;
+  if (!Header.empty()) {
+    Rate = m_state.m_codec.decodeRequestLimit(Header);
+    if (!Rate)
+      return logEvent(Severity::Warning, "upstream_limit_unreadable",
+                      {{"upstream", Upstream.m_record.m_id.value()}});
+  }
+  onRequestLimit(Upstream, Rate, Now, m_state.m_settings.m_host, true, Now);
+}
+
 void RequestRelay::onUpstreamDown(const UpstreamId &Upstream, Instant Now) {
   for (Fingerprint Suspect : m_suspects.onUpstreamDown(Upstream, Now)) {
     logEvent(
@@ -690,6 +749,10 @@
     return !m_state.m_registry.find(Entry.first);
   };
   std::erase_if(m_coldStartLimiters, IsUnregistered);
+  std::erase_if(m_requestLimiters, [this](const auto &Entry) {
+    const UpstreamState *Upstream = m_state.m_registry.find(Entry.first);
+    return !Upstream || !Upstream->m_requestLimit.m_rate;
+  });
   std::erase_if(m_queues, [Now](const auto &Entry) {
     return Entry.second.discardable(Now);
   });
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -5,6 +5,7 @@
 #include "burdockpulley/caller_listener.h"
 #include "burdockpulley/crash_suspects.h"
 #include "burdockpulley/owner_throttle.h"
+#include "burdockpulley/request_limiter.h"
 #include "burdockpulley/shared_limits.h"
 #include "burdockpulley/upstream_selection.h"
 #include "burdockpulley/wait_queue.h"
@@ -120,6 +121,9 @@
   /// request within its share of the cold start rate.
   bool allowedByColdStartLimit(const UpstreamState &Upstream,
                                const PendingRequest &Pending, Instant Now);
+  /// True if the upstream does not limit its requests, or if this host may send
+  /// it one more.
+  bool allowedByRequestLimit(const UpstreamState &Upstream, Instant Now);
   /// Queues a request, or refuses it if it would not be served in time.
   void enqueue(PendingRequest &Pending, Instant Now);
   void send(PendingRequest &Pending, UpstreamState &Upstream, Instant Now);
@@ -132,6 +136,10 @@
   /// result of an attempt.
   void recordResult(PendingRequest &Pending, const ChannelResult &Result,
                     AttemptOutcome Outcome, Instant Now);
+  /// Takes note of the request limit that a response states, or no longer
+  /// states.
+  void recordRequestLimit(UpstreamState &Upstream, const HttpResponse &Response,
+                          AttemptOutcome Outcome, Instant Now);
   /// Retries the request or ends it, as decideNextAction() says.
   void applyNextAction(PendingRequest &Pending, AttemptOutcome Outcome,
                        HttpResponse &&Response, Instant Now);
@@ -161,6 +169,7 @@
   std::map<ServiceId, SharedRetryBudget> m_retryBudgets;
   std::map<UpstreamId, ColdStartLimiter> m_coldStartLimiters;
   std::map<UpstreamId, OwnerThrottle> m_ownerThrottles;
+  std::map<UpstreamId, RequestLimiter> m_requestLimiters;
   std::map<RequestNumber, std::unique_ptr<PendingRequest>> m_pending;
   std::map<QueueKey, WaitQueue> m_queues;
   KeyRequestCounts m_keyRequestCounts;
--- a/src/libgateway/wait_queue.cpp
+++ b/src/libgateway/wait_queue.cpp
@@ -41,17 +41,25 @@
                          Request.m_goal, Request.m_number);
 }
 
+/// The time until \p Requests requests have been sent at a limited rate.
+Duration waitAtRate(double Requests, double RequestRate) {
+  return Duration(static_cast<std::int64_t>(Requests / RequestRate * 1e6));
+}
+
 } // namespace
 
 Duration WaitQueue::expectedWait(const WaitingRequest &Request,
                                  const ServiceCapacity &Capacity,
                                  Instant Now) const {
-  Duration Ahead =
-      scaled(Request.m_workTime, static_cast<double>(Capacity.m_waiting));
+  auto RequestsAhead = static_cast<double>(Capacity.m_waiting);
+  Duration Ahead = scaled(Request.m_workTime, RequestsAhead);
   for (const auto &[Number, Other] : m_waiting)
-    if (rank(Other, Now) < rank(Request, Now))
+    if (rank(Other, Now) < rank(Request, Now)) {
       Ahead += Other.m_workTime;
-  return scaled(Ahead, 1 / std::max(Capacity.m_slots, 1.0));
+      RequestsAhead += 1;
+    }
+  return std::max(scaled(Ahead, 1 / std::max(Capacity.m_slots, 1.0)),
+                  waitAtRate(RequestsAhead, Capacity.m_requestRate));
 }
 
 std::optional<Refusal> WaitQueue::offer(const WaitingRequest &Request,
@@ -112,19 +120,24 @@
                                              Instant Now) {
   std::vector<RequestNumber> Refused;
   Duration Ahead{};
+  auto RequestsAhead = static_cast<double>(Capacity.m_waiting);
   double Slots = std::max(Capacity.m_slots, 1.0);
   for (const WaitingRequest *Request : sortedByRank(Now)) {
+    double Overtaken = meetsGoal(*Request, Now) ? 1 : OvertakenFactor;
     Duration Wait =
-        scaled(Ahead + scaled(Request->m_workTime,
-                              static_cast<double>(Capacity.m_waiting)),
-               (meetsGoal(*Request, Now) ? 1 : OvertakenFactor) / Slots);
+        std::max(scaled(Ahead + scaled(Request->m_workTime,
+                                       static_cast<double>(Capacity.m_waiting)),
+                        Overtaken / Slots),
+                 waitAtRate(RequestsAhead * Overtaken, Capacity.m_requestRate));
     bool TooLate =
         Now + Wait + scaled(Request->m_workTime, DeadlineTimeShare) >=
         Request->m_deadline;
-    if (TooLate)
+    if (TooLate) {
       Refused.push_back(Request->m_number);
-    else
-      Ahead += Request->m_workTime;
+      continue;
+    }
+    Ahead += Request->m_workTime;
+    RequestsAhead += 1;
   }
   for (RequestNumber Number : Refused)
     m_waiting.erase(Number);
--- a/src/libgateway/wait_queue_test.cpp
+++ b/src/libgateway/wait_queue_test.cpp
@@ -175,3 +175,17 @@
   BOOST_TEST(Queue.discardable(at(9000)));
   BOOST_TEST((OfferRequest(99, 9000) <= First * 11 / 10));
 }
+
+BOOST_AUTO_TEST_CASE(a_limited_request_rate_bounds_what_may_wait) {
+  constexpr double RequestsPerSecond = 5;
+  WaitQueue Queue;
+  ServiceCapacity Capacity{4, 0, RequestsPerSecond};
+  std::uint64_t Queued = 0;
+  while (!Queue.offer(request(Queued + 1, 0), Capacity, at(0)))
+    ++Queued;
+  // A request may wait for little more than a second.
+  BOOST_TEST(Queued > RequestsPerSecond / 2);
+  BOOST_TEST(Queued < RequestsPerSecond * 2);
+  Capacity.m_requestRate = 1;
+  BOOST_TEST(Queue.giveUp(Capacity, at(100)).size() > Queued / 2);
+}
