--- a/src/burdockpulleyd/main.cpp
+++ b/src/burdockpulleyd/main.cpp
@@ -1,6 +1,6 @@
 #include "burdockpulley/entry_host.h"
 #include "burdockpulley/event_log.h"
-#include "burdockpulley/gateway_host.h"
+#include "burdockpulley/gateway_process.h"
 #include "platform/platform.h"
 
 #include <event2/event.h>
@@ -19,18 +19,9 @@
   static_cast<EntryHost *>(Host)->stop();
 }
 
-/// A loop whose timers do not use the coarse clock, which has steps of 4 ms.
-event_base *newLoop() {
-  event_config *Config = event_config_new();
-  event_config_set_flag(Config, EVENT_BASE_FLAG_PRECISE_TIMER);
-  event_base *Base = event_base_new_with_config(Config);
-  event_config_free(Config);
-  return Base;
-}
-
 int run(const HostSettings &Settings) {
   openEventLog(Settings.m_host.value());
-  event_base *Base = newLoop();
+  event_base *Base = newEventLoop();
   int Code = 0;
   {
     EntryHost Host(Base, Settings);
@@ -49,38 +40,9 @@
   return Code;
 }
 
-void onGatewaySignal(int Number, short, void *Host) {
-  auto *Which = static_cast<GatewayHost *>(Host);
-  if (Number == SIGHUP)
-    Which->reload();
-  else
-    Which->stop();
-}
-
 int runGateway(const GatewaySettings &Settings) {
-  openEventLog(Settings.m_host.value());
-  bufferEventLog();
-  event_base *Base = newLoop();
-  int Code = 0;
-  {
-    GatewayHost Host(Base, Settings,
-                     platform::makeStore(Base, Settings.m_store),
-                     platform::makePlatformCodec());
-    constexpr int Signals[] = {SIGTERM, SIGINT, SIGHUP};
-    event *Events[std::size(Signals)];
-    for (std::size_t I = 0; I < std::size(Signals); ++I) {
-      Events[I] = evsignal_new(Base, Signals[I], onGatewaySignal, &Host);
-      event_add(Events[I], nullptr);
-    }
-    if (Host.start())
-      event_base_dispatch(Base);
-    else
-      Code = 1;
-    for (event *Each : Events)
-      event_free(Each);
-  }
-  event_base_free(Base);
-  return Code;
+  return runGatewayProcess(Settings, platform::makeStore,
+                           platform::makePlatformCodec());
 }
 
 /// Prints help, faults or settings, or runs the program with the settings.
--- a/src/include/burdockpulley/request_limiter.h
+++ b/src/include/burdockpulley/request_limiter.h
@@ -38,9 +38,8 @@
 /// arrive late, hosts do not take tokens as they see them: each draws its share
 /// once per report interval, in proportion to its waiting and its recent
 /// requests and rounded at random, so that together they draw about what the
-/// bucket holds. For hosts that do not report, an equal part of the rate is left
-/// out.
-/// Thread safety: none.
+/// bucket holds. For hosts that do not report, an equal part of the rate is
+/// left out. Thread safety: none.
 class RequestLimiter {
 public:
   /// True when this host may send a request now.
--- a/src/standins/fault_proxy.cpp
+++ b/src/standins/fault_proxy.cpp
@@ -3,7 +3,8 @@
 //
 // POST /faults on the control port replaces the faults by those of a JSON
 // object: latencyUs, cutToTarget, cutToCaller, refuse, truncateAfter,
-// resetAfter, halfCloseAfter.
+// resetAfter, halfCloseAfter, and closed: new connections are refused by the
+// kernel, open ones go on.
 #include "burdockpulley/http.h"
 #include "fault_link.h"
 #include "standin.h"
@@ -59,10 +60,12 @@
     event_free(m_tick);
   }
 
-  std::uint16_t listen() {
+  /// Port 0 selects a free one. Returns the port, or 0 when it is not free.
+  std::uint16_t listen(std::uint16_t Port) {
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Address.sin_port = htons(Port);
     auto *Plain = reinterpret_cast<sockaddr *>(&Address);
     m_listener = evconnlistener_new_bind(
         m_base, onAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
@@ -71,7 +74,8 @@
       return 0;
     socklen_t Size = sizeof(Address);
     getsockname(evconnlistener_get_fd(m_listener), Plain, &Size);
-    return ntohs(Address.sin_port);
+    m_port = ntohs(Address.sin_port);
+    return m_port;
   }
 
   /// Takes new faults; returns the HTTP status of the answer.
@@ -81,6 +85,7 @@
       return 400;
     try {
       m_faults = readFaults(Object);
+      m_closed = Object.value("closed", false);
     } catch (const json::exception &) {
       return 400;
     }
@@ -102,6 +107,12 @@
 
   void advance() {
     Instant Now = bootClockNow();
+    if (m_closed && m_listener) {
+      evconnlistener_free(m_listener);
+      m_listener = nullptr;
+    } else if (!m_closed && !m_listener) {
+      listen(m_port);
+    }
     for (auto &Link : m_links)
       Link->advance(Now);
     std::erase_if(m_links, [](const auto &Link) { return Link->ended(); });
@@ -112,6 +123,8 @@
   Faults m_faults;
   event *m_tick;
   evconnlistener *m_listener = nullptr;
+  std::uint16_t m_port = 0;
+  bool m_closed = false;
   std::vector<std::unique_ptr<FaultLink>> m_links;
 };
 
@@ -133,7 +146,7 @@
   HttpServer Control(Base, [&](HttpRequest &&Request, auto Responder) {
     Responder->send(HttpResponse{Proxy.onControl(Request), {}, ""});
   });
-  std::uint16_t Port = Proxy.listen();
+  std::uint16_t Port = Proxy.listen(0);
   std::uint16_t ControlPort = Control.listen({"127.0.0.1", 0});
   if (Port == 0 || ControlPort == 0)
     return 1;
