--- a/src/include/burdockpulley/channel_pool.h
+++ b/src/include/burdockpulley/channel_pool.h
@@ -106,6 +106,9 @@
   /// Precondition: not called from a callback of this pool.
   void cancel(ChannelCallId Call);
 
+  /// Closes all idle connections, so that the next calls make new ones.
+  void closeIdle();
+
   /// Closes connections that have been idle for too long, and frees closed
   /// ones. Call it a few times a second.
   void sweep(Instant Now);
--- a/src/include/burdockpulley/gateway_settings.h
+++ b/src/include/burdockpulley/gateway_settings.h
@@ -17,9 +17,12 @@
 struct GatewaySettings {
   HostId m_host;
   DomainId m_domain;
-  Endpoint m_listen;                ///< For callers.
-  Endpoint m_readyListen;           ///< For the balancer's readiness checks.
-  Endpoint m_peerListen;            ///< UDP, for the other entry hosts.
+  Endpoint m_listen;      ///< For callers.
+  Endpoint m_readyListen; ///< For the balancer's readiness checks.
+  Endpoint m_peerListen;  ///< UDP, for the other entry hosts.
+  /// TCP, for requests that other entry hosts forward; this host takes none,
+  /// and forwards none, if the address is empty.
+  Endpoint m_forwardListen;
   Endpoint m_metricsListen;         ///< No metrics if the address is empty.
   Endpoint m_store;                 ///< The platform's store.
   std::size_t m_descriptors = 4096; ///< Limit on open files and sockets.
--- a/src/include/burdockpulley/peer_loads.h
+++ b/src/include/burdockpulley/peer_loads.h
@@ -25,6 +25,8 @@
   bool m_hasReport = false; ///< True when the members below are set.
   LoadReport m_report;      ///< Newest report that the host has received.
   Duration m_reportAge{};
+  /// Time since the upstream's last response to the host, if it is recent.
+  std::optional<Duration> m_answeredAge;
   bool m_hasRequestLimit = false; ///< True when the two members below are set.
   std::optional<double> m_requestLimit; ///< See RequestLimit::m_rate.
   Duration m_requestLimitAge{};
--- a/src/include/burdockpulley/upstream_registry.h
+++ b/src/include/burdockpulley/upstream_registry.h
@@ -57,6 +57,10 @@
   /// later heartbeat shows that it is alive, or some time has passed.
   bool m_unreachable = false;
   Instant m_unreachableSince;
+  /// Last response to this host, and the newest one to another host.
+  Instant m_answeredAt;
+  Instant m_peerAnsweredAt;
+  HostId m_answeredPeer; ///< The host that received the latter.
 
   std::uint32_t m_outstanding = 0;     ///< Requests of this host at it.
   std::uint32_t m_peerOutstanding = 0; ///< Requests of all other hosts at it.
@@ -131,6 +135,12 @@
   /// Records that a connection to the upstream was refused or has failed.
   void onUnreachable(const UpstreamId &Id, Instant Now);
 
+  /// Says whether this host has lost its paths to all upstreams. While it has,
+  /// they are unreachable: heartbeats show only that they reach the store. When
+  /// the paths are back, all are usable again.
+  void setPathsLost(bool Lost, Instant Now);
+  bool pathsLost() const { return m_pathsLost; }
+
   /// True when new requests may be sent to the upstream.
   bool usable(const UpstreamState &Upstream) const {
     return !Upstream.leaving() && !Upstream.m_unreachable &&
@@ -152,6 +162,7 @@
   std::map<UpstreamId, Instant> m_heldRemovals;
   std::set<DomainId> m_domainsOut;
   Instant m_holdRemovalsUntil;
+  bool m_pathsLost = false;
   std::uint64_t m_membership = 1;
 };
 
--- a/src/libgateway/gateway.thrift
+++ b/src/libgateway/gateway.thrift
@@ -79,6 +79,9 @@
   // Requests that the host has sent there since its start, while the upstream
   // limits them.
   12: optional i32 sent,
+  // Time since the upstream's last response to the host, if it is recent and
+  // fields 3 to 6 are not set.
+  13: optional i32 answeredAgeMillis,
 }
 
 // Requests of one service that are queued at the host.
@@ -96,6 +99,8 @@
   4: i64 coordinatorEpoch,
   // True when this host's last call to the store has failed.
   5: optional bool storeLost,
+  // True when the host has lost its paths to all upstreams.
+  6: optional bool upstreamsLost,
 }
 
 // Number of requests for one key.
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -14,6 +14,7 @@
 #include "registry_watcher.h"
 #include "request_relay.h"
 #include "store_keys.h"
+#include "upstream_prober.h"
 
 #include <event2/event.h>
 
@@ -33,6 +34,10 @@
 /// store.
 constexpr std::size_t ReservedDescriptors = 1200;
 constexpr std::size_t MinCallerConnections = 256;
+/// Connections from other hosts over which they forward requests.
+constexpr std::size_t ForwardConnections = 512;
+/// Size of the headers that hosts add to a request that they forward.
+constexpr std::size_t ForwardHeaderBytes = 1024;
 /// The load balancer takes a host out after two failed readiness checks, one
 /// second apart.
 constexpr Duration BalancerRemovalTime{2'700'000};
@@ -55,7 +60,7 @@
       : m_store(std::move(Store)), m_codec(std::move(Codec)),
         m_state(Base, Settings, *m_codec),
         m_watcher(*m_store, *this, followedPrefixes(*m_codec)),
-        m_relay(m_state), m_coordinator(m_state, *m_store),
+        m_relay(m_state), m_prober(m_state), m_coordinator(m_state, *m_store),
         m_stateExchange(m_state, m_relay, m_coordinator),
         m_registration(m_state, *m_store),
         m_callerListener(Base, callerLimit(Settings),
@@ -63,6 +68,12 @@
                            Instant Arrived = Request->arrived();
                            m_relay.onRequest(std::move(Request), Arrived);
                          }),
+        m_forwardListener(Base, ForwardConnections,
+                          [this](std::shared_ptr<Exchange> Request) {
+                            Instant Arrived = Request->arrived();
+                            m_relay.onForwardedRequest(std::move(Request),
+                                                       Arrived);
+                          }),
         m_readyListener(Base, MinCallerConnections,
                         [this](const std::shared_ptr<Exchange> &Request) {
                           bool Ready = ready();
@@ -108,6 +119,7 @@
 
   bool start() {
     GatewaySettings &Settings = m_state.m_settings;
+    bool TakesForwarded = !Settings.m_forwardListen.m_address.empty();
     bool HasMetrics = !Settings.m_metricsListen.m_address.empty();
     bool Bound =
         bind(Settings.m_listen,
@@ -122,6 +134,10 @@
              [this](const Endpoint &Address) {
                return m_stateExchange.listen(Address);
              }) &&
+        (!TakesForwarded || bind(Settings.m_forwardListen,
+                                 [this](const Endpoint &Address) {
+                                   return m_forwardListener.listen(Address);
+                                 })) &&
         (!HasMetrics ||
          bind(Settings.m_metricsListen, [this](const Endpoint &Address) {
            return m_metricsListener.listen(Address);
@@ -152,6 +168,7 @@
     logEvent(Severity::Info, "stopping", {{"in_flight", m_relay.inFlight()}});
     m_coordinator.resign(m_stopStarted);
     m_callerListener.closeAfterResponses();
+    m_forwardListener.closeAfterResponses();
   }
 
 private:
@@ -234,6 +251,8 @@
     if (m_watcher.loaded())
       m_coordinator.onRegistryLoaded(Now);
     m_coordinator.tick(Now);
+    m_prober.tick(Now);
+    m_relay.updateReachability(Now);
     m_stateExchange.tick(Now);
     readKeyTablesIfDue(Now);
     m_registration.tick(m_watcher.loaded() && m_watcher.storeReachable(), Now);
@@ -284,6 +303,7 @@
       decayServiceTimeRatio(Upstream, SweepInterval, Now);
     m_relay.sweep(Now);
     m_callerListener.sweep(Now);
+    m_forwardListener.sweep(Now);
     m_readyListener.sweep(Now);
     m_metricsListener.sweep(Now);
     m_stateExchange.sweep(Now);
@@ -293,8 +313,10 @@
     Duration Elapsed = Now - m_stopStarted;
     // The balancer may keep sending callers here when too few other hosts are
     // ready.
-    if (Elapsed >= BalancerRemovalTime)
+    if (Elapsed >= BalancerRemovalTime) {
       m_callerListener.stopListening();
+      m_forwardListener.stopListening();
+    }
     bool Idle = m_relay.inFlight() == 0 && m_callerListener.busy() == 0;
     bool StopTimeReached =
         Elapsed >= m_state.m_settings.m_stopTime - StopMargin;
@@ -416,7 +438,10 @@
     if (!m_state.m_routes.apply(Change.m_configuration))
       return logEvent(Severity::Warning, "configuration_not_newer",
                       {{"revision", Revision.value()}});
-    m_callerListener.setLimits(Change.m_configuration->m_limits);
+    CallerLimits Limits = Change.m_configuration->m_limits;
+    m_callerListener.setLimits(Limits);
+    Limits.m_headerBytes += ForwardHeaderBytes;
+    m_forwardListener.setLimits(Limits);
     m_state.m_metrics.setRevision(Revision);
     logEvent(Severity::Info, "configuration_in_force",
              {{"revision", Revision.value()},
@@ -444,10 +469,12 @@
   GatewayState m_state;
   RegistryWatcher m_watcher;
   RequestRelay m_relay;
+  UpstreamProber m_prober;
   CoordinatorDriver m_coordinator;
   PeerStateExchange m_stateExchange;
   HostRegistration m_registration;
   CallerListener m_callerListener;
+  CallerListener m_forwardListener;
   CallerListener m_readyListener;
   CallerListener m_metricsListener;
   std::unique_ptr<RepeatingTimer> m_tickTimer;
--- a/src/libgateway/gateway_metrics.cpp
+++ b/src/libgateway/gateway_metrics.cpp
@@ -42,6 +42,8 @@
       m_waitingRequests(gauge(m_registry,
                               "burdockpulley_gateway_requests_waiting",
                               "Requests that wait for room at an upstream")),
+      m_pathsLost(gauge(m_registry, "burdockpulley_gateway_upstreams_lost",
+                        "One while this host reaches no upstream itself")),
       m_limitedUpstreams(gauge(m_registry,
                                "burdockpulley_gateway_limited_upstreams",
                                "Upstreams that limit their requests")),
@@ -88,6 +90,8 @@
   m_waitingRequests.Set(static_cast<double>(Requests));
 }
 
+void GatewayMetrics::setPathsLost(bool Lost) { m_pathsLost.Set(Lost ? 1 : 0); }
+
 void GatewayMetrics::setLimitedUpstreams(std::size_t Count) {
   m_limitedUpstreams.Set(static_cast<double>(Count));
 }
--- a/src/libgateway/gateway_metrics.h
+++ b/src/libgateway/gateway_metrics.h
@@ -32,6 +32,8 @@
   void setRejectedDatagrams(std::uint64_t Count);
   void setRevision(Revision Number);
   void setWaiting(std::size_t Requests);
+  /// \p Lost: this host has lost its paths to all upstreams.
+  void setPathsLost(bool Lost);
   void setLimitedUpstreams(std::size_t Count);
   void setCoordinating(bool IsCoordinator);
   /// Negative if the store has never responded.
@@ -50,6 +52,7 @@
   prometheus::Gauge &m_rejectedDatagrams;
   prometheus::Gauge &m_revision;
   prometheus::Gauge &m_waitingRequests;
+  prometheus::Gauge &m_pathsLost;
   prometheus::Gauge &m_limitedUpstreams;
   prometheus::Gauge &m_coordinating;
   prometheus::Gauge &m_storeContactAge;
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -21,6 +21,9 @@
       cxxopts::value<Text>());
   Add("peer-listen", "UDP address for the other hosts, IP:PORT",
       cxxopts::value<Text>());
+  Add("forward-listen",
+      "TCP address for requests that other hosts forward, IP:PORT",
+      cxxopts::value<Text>());
   Add("metrics-listen", "address for metrics, IP:PORT", cxxopts::value<Text>());
   Add("store", "address of the platform's store, IP:PORT",
       cxxopts::value<Text>());
@@ -54,6 +57,7 @@
   Settings.m_listen = Reader.endpoint("listen");
   Settings.m_readyListen = Reader.endpoint("ready-listen");
   Settings.m_peerListen = Reader.endpoint("peer-listen");
+  Settings.m_forwardListen = Reader.endpoint("forward-listen", false);
   Settings.m_metricsListen = Reader.endpoint("metrics-listen", false);
   Settings.m_store = Reader.endpoint("store");
   Reader.number("descriptors", Settings.m_descriptors);
@@ -95,15 +99,16 @@
 }
 
 std::string toString(const GatewaySettings &Settings) {
-  std::string Metrics = Settings.m_metricsListen.m_address.empty()
-                            ? ""
-                            : toString(Settings.m_metricsListen);
+  auto OptionalEndpoint = [](const Endpoint &Address) {
+    return Address.m_address.empty() ? "" : toString(Address);
+  };
   return "host=" + Settings.m_host.value() +
          "\nfailure-domain=" + Settings.m_domain.value() +
          "\nlisten=" + toString(Settings.m_listen) +
          "\nready-listen=" + toString(Settings.m_readyListen) +
          "\npeer-listen=" + toString(Settings.m_peerListen) +
-         "\nmetrics-listen=" + Metrics +
+         "\nforward-listen=" + OptionalEndpoint(Settings.m_forwardListen) +
+         "\nmetrics-listen=" + OptionalEndpoint(Settings.m_metricsListen) +
          "\nstore=" + toString(Settings.m_store) +
          "\ndescriptors=" + std::to_string(Settings.m_descriptors) +
          "\nlink-megabits=" + std::to_string(Settings.m_linkMegabits) +
--- a/src/libgateway/gateway_state.h
+++ b/src/libgateway/gateway_state.h
@@ -1,14 +1,17 @@
 #ifndef BURDOCKPULLEY_LIBGATEWAY_GATEWAY_STATE_H
 #define BURDOCKPULLEY_LIBGATEWAY_GATEWAY_STATE_H
 
+#include "burdockpulley/channel_pool.h"
 #include "burdockpulley/gateway_settings.h"
 #include "burdockpulley/key_owners.h"
 #include "burdockpulley/peer_loads.h"
 #include "burdockpulley/platform_codec.h"
 #include "burdockpulley/response_memory.h"
 #include "burdockpulley/route_table.h"
+#include "burdockpulley/upstream_reachability.h"
 #include "burdockpulley/upstream_registry.h"
 #include "gateway_metrics.h"
+#include "peer_transport.h"
 
 struct event_base;
 
@@ -28,6 +31,7 @@
   /// Shared by all connections to upstreams.
   ResponseMemory m_responseMemory;
   UpstreamRegistry m_registry;
+  UpstreamReachability m_reachability;
   RouteTable m_routes;
   KeyOwners m_owners;
   PeerLoads m_peerLoads;
@@ -37,9 +41,22 @@
   /// speed.
   std::map<ServiceId, Duration> m_workTimes;
 
+  /// When UpstreamRegistry::pathsLost() has changed last.
+  Instant m_pathsChangedAt;
+  /// Hosts that may serve requests in place of this one.
+  std::vector<ForwardingPeer> m_forwardingPeers;
+
   /// Number of hosts that the store lists, including this one.
   std::size_t m_registeredHosts = 1;
 
+  /// Settings of the connections that carry callers' requests.
+  ChannelPoolSettings requestPoolSettings() {
+    ChannelPoolSettings Settings;
+    Settings.m_echoHeader = m_codec.headers().m_requestId;
+    Settings.m_responseMemory = &m_responseMemory;
+    return Settings;
+  }
+
   /// Number of hosts that share retry budgets, including this one.
   std::size_t hosts() const { return m_peerLoads.hosts() + 1; }
 };
--- a/src/libgateway/gen/gateway_types.cpp
+++ b/src/libgateway/gen/gateway_types.cpp
@@ -996,6 +996,11 @@
   this->sent = val;
 __isset.sent = true;
 }
+
+void UpstreamLoadEntry::__set_answeredAgeMillis(const int32_t val) {
+  this->answeredAgeMillis = val;
+__isset.answeredAgeMillis = true;
+}
 std::ostream& operator<<(std::ostream& out, const UpstreamLoadEntry& obj)
 {
   obj.printTo(out);
@@ -1120,6 +1125,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answeredAgeMillis);
+          this->__isset.answeredAgeMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1195,6 +1208,11 @@
     xfer += oprot->writeI32(this->sent);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.answeredAgeMillis) {
+    xfer += oprot->writeFieldBegin("answeredAgeMillis", ::apache::thrift::protocol::T_I32, 13);
+    xfer += oprot->writeI32(this->answeredAgeMillis);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1214,6 +1232,7 @@
   swap(a.requestLimit, b.requestLimit);
   swap(a.requestLimitAgeMillis, b.requestLimitAgeMillis);
   swap(a.sent, b.sent);
+  swap(a.answeredAgeMillis, b.answeredAgeMillis);
   swap(a.__isset, b.__isset);
 }
 
@@ -1230,6 +1249,7 @@
   requestLimit = other38.requestLimit;
   requestLimitAgeMillis = other38.requestLimitAgeMillis;
   sent = other38.sent;
+  answeredAgeMillis = other38.answeredAgeMillis;
   __isset = other38.__isset;
 }
 UpstreamLoadEntry::UpstreamLoadEntry(UpstreamLoadEntry&& other39) noexcept {
@@ -1245,6 +1265,7 @@
   requestLimit = other39.requestLimit;
   requestLimitAgeMillis = other39.requestLimitAgeMillis;
   sent = other39.sent;
+  answeredAgeMillis = other39.answeredAgeMillis;
   __isset = other39.__isset;
 }
 UpstreamLoadEntry& UpstreamLoadEntry::operator=(const UpstreamLoadEntry& other40) noexcept {
@@ -1260,6 +1281,7 @@
   requestLimit = other40.requestLimit;
   requestLimitAgeMillis = other40.requestLimitAgeMillis;
   sent = other40.sent;
+  answeredAgeMillis = other40.answeredAgeMillis;
   __isset = other40.__isset;
   return *this;
 }
@@ -1276,6 +1298,7 @@
   requestLimit = other41.requestLimit;
   requestLimitAgeMillis = other41.requestLimitAgeMillis;
   sent = other41.sent;
+  answeredAgeMillis = other41.answeredAgeMillis;
   __isset = other41.__isset;
   return *this;
 }
@@ -1294,6 +1317,7 @@
   out << ", " << "requestLimit="; (__isset.requestLimit ? (out << to_string(requestLimit)) : (out << "<null>"));
   out << ", " << "requestLimitAgeMillis="; (__isset.requestLimitAgeMillis ? (out << to_string(requestLimitAgeMillis)) : (out << "<null>"));
   out << ", " << "sent="; (__isset.sent ? (out << to_string(sent)) : (out << "<null>"));
+  out << ", " << "answeredAgeMillis="; (__isset.answeredAgeMillis ? (out << to_string(answeredAgeMillis)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1445,6 +1469,11 @@
   this->storeLost = val;
 __isset.storeLost = true;
 }
+
+void HostStatus::__set_upstreamsLost(const bool val) {
+  this->upstreamsLost = val;
+__isset.upstreamsLost = true;
+}
 std::ostream& operator<<(std::ostream& out, const HostStatus& obj)
 {
   obj.printTo(out);
@@ -1537,6 +1566,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->upstreamsLost);
+          this->__isset.upstreamsLost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1591,6 +1628,11 @@
     xfer += oprot->writeBool(this->storeLost);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.upstreamsLost) {
+    xfer += oprot->writeFieldBegin("upstreamsLost", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->upstreamsLost);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1603,6 +1645,7 @@
   swap(a.stopping, b.stopping);
   swap(a.coordinatorEpoch, b.coordinatorEpoch);
   swap(a.storeLost, b.storeLost);
+  swap(a.upstreamsLost, b.upstreamsLost);
   swap(a.__isset, b.__isset);
 }
 
@@ -1612,6 +1655,7 @@
   stopping = other58.stopping;
   coordinatorEpoch = other58.coordinatorEpoch;
   storeLost = other58.storeLost;
+  upstreamsLost = other58.upstreamsLost;
   __isset = other58.__isset;
 }
 HostStatus::HostStatus(HostStatus&& other59) noexcept {
@@ -1620,6 +1664,7 @@
   stopping = other59.stopping;
   coordinatorEpoch = other59.coordinatorEpoch;
   storeLost = other59.storeLost;
+  upstreamsLost = other59.upstreamsLost;
   __isset = other59.__isset;
 }
 HostStatus& HostStatus::operator=(const HostStatus& other60) {
@@ -1628,6 +1673,7 @@
   stopping = other60.stopping;
   coordinatorEpoch = other60.coordinatorEpoch;
   storeLost = other60.storeLost;
+  upstreamsLost = other60.upstreamsLost;
   __isset = other60.__isset;
   return *this;
 }
@@ -1637,6 +1683,7 @@
   stopping = other61.stopping;
   coordinatorEpoch = other61.coordinatorEpoch;
   storeLost = other61.storeLost;
+  upstreamsLost = other61.upstreamsLost;
   __isset = other61.__isset;
   return *this;
 }
@@ -1648,6 +1695,7 @@
   out << ", " << "stopping=" << to_string(stopping);
   out << ", " << "coordinatorEpoch=" << to_string(coordinatorEpoch);
   out << ", " << "storeLost="; (__isset.storeLost ? (out << to_string(storeLost)) : (out << "<null>"));
+  out << ", " << "upstreamsLost="; (__isset.upstreamsLost ? (out << to_string(upstreamsLost)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libgateway/gen/gateway_types.h
+++ b/src/libgateway/gen/gateway_types.h
@@ -390,7 +390,7 @@
 std::ostream& operator<<(std::ostream& out, const OwnersRequest& obj);
 
 typedef struct _UpstreamLoadEntry__isset {
-  _UpstreamLoadEntry__isset() : upstream(false), outstanding(false), running(false), waiting(false), slownessPercent(false), reportAgeMillis(false), hostWaiting(false), serviceTimePercent(false), serviceTimeSamples(false), requestLimit(false), requestLimitAgeMillis(false), sent(false) {}
+  _UpstreamLoadEntry__isset() : upstream(false), outstanding(false), running(false), waiting(false), slownessPercent(false), reportAgeMillis(false), hostWaiting(false), serviceTimePercent(false), serviceTimeSamples(false), requestLimit(false), requestLimitAgeMillis(false), sent(false), answeredAgeMillis(false) {}
   bool upstream :1;
   bool outstanding :1;
   bool running :1;
@@ -403,6 +403,7 @@
   bool requestLimit :1;
   bool requestLimitAgeMillis :1;
   bool sent :1;
+  bool answeredAgeMillis :1;
 } _UpstreamLoadEntry__isset;
 
 class UpstreamLoadEntry : public virtual ::apache::thrift::TBase {
@@ -424,7 +425,8 @@
                       serviceTimeSamples(0),
                       requestLimit(0),
                       requestLimitAgeMillis(0),
-                      sent(0) {
+                      sent(0),
+                      answeredAgeMillis(0) {
   }
 
   virtual ~UpstreamLoadEntry() noexcept;
@@ -440,6 +442,7 @@
   double requestLimit;
   int32_t requestLimitAgeMillis;
   int32_t sent;
+  int32_t answeredAgeMillis;
 
   _UpstreamLoadEntry__isset __isset;
 
@@ -467,6 +470,8 @@
 
   void __set_sent(const int32_t val);
 
+  void __set_answeredAgeMillis(const int32_t val);
+
   bool operator == (const UpstreamLoadEntry & rhs) const
   {
     if (!(upstream == rhs.upstream))
@@ -513,6 +518,10 @@
       return false;
     else if (__isset.sent && !(sent == rhs.sent))
       return false;
+    if (__isset.answeredAgeMillis != rhs.__isset.answeredAgeMillis)
+      return false;
+    else if (__isset.answeredAgeMillis && !(answeredAgeMillis == rhs.answeredAgeMillis))
+      return false;
     return true;
   }
   bool operator != (const UpstreamLoadEntry &rhs) const {
@@ -584,12 +593,13 @@
 std::ostream& operator<<(std::ostream& out, const QueueLength& obj);
 
 typedef struct _HostStatus__isset {
-  _HostStatus__isset() : upstreams(false), queues(false), stopping(false), coordinatorEpoch(false), storeLost(false) {}
+  _HostStatus__isset() : upstreams(false), queues(false), stopping(false), coordinatorEpoch(false), storeLost(false), upstreamsLost(false) {}
   bool upstreams :1;
   bool queues :1;
   bool stopping :1;
   bool coordinatorEpoch :1;
   bool storeLost :1;
+  bool upstreamsLost :1;
 } _HostStatus__isset;
 
 class HostStatus : public virtual ::apache::thrift::TBase {
@@ -602,7 +612,8 @@
   HostStatus() noexcept
              : stopping(0),
                coordinatorEpoch(0),
-               storeLost(0) {
+               storeLost(0),
+               upstreamsLost(0) {
   }
 
   virtual ~HostStatus() noexcept;
@@ -611,6 +622,7 @@
   bool stopping;
   int64_t coordinatorEpoch;
   bool storeLost;
+  bool upstreamsLost;
 
   _HostStatus__isset __isset;
 
@@ -624,6 +636,8 @@
 
   void __set_storeLost(const bool val);
 
+  void __set_upstreamsLost(const bool val);
+
   bool operator == (const HostStatus & rhs) const
   {
     if (!(upstreams == rhs.upstreams))
@@ -638,6 +652,10 @@
       return false;
     else if (__isset.storeLost && !(storeLost == rhs.storeLost))
       return false;
+    if (__isset.upstreamsLost != rhs.__isset.upstreamsLost)
+      return false;
+    else if (__isset.upstreamsLost && !(upstreamsLost == rhs.upstreamsLost))
+      return false;
     return true;
   }
   bool operator != (const HostStatus &rhs) const {
--- a/src/libgateway/host_registration.cpp
+++ b/src/libgateway/host_registration.cpp
@@ -88,7 +88,8 @@
       {store_keys::Hosts + m_state.m_settings.m_host.value(),
        encodeHostRecord({m_state.m_settings.m_peerListen,
                          m_state.m_settings.m_domain,
-                         m_state.m_settings.highBandwidth()}),
+                         m_state.m_settings.highBandwidth(),
+                         m_state.m_settings.m_forwardListen}),
        false, m_lease});
   m_store.commit(Registration, [this](const StoreReply<StoreCommit> &Reply) {
     m_callInFlight = false;
--- a/src/libgateway/peer_loads.cpp
+++ b/src/libgateway/peer_loads.cpp
@@ -71,6 +71,11 @@
     Upstream->m_reportAt = Now - Reported.m_reportAge;
     Upstream->m_reportIsLocal = false;
   }
+  if (Reported.m_answeredAge &&
+      Now - *Reported.m_answeredAge > Upstream->m_peerAnsweredAt) {
+    Upstream->m_peerAnsweredAt = Now - *Reported.m_answeredAge;
+    Upstream->m_answeredPeer = Host;
+  }
   if (Reported.m_hasRequestLimit)
     onRequestLimit(*Upstream, Reported.m_requestLimit,
                    Now - Reported.m_requestLimitAge, Host, false, Now);
--- a/src/libgateway/peer_state_exchange.cpp
+++ b/src/libgateway/peer_state_exchange.cpp
@@ -64,6 +64,10 @@
   Load.m_requestLimitAge =
       std::chrono::milliseconds(Entry.requestLimitAgeMillis);
   Load.m_hasReport = Entry.__isset.reportAgeMillis;
+  if (Load.m_hasReport)
+    Load.m_answeredAge = std::chrono::milliseconds(Entry.reportAgeMillis);
+  else if (Entry.__isset.answeredAgeMillis)
+    Load.m_answeredAge = std::chrono::milliseconds(Entry.answeredAgeMillis);
   if (!Load.m_hasReport)
     return Load;
   Load.m_report.m_running = static_cast<std::uint32_t>(Entry.running);
@@ -130,6 +134,10 @@
     m_lastCoordinatorMessage = Now;
   }
   m_state.m_registeredHosts = m_transport.peers() + 1;
+  m_state.m_forwardingPeers = m_transport.forwardingPeers(Now);
+  if (std::exchange(m_reportedPathsLost, m_state.m_registry.pathsLost()) !=
+      m_state.m_registry.pathsLost())
+    m_nextStatus = Now;
   if (!m_transport.hasKey())
     return;
   if (Now >= m_nextStatus) {
@@ -211,17 +219,21 @@
   Status.coordinatorEpoch = m_coordinator.epoch();
   if (!m_reachesStore)
     Status.__set_storeLost(true);
+  if (m_state.m_registry.pathsLost())
+    Status.__set_upstreamsLost(true);
   for (auto &[Id, Upstream] : m_state.m_registry.upstreams()) {
     // A report that came from a peer is not sent on: the peer sends it to all
     // hosts itself.
     bool SendReport =
         Upstream.m_reportIsLocal && Now - Upstream.m_reportAt < MaxReportAge;
+    bool AnsweredLately = Now - Upstream.m_answeredAt < MaxReportAge;
     const RequestLimit &Limit = Upstream.m_requestLimit;
     bool SendLimit =
         Limit.m_isLocal &&
         (Limit.m_rate || Now - Limit.m_changedAt < LimitEndAnnouncementTime);
     if (Upstream.m_outstanding == 0 && Upstream.m_waiting == 0 && !SendReport &&
-        Upstream.m_localRatioCount == 0 && !Limit.m_rate && !SendLimit)
+        Upstream.m_localRatioCount == 0 && !Limit.m_rate && !SendLimit &&
+        !AnsweredLately)
       continue;
     wire::UpstreamLoadEntry Entry;
     Entry.upstream = nameHash(Id.value()).value();
@@ -246,6 +258,9 @@
       Entry.__set_reportAgeMillis(static_cast<std::int32_t>(
           (Now - Upstream.m_reportAt).count() / 1000));
     }
+    if (!SendReport && AnsweredLately)
+      Entry.__set_answeredAgeMillis(static_cast<std::int32_t>(
+          (Now - Upstream.m_answeredAt).count() / 1000));
     if (SendLimit) {
       Entry.__set_requestLimit(Limit.m_rate.value_or(NoRequestLimit));
       Entry.__set_requestLimitAgeMillis(
@@ -444,6 +459,13 @@
   PeerLoad Load;
   for (const wire::UpstreamLoadEntry &Entry : Status.upstreams)
     Load.m_upstreams.push_back(fromWire(Entry));
+  std::optional<Instant> AnsweredAt;
+  for (const PeerUpstreamLoad &Reported : Load.m_upstreams)
+    if (Reported.m_answeredAge)
+      AnsweredAt = std::max(AnsweredAt.value_or(Instant()),
+                            Now - *Reported.m_answeredAge);
+  m_transport.setServesOthers(Sender, !Status.upstreamsLost && !Status.stopping,
+                              AnsweredAt);
   for (const wire::QueueLength &Queue : Status.queues)
     Load.m_waiting[NameHash(Queue.serviceHash)] =
         static_cast<std::uint32_t>(std::max(Queue.waiting, 0));
--- a/src/libgateway/peer_state_exchange.h
+++ b/src/libgateway/peer_state_exchange.h
@@ -126,6 +126,8 @@
   ReplyAllowance m_ownersReplies;
   ReplyAllowance m_storeUpdateReplies;
   bool m_reachesStore = true;
+  /// UpstreamRegistry::pathsLost() as of the last tick.
+  bool m_reportedPathsLost = false;
   Instant m_lastStoreUpdateRequest;
   /// The coordinator from which messages are expected.
   HostId m_monitoredCoordinator;
--- a/src/libgateway/peer_transport.cpp
+++ b/src/libgateway/peer_transport.cpp
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <ctime>
 #include <set>
@@ -50,6 +51,7 @@
 }
 
 constexpr std::string_view LowBandwidthMark = "narrow";
+constexpr std::string_view ForwardPrefix = "forward=";
 
 } // namespace
 
@@ -58,6 +60,9 @@
       toString(Record.m_peerEndpoint) + " " + Record.m_domain.value();
   if (!Record.m_highBandwidth)
     Text += " " + std::string(LowBandwidthMark);
+  if (!Record.m_forwardEndpoint.m_address.empty())
+    Text +=
+        " " + std::string(ForwardPrefix) + toString(Record.m_forwardEndpoint);
   return Text;
 }
 
@@ -65,13 +70,19 @@
   std::istringstream Words(Text);
   std::string PeerEndpoint;
   std::string Domain;
-  std::string Mark;
-  Words >> PeerEndpoint >> Domain >> Mark;
+  Words >> PeerEndpoint >> Domain;
   HostRecord Record;
   if (Domain.empty() || !parseEndpoint(PeerEndpoint, Record.m_peerEndpoint))
     return std::nullopt;
   Record.m_domain = DomainId(Domain);
-  Record.m_highBandwidth = Mark != LowBandwidthMark;
+  for (std::string Word; Words >> Word;) {
+    if (Word == LowBandwidthMark)
+      Record.m_highBandwidth = false;
+    else if (Word.starts_with(ForwardPrefix) &&
+             !parseEndpoint(Word.substr(ForwardPrefix.size()),
+                            Record.m_forwardEndpoint))
+      return std::nullopt;
+  }
   return Record;
 }
 
@@ -124,6 +135,26 @@
     PeerIt->second.m_reachesStore = Reaches;
 }
 
+void PeerTransport::setServesOthers(const HostId &Host, bool Serves,
+                                    std::optional<Instant> AnsweredAt) {
+  auto PeerIt = m_peers.find(Host);
+  if (PeerIt == m_peers.end())
+    return;
+  PeerIt->second.m_servesOthers = Serves;
+  if (AnsweredAt)
+    PeerIt->second.m_answeredAt =
+        std::max(PeerIt->second.m_answeredAt, *AnsweredAt);
+}
+
+std::vector<ForwardingPeer> PeerTransport::forwardingPeers(Instant Now) const {
+  std::vector<ForwardingPeer> Peers;
+  for (const auto &[Host, Peer] : m_peers)
+    if (!Peer.m_record.m_forwardEndpoint.m_address.empty() &&
+        Peer.m_servesOthers && Now - Peer.m_lastReceived < PeerTimeout)
+      Peers.push_back({Host, Peer.m_record, Peer.m_answeredAt});
+  return Peers;
+}
+
 void PeerTransport::sweep(Instant Now) {
   std::erase_if(m_peers, [Now](const auto &HostAndPeer) {
     return !HostAndPeer.second.m_listed &&
--- a/src/libgateway/peer_transport.h
+++ b/src/libgateway/peer_transport.h
@@ -22,6 +22,9 @@
   DomainId m_domain;
   /// The host's link can carry work on behalf of other hosts.
   bool m_highBandwidth = true;
+  /// Where the host takes requests that other hosts forward; the address is
+  /// empty if it takes none.
+  Endpoint m_forwardEndpoint;
 
   friend bool operator==(const HostRecord &, const HostRecord &) = default;
 };
@@ -32,6 +35,13 @@
 /// Returns nothing when \p Text cannot be decoded. Thread safety: safe.
 std::optional<HostRecord> decodeHostRecord(const std::string &Text);
 
+/// A host to which this one may forward requests.
+struct ForwardingPeer {
+  HostId m_host;
+  HostRecord m_record;
+  Instant m_answeredAt; ///< When an upstream has responded to it last.
+};
+
 /// Authenticated UDP datagrams between the hosts of one deployment.
 ///
 /// Each datagram carries a sequence number and a message authentication code
@@ -69,6 +79,13 @@
   /// Says whether the store responds to a host: this one, or a peer.
   void setReachesStore(bool Reaches) { m_reachesStore = Reaches; }
   void setReachesStore(const HostId &Host, bool Reaches);
+  /// Says whether a peer can serve requests that are forwarded to it, and, if
+  /// known, when an upstream has responded to it last.
+  void setServesOthers(const HostId &Host, bool Serves,
+                       std::optional<Instant> AnsweredAt);
+  /// The peers that take forwarded requests, can serve them, and have sent a
+  /// datagram within the last 700 ms.
+  std::vector<ForwardingPeer> forwardingPeers(Instant Now) const;
   /// Forgets peers that are unlisted and have sent nothing for 3 s.
   void sweep(Instant Now);
   std::size_t peers() const { return m_peers.size(); }
@@ -101,6 +118,8 @@
     std::int64_t m_lastSequence = 0;
     bool m_listed = true; ///< The store has a record of the host.
     bool m_reachesStore = true;
+    bool m_servesOthers = true;
+    Instant m_answeredAt;
     Instant m_lastReceived;
   };
 
--- a/src/libgateway/peer_transport_test.cpp
+++ b/src/libgateway/peer_transport_test.cpp
@@ -7,11 +7,14 @@
 BOOST_AUTO_TEST_SUITE(peer_transport)
 
 BOOST_AUTO_TEST_CASE(a_host_record_round_trips_through_its_encoding) {
-  for (bool HighBandwidth : {true, false}) {
-    HostRecord Record{{"10.1.0.18", 7200}, DomainId("a"), HighBandwidth};
-    BOOST_TEST((decodeHostRecord(encodeHostRecord(Record)) == Record));
-  }
-  for (const char *Malformed : {"", "10.1.0.18:7200", "nowhere a", " "})
+  for (bool HighBandwidth : {true, false})
+    for (const Endpoint &Forward : {Endpoint(), Endpoint{"10.1.0.18", 7201}}) {
+      HostRecord Record{
+          {"10.1.0.18", 7200}, DomainId("a"), HighBandwidth, Forward};
+      BOOST_TEST((decodeHostRecord(encodeHostRecord(Record)) == Record));
+    }
+  for (const char *Malformed :
+       {"", "10.1.0.18:7200", "nowhere a", " ", "10.1.0.18:7200 a forward=x"})
     BOOST_TEST(!decodeHostRecord(Malformed).has_value());
 }
 
--- /dev/null
+++ b/src/libgateway/request_forwarder.h
@@ -0,0 +1,89 @@
+#ifndef BURDOCKPULLEY_LIBGATEWAY_REQUEST_FORWARDER_H
+#define BURDOCKPULLEY_LIBGATEWAY_REQUEST_FORWARDER_H
+
+#include "connection_pools.h"
+#include "gateway_state.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace burdockpulley {
+
+/// How a host to which a request was forwarded has ended it.
+enum class ForwardOutcome {
+  Answered,  ///< The response is that of an upstream.
+  NotRun,    ///< Refused; no upstream has run it.
+  NotServed, ///< The same, because that host has no upstream for it.
+  Unknown,   ///< An upstream may have run it.
+};
+
+/// Returns the name of an outcome for logs. Thread safety: safe.
+const char *toString(ForwardOutcome Outcome);
+
+/// What a host that forwards a request has decided about it.
+struct ForwardedRequest {
+  ServiceId m_service;             ///< The route's target that was chosen.
+  std::uint32_t m_maxAttempts = 1; ///< Upstreams that may still be tried.
+};
+
+/// Adds to a request what a host that serves it for another one has to know.
+/// Thread safety: safe.
+void addForwardHeaders(HttpRequest &Request, const ForwardedRequest &Forwarded);
+/// Returns nothing when the headers are missing or malformed.
+/// Thread safety: safe.
+std::optional<ForwardedRequest> readForwardHeaders(const HttpRequest &Request);
+/// Adds to a response how its request has ended, as RequestRelay logs it.
+/// Thread safety: safe.
+void addOutcomeHeaders(HttpResponse &Response, std::string_view Outcome,
+                       std::string_view Reason);
+/// Reads what addOutcomeHeaders() has added. A response without it was refused
+/// before an upstream was chosen. Thread safety: safe.
+ForwardOutcome readOutcome(const HttpResponse &Response);
+/// True for headers that only hosts send to each other. Thread safety: safe.
+bool isForwardHeader(std::string_view Name);
+
+/// Reason of a refusal for which no upstream could be used.
+inline constexpr const char *NoUpstreamReason = "no-upstream";
+
+/// Sends requests to other hosts, which serve them in place of this one when it
+/// has no path to the upstreams.
+/// Thread safety: none; it belongs to the loop's thread.
+class RequestForwarder {
+public:
+  /// Precondition: \p State outlives the object.
+  explicit RequestForwarder(GatewayState &State);
+
+  /// Chooses a host: \p Preferred if it can serve requests, else the one with
+  /// the fewest requests of this host, with preference for hosts of this
+  /// failure domain and for wide links. Null if there is none but those in \p
+  /// Tried.
+  const ForwardingPeer *choose(const std::optional<HostId> &Preferred,
+                               const std::set<HostId> &Tried,
+                               Instant Now) const;
+
+  /// Sends a request to a host. See ChannelPool::call().
+  ChannelCallId call(const ForwardingPeer &Peer, const HttpRequest &Request,
+                     const std::string &RequestId, Duration Timeout,
+                     ChannelPool::Callback Done);
+  /// Cancels a call; its callback does not run.
+  void cancel(const HostId &Host, ChannelCallId Call);
+
+  /// Closes idle connections. Call it a few times a second.
+  void sweep(Instant Now);
+
+private:
+  struct Load {
+    std::size_t m_inFlight = 0;
+    Instant m_failedUntil; ///< A request has failed; it is not chosen.
+  };
+
+  GatewayState &m_state;
+  ConnectionPools<HostId> m_connections;
+  std::map<HostId, Load> m_loads;
+};
+
+} // namespace burdockpulley
+
+#endif
--- /dev/null
+++ b/src/libgateway/request_forwarder_test.cpp
@@ -0,0 +1,110 @@
+#include "request_forwarder.h"
+
+#include "burdockpulley/upstream_reachability.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace burdockpulley;
+
+namespace {
+
+Instant at(double Seconds) {
+  return Instant(Duration(static_cast<std::int64_t>((1000 + Seconds) * 1e6)));
+}
+
+/// Upstreams u0, u1 and so on, in turn in the failure domains.
+UpstreamRegistry registry(int Upstreams, int Domains) {
+  UpstreamRegistry Registry;
+  for (int Number = 0; Number < Upstreams; ++Number) {
+    UpstreamRecord Record;
+    Record.m_id = UpstreamId("u" + std::to_string(Number));
+    Record.m_domain = DomainId("d" + std::to_string(Number % Domains));
+    Record.m_sequence = 1;
+    Registry.onRecord(Record, at(0));
+  }
+  return Registry;
+}
+
+UpstreamId id(int Number) { return UpstreamId("u" + std::to_string(Number)); }
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(failures_in_one_failure_domain_are_no_loss_of_all_paths) {
+  UpstreamRegistry Registry = registry(9, 3);
+  UpstreamReachability Reachability;
+  for (int Number : {0, 3, 6})
+    Reachability.onFailure(id(Number), at(1));
+  BOOST_TEST(!Reachability.lost(Registry));
+  Reachability.onFailure(id(1), at(1.1));
+  BOOST_TEST(Reachability.lost(Registry));
+  Reachability.onResponse();
+  BOOST_TEST(!Reachability.lost(Registry));
+}
+
+BOOST_AUTO_TEST_CASE(a_single_upstream_that_fails_is_no_loss_of_all_paths) {
+  UpstreamReachability Reachability;
+  Reachability.onFailure(id(0), at(1));
+  BOOST_TEST(!Reachability.lost(registry(1, 1)));
+  BOOST_TEST(!Reachability.lost(registry(2, 1)));
+  Reachability.onFailure(id(1), at(1));
+  BOOST_TEST(Reachability.lost(registry(2, 1)));
+}
+
+BOOST_AUTO_TEST_CASE(silence_and_failures_call_for_probes) {
+  UpstreamReachability Reachability;
+  BOOST_TEST(!Reachability.wantsProbes(at(9)));
+  Reachability.onSent(at(1));
+  BOOST_TEST(!Reachability.wantsProbes(at(1.2)));
+  BOOST_TEST(Reachability.wantsProbes(at(2)));
+  Reachability.onResponse();
+  BOOST_TEST(!Reachability.wantsProbes(at(2)));
+  Reachability.onFailure(id(0), at(2));
+  BOOST_TEST(!Reachability.wantsProbes(at(2)));
+  BOOST_TEST(Reachability.wantsProbes(at(2.1)));
+}
+
+// A heartbeat shows that an upstream reaches the store, not that this host
+// reaches the upstream.
+BOOST_AUTO_TEST_CASE(heartbeats_make_no_upstream_usable_while_paths_are_lost) {
+  UpstreamRegistry Registry = registry(2, 2);
+  UpstreamState &Upstream = *Registry.find(id(0));
+  Registry.setPathsLost(true, at(1));
+  BOOST_TEST(!Registry.usable(Upstream));
+  Registry.onRenewed(Upstream, at(2));
+  Registry.sweep(at(9));
+  BOOST_TEST(!Registry.usable(Upstream));
+  Registry.setPathsLost(false, at(10));
+  BOOST_TEST(Registry.usable(Upstream));
+  BOOST_TEST(!Upstream.cold(at(10)));
+}
+
+BOOST_AUTO_TEST_CASE(forwarded_requests_carry_their_target_and_attempts) {
+  HttpRequest Request;
+  BOOST_TEST(!readForwardHeaders(Request).has_value());
+  addForwardHeaders(Request, {ServiceId("fee"), 2});
+  auto Forwarded = readForwardHeaders(Request);
+  BOOST_REQUIRE(Forwarded.has_value());
+  BOOST_TEST(Forwarded->m_service.value() == "fee");
+  BOOST_TEST(Forwarded->m_maxAttempts == 2u);
+  for (const HttpHeader &Header : Request.m_headers)
+    BOOST_TEST(isForwardHeader(Header.m_name));
+  Request.m_headers[1].m_value = "0";
+  BOOST_TEST(!readForwardHeaders(Request).has_value());
+  Request.m_headers[1].m_value = "2x";
+  BOOST_TEST(!readForwardHeaders(Request).has_value());
+  BOOST_TEST(!isForwardHeader("Server-Load"));
+}
+
+BOOST_AUTO_TEST_CASE(a_forwarded_request_ends_as_the_serving_host_says) {
+  auto Read = [](const char *Outcome, const char *Reason) {
+    HttpResponse Response;
+    addOutcomeHeaders(Response, Outcome, Reason);
+    return readOutcome(Response);
+  };
+  BOOST_TEST((Read("answered", "") == ForwardOutcome::Answered));
+  BOOST_TEST((Read("unknown", "timed-out") == ForwardOutcome::Unknown));
+  BOOST_TEST((Read("not-run", "deadline-near") == ForwardOutcome::NotRun));
+  BOOST_TEST((Read("not-run", NoUpstreamReason) == ForwardOutcome::NotServed));
+  BOOST_TEST(
+      (readOutcome(HttpResponse{404, {}, ""}) == ForwardOutcome::NotServed));
+}
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -38,7 +38,8 @@
 constexpr Duration MaxOwnerWait{500'000};
 /// An owner that is leaving serves its keys for this share of the drain time.
 constexpr double OwnerDrainShare = 0.3;
-
+/// Hosts to which a request may be forwarded, one after the other.
+constexpr std::size_t MaxForwards = 2;
 template <class Number> bool parseNumber(std::string_view Text, Number &Value) {
   auto [End, Error] =
       std::from_chars(Text.data(), Text.data() + Text.size(), Value);
@@ -72,36 +73,66 @@
 } // namespace
 
 RequestRelay::RequestRelay(GatewayState &State)
-    : m_state(State), m_connections(State), m_random(std::random_device()()) {}
+    : m_state(State), m_connections(State.m_base, State.requestPoolSettings()),
+      m_forwarder(State), m_random(std::random_device()()) {}
 
 void RequestRelay::onRequest(std::shared_ptr<Exchange> CallerExchange,
                              Instant Now) {
-  std::unique_ptr<PendingRequest> NewRequest =
-      makePendingRequest(CallerExchange, Now);
+  auto NewRequest = makePendingRequest(CallerExchange, std::nullopt, Now);
   if (!NewRequest)
     return;
+  if (NewRequest->m_key)
+    ++m_keyRequestCounts
+          .m_counts[NewRequest->m_service->m_name][NewRequest->m_key->value()];
+  retryBudget(NewRequest->m_service->m_name).onRequest(Now);
+  accept(std::move(NewRequest), Now);
+}
+
+void RequestRelay::onForwardedRequest(std::shared_ptr<Exchange> PeerExchange,
+                                      Instant Now) {
+  auto Forwarded = readForwardHeaders(PeerExchange->request());
+  if (!Forwarded)
+    return PeerExchange->answer(localResponse(LocalStatus::BadRequest));
+  // The forwarding host counts the request for the placement of keys and for
+  // the retry budget.
+  auto NewRequest = makePendingRequest(PeerExchange, std::move(Forwarded), Now);
+  if (NewRequest)
+    accept(std::move(NewRequest), Now);
+}
+
+void RequestRelay::accept(std::unique_ptr<PendingRequest> NewRequest,
+                          Instant Now) {
   PendingRequest &Pending = *NewRequest;
   m_pending[Pending.m_number] = std::move(NewRequest);
-  CallerExchange->onCallerGone(
+  Pending.m_exchange->onCallerGone(
       [this, Number = Pending.m_number] { onCallerGone(Number); });
-  if (Pending.m_key)
-    ++m_keyRequestCounts
-          .m_counts[Pending.m_service->m_name][Pending.m_key->value()];
-  retryBudget(Pending.m_service->m_name).onRequest(Now);
   if (m_suspects.blocked(Pending.m_fingerprint, Now))
     return refuse(Pending, "crashes-upstreams", {}, Now);
   if (!tryDispatch(Pending, Now))
     enqueue(Pending, Now);
 }
 
+const RouteTarget *RequestRelay::chooseTarget(const PendingRequest &Pending) {
+  if (!Pending.m_forwarded)
+    return &m_splitter.next(*Pending.m_route);
+  const auto &Targets = Pending.m_route->m_targets;
+  auto Target =
+      std::find_if(Targets.begin(), Targets.end(), [&](const auto &Each) {
+        return Each.m_service == Pending.m_forwarded->m_service;
+      });
+  return Target == Targets.end() ? nullptr : &*Target;
+}
+
 std::unique_ptr<RequestRelay::PendingRequest> RequestRelay::makePendingRequest(
-    const std::shared_ptr<Exchange> &CallerExchange, Instant Now) {
+    const std::shared_ptr<Exchange> &CallerExchange,
+    std::optional<ForwardedRequest> Forwarded, Instant Now) {
   const HttpRequest &Request = CallerExchange->request();
   const HeaderNames &Names = m_state.m_codec.headers();
   auto Pending = std::make_unique<PendingRequest>();
   Pending->m_number = RequestNumber(++m_nextNumber);
   Pending->m_exchange = CallerExchange;
   Pending->m_requestId = Request.header(Names.m_requestId);
+  Pending->m_forwarded = std::move(Forwarded);
   Pending->m_arrived = Now;
   Pending->m_configuration = m_state.m_routes.current();
   auto Reject = [&](LocalStatus Status, const char *Reason,
@@ -127,8 +158,10 @@
       m_state.m_routes.find(Request.header("Host"), Request.m_target);
   if (!Pending->m_route || Pending->m_route->m_targets.empty())
     return Reject(LocalStatus::NotFound, "no-route", {});
-  const RouteTarget &Target = m_splitter.next(*Pending->m_route);
-  auto Service = Pending->m_configuration->m_services.find(Target.m_service);
+  const RouteTarget *Target = chooseTarget(*Pending);
+  if (!Target) // The configurations of the two hosts differ.
+    return Reject(LocalStatus::Unavailable, "no-service", DefaultRetryAfter);
+  auto Service = Pending->m_configuration->m_services.find(Target->m_service);
   if (Service == Pending->m_configuration->m_services.end())
     return Reject(LocalStatus::Unavailable, "no-service", DefaultRetryAfter);
   Pending->m_service = &Service->second;
@@ -227,6 +260,38 @@
   return {Upstream, false};
 }
 
+const ForwardingPeer *
+RequestRelay::chooseForwardingPeer(const PendingRequest &Pending,
+                                   Instant Now) const {
+  if (Pending.m_forwarded || Pending.m_forwardHosts.size() >= MaxForwards ||
+      Pending.m_attempts >= maxAttempts(Pending))
+    return nullptr;
+  if (m_state.m_registry.pathsLost())
+    return m_forwarder.choose(std::nullopt, Pending.m_forwardHosts, Now);
+  // Another host has reached an upstream since this one found it unreachable.
+  auto ReachedByPeer = [](const UpstreamState &Upstream) {
+    return Upstream.m_unreachable && !Upstream.leaving() &&
+           Upstream.m_peerAnsweredAt > Upstream.m_unreachableSince;
+  };
+  std::vector<const UpstreamState *> Upstreams;
+  if (Pending.m_key) {
+    const UpstreamState *Owner = m_state.m_registry.find(
+        m_state.m_owners.owner(Pending.m_service->m_name, *Pending.m_key));
+    if (Owner)
+      Upstreams.push_back(Owner);
+  } else {
+    for (const UpstreamState *Upstream :
+         m_state.m_registry.ofService(Pending.m_service->m_name))
+      Upstreams.push_back(Upstream);
+  }
+  for (const UpstreamState *Upstream : Upstreams)
+    if (ReachedByPeer(*Upstream) &&
+        !m_state.m_registry.domainOut(Upstream->m_record.m_domain))
+      return m_forwarder.choose(Upstream->m_answeredPeer,
+                                Pending.m_forwardHosts, Now);
+  return nullptr;
+}
+
 UpstreamState *RequestRelay::chooseUpstream(const PendingRequest &Pending,
                                             bool &CanWait, Instant Now) {
   if (Pending.m_key) {
@@ -279,14 +344,17 @@
     return false;
   bool CanWait = false;
   UpstreamState *Upstream = chooseUpstream(Pending, CanWait, Now);
-  if (!Upstream && !CanWait) {
-    refuse(Pending, "no-upstream",
+  const ForwardingPeer *Peer = nullptr;
+  if (!Upstream && !CanWait)
+    Peer = chooseForwardingPeer(Pending, Now);
+  if (!Upstream && !CanWait && !Peer) {
+    refuse(Pending, NoUpstreamReason,
            Pending.m_key ? LostOwnerRetryAfter
                          : refusalRetryAfter(Pending, Now),
            Now);
     return true;
   }
-  if (!Upstream)
+  if (!Upstream && !Peer)
     return false;
   if (Pending.m_usesRetryBudget &&
       !retryBudget(Pending.m_service->m_name).take(m_state.hosts(), Now)) {
@@ -296,7 +364,10 @@
       refuse(Pending, "retry-budget", refusalRetryAfter(Pending, Now), Now);
     return true;
   }
-  send(Pending, *Upstream, Now);
+  if (Peer)
+    forward(Pending, *Peer, Now);
+  else
+    send(Pending, *Upstream, Now);
   return true;
 }
 
@@ -436,23 +507,88 @@
   if (Upstream.m_requestLimit.m_rate)
     m_requestLimiters[Upstream.m_record.m_id].take();
   ++Upstream.m_sent;
+  m_state.m_reachability.onSent(Now);
   Pending.m_upstream = Upstream.m_record.m_id;
   Pending.m_triedUpstreams.insert(Upstream.m_record.m_id);
   Pending.m_attemptInFlight = true;
   ++Upstream.m_outstanding;
-  HttpRequest Request = encodeRequest(Pending, Upstream, Now);
+  HttpRequest Request = encodeRequest(Pending, Now);
+  Request.m_headers.push_back({m_state.m_codec.headers().m_expectedUpstream,
+                               Upstream.m_record.m_id.value()});
   auto Reuse = Pending.m_route->m_idempotent ? ChannelPool::Reuse::Any
                                              : ChannelPool::Reuse::RecentlyUsed;
   Duration Remaining = std::max(Duration(1000), Pending.m_deadline - Now);
-  Pending.m_call = m_connections.pool(Upstream).call(
-      Request, Pending.m_requestId, Remaining, Reuse,
+  Pending.m_call =
+      m_connections.pool(Upstream.m_record.m_id, Upstream.m_record.m_address)
+          .call(Request, Pending.m_requestId, Remaining, Reuse,
+                [this, Number = Pending.m_number](ChannelResult &&Result) {
+                  onResult(Number, std::move(Result));
+                });
+}
+
+void RequestRelay::forward(PendingRequest &Pending, const ForwardingPeer &Peer,
+                           Instant Now) {
+  removeFromQueue(Pending);
+  Pending.m_forwardedTo = Peer.m_host;
+  Pending.m_forwardHosts.insert(Peer.m_host);
+  HttpRequest Request = encodeRequest(Pending, Now);
+  addForwardHeaders(Request, {Pending.m_service->m_name,
+                              maxAttempts(Pending) - Pending.m_attempts});
+  Duration Remaining = std::max(Duration(1000), Pending.m_deadline - Now);
+  Pending.m_call = m_forwarder.call(
+      Peer, Request, Pending.m_requestId, Remaining,
       [this, Number = Pending.m_number](ChannelResult &&Result) {
-        onResult(Number, std::move(Result));
+        onForwardResult(Number, std::move(Result));
       });
 }
 
+void RequestRelay::onForwardResult(RequestNumber Number,
+                                   ChannelResult &&Result) {
+  auto It = m_pending.find(Number);
+  if (It == m_pending.end())
+    return;
+  PendingRequest &Pending = *It->second;
+  Instant Now = bootClockNow();
+  HostId Peer = *std::exchange(Pending.m_forwardedTo, std::nullopt);
+  ForwardOutcome Outcome = ForwardOutcome::Unknown;
+  if (Result.m_error == ChannelError::None)
+    Outcome = readOutcome(Result.m_response);
+  else if (Result.m_error == ChannelError::ConnectFailed)
+    Outcome = ForwardOutcome::NotServed;
+  logEvent(Severity::Info, "forward_ended",
+           {{"request", Pending.m_requestId},
+            {"host", Peer.value()},
+            {"outcome", toString(Outcome)},
+            {"error", toString(Result.m_error)},
+            {"status", Result.m_response.m_status},
+            {"spent_ms", millis(Result.m_spent)}});
+  m_state.m_metrics.onAttempt(Pending.m_service->m_name, "forwarded");
+  if (Outcome == ForwardOutcome::Answered)
+    return deliver(Pending, std::move(Result.m_response), Now);
+  if (Outcome == ForwardOutcome::NotRun && !Pending.m_mayHaveRun)
+    return deliverLocal(Pending, std::move(Result.m_response), "not-run", Now);
+  if (Outcome == ForwardOutcome::Unknown &&
+      Result.m_error == ChannelError::None)
+    return deliverLocal(Pending, std::move(Result.m_response), "unknown", Now);
+  if (Outcome == ForwardOutcome::NotServed)
+    return retry(Pending, {}, Now);
+  ++Pending.m_attempts;
+  AttemptOutcome Attempt = AttemptOutcome::Unknown;
+  if (Outcome == ForwardOutcome::NotRun)
+    Attempt = AttemptOutcome::NotRun;
+  else if (Result.m_error == ChannelError::TimedOut)
+    Attempt = AttemptOutcome::TimedOut;
+  applyNextAction(Pending, Attempt, {}, Now);
+}
+
+std::uint32_t RequestRelay::maxAttempts(const PendingRequest &Pending) const {
+  std::uint32_t Most = std::min(Pending.m_route->m_maxAttempts, MaxAttempts);
+  return Pending.m_forwarded
+             ? std::min(Most, Pending.m_forwarded->m_maxAttempts)
+             : Most;
+}
+
 HttpRequest RequestRelay::encodeRequest(const PendingRequest &Pending,
-                                        const UpstreamState &Upstream,
                                         Instant Now) const {
   const HeaderNames &Names = m_state.m_codec.headers();
   const HttpRequest &CallerRequest = Pending.m_exchange->request();
@@ -463,7 +599,8 @@
   std::string_view Connection = CallerRequest.header("Connection");
   for (const HttpHeader &Header : CallerRequest.m_headers) {
     bool Replaced = sameHeaderName(Header.m_name, Names.m_deadline) ||
-                    sameHeaderName(Header.m_name, Names.m_expectedUpstream);
+                    sameHeaderName(Header.m_name, Names.m_expectedUpstream) ||
+                    isForwardHeader(Header.m_name);
     bool AlwaysForwarded = sameHeaderName(Header.m_name, Names.m_requestId) ||
                            sameHeaderName(Header.m_name, Names.m_shardKey) ||
                            sameHeaderName(Header.m_name, "Host");
@@ -476,8 +613,6 @@
       std::max<std::int64_t>(1, millis(Pending.m_deadline - Now));
   UpstreamRequest.m_headers.push_back(
       {Names.m_deadline, std::to_string(RemainingMillis)});
-  UpstreamRequest.m_headers.push_back(
-      {Names.m_expectedUpstream, Upstream.m_record.m_id.value()});
   return UpstreamRequest;
 }
 
@@ -519,6 +654,9 @@
   if (!Upstream)
     return;
   Upstream->m_outstanding -= std::min(Upstream->m_outstanding, 1U);
+  if (Result.m_error == ChannelError::ConnectFailed ||
+      Result.m_error == ChannelError::Interrupted)
+    m_state.m_reachability.onFailure(Pending.m_upstream, Now);
   if (Outcome == AttemptOutcome::Answered) {
     double Slowness = slownessFactor(*Upstream, Now);
     observeServiceTime(*Upstream, Result.m_spent, Pending.m_workTime, Now);
@@ -529,7 +667,11 @@
              Outcome == AttemptOutcome::NotRun) {
     observeFailure(*Upstream, Now);
   }
+  if (Result.m_error == ChannelError::None ||
+      Result.m_error == ChannelError::BadAnswer)
+    m_state.m_reachability.onResponse();
   if (Result.m_error == ChannelError::None) {
+    Upstream->m_answeredAt = Now;
     auto Report = m_state.m_codec.decodeLoad(
         Result.m_response.header(m_state.m_codec.headers().m_load));
     if (Report) {
@@ -599,10 +741,26 @@
   recordResult(Pending, Result, Outcome, Now);
   if (Outcome != AttemptOutcome::NotSent)
     ++Pending.m_attempts;
+  updateReachability(Now);
   applyNextAction(Pending, Outcome, std::move(Result.m_response), Now);
   dispatchWaiting(Now);
 }
 
+void RequestRelay::updateReachability(Instant Now) {
+  bool Lost = m_state.m_reachability.lost(m_state.m_registry);
+  if (Lost == m_state.m_registry.pathsLost())
+    return;
+  m_state.m_registry.setPathsLost(Lost, Now);
+  m_state.m_pathsChangedAt = Now;
+  m_state.m_metrics.setPathsLost(Lost);
+  logEvent(Severity::Warning, Lost ? "upstreams_lost" : "upstreams_regained",
+           {{"forwarding_hosts", m_state.m_forwardingPeers.size()}});
+  if (!Lost)
+    return;
+  // Idle connections may be dead without a sign; later ones are not.
+  m_connections.closeIdle();
+}
+
 void RequestRelay::applyNextAction(PendingRequest &Pending,
                                    AttemptOutcome Outcome,
                                    HttpResponse &&Response, Instant Now) {
@@ -612,7 +770,7 @@
   Facts.m_keyed = Pending.m_key.has_value();
   Facts.m_mayHaveRun = Pending.m_mayHaveRun;
   Facts.m_sent = Pending.m_attempts;
-  Facts.m_maxAttempts = std::min(Pending.m_route->m_maxAttempts, MaxAttempts);
+  Facts.m_maxAttempts = maxAttempts(Pending);
   Facts.m_left = Pending.m_deadline - Now;
   Facts.m_workTime = Pending.m_workTime;
   for (const UpstreamState *Upstream :
@@ -620,6 +778,7 @@
     Facts.m_otherUpstream |=
         m_state.m_registry.usable(*Upstream) &&
         !Pending.m_triedUpstreams.count(Upstream->m_record.m_id);
+  Facts.m_otherUpstream |= chooseForwardingPeer(Pending, Now) != nullptr;
   bool MayHaveRun = Outcome == AttemptOutcome::Unknown ||
                     Outcome == AttemptOutcome::TimedOut ||
                     Outcome == AttemptOutcome::ServerError;
@@ -667,11 +826,12 @@
   Instant Now = bootClockNow();
   if (Pending.m_attemptInFlight) {
     UpstreamState *Upstream = m_state.m_registry.find(Pending.m_upstream);
-    if (Upstream) {
-      m_connections.pool(*Upstream).cancel(Pending.m_call);
+    m_connections.cancel(Pending.m_upstream, Pending.m_call);
+    if (Upstream)
       Upstream->m_outstanding -= std::min(Upstream->m_outstanding, 1U);
-    }
   }
+  if (Pending.m_forwardedTo)
+    m_forwarder.cancel(*Pending.m_forwardedTo, Pending.m_call);
   removeFromQueue(Pending);
   logEvent(Severity::Info, "caller_left",
            {{"request", Pending.m_requestId},
@@ -687,11 +847,20 @@
                            Instant Now) {
   const HeaderNames &Names = m_state.m_codec.headers();
   std::erase_if(Response.m_headers, [&Names](const HttpHeader &Header) {
-    return isHopByHopHeader(Header.m_name) ||
+    return isHopByHopHeader(Header.m_name) || isForwardHeader(Header.m_name) ||
            sameHeaderName(Header.m_name, Names.m_load) ||
            sameHeaderName(Header.m_name, Names.m_upstreamName);
   });
-  finish(Pending, Response, "answered", "", Now);
+  finish(Pending, std::move(Response), "answered", "", Now);
+}
+
+void RequestRelay::deliverLocal(PendingRequest &Pending,
+                                HttpResponse &&Response, const char *Outcome,
+                                Instant Now) {
+  std::erase_if(Response.m_headers, [](const HttpHeader &Header) {
+    return isHopByHopHeader(Header.m_name) || isForwardHeader(Header.m_name);
+  });
+  finish(Pending, std::move(Response), Outcome, "forwarded", Now);
 }
 
 void RequestRelay::refuse(PendingRequest &Pending, const char *Reason,
@@ -708,7 +877,7 @@
   finish(Pending, localResponse(Status), "unknown", toString(Outcome), Now);
 }
 
-void RequestRelay::finish(PendingRequest &Pending, const HttpResponse &Response,
+void RequestRelay::finish(PendingRequest &Pending, HttpResponse &&Response,
                           const char *Outcome, const char *Reason,
                           Instant Now) {
   removeFromQueue(Pending);
@@ -725,25 +894,28 @@
             {"attempts", Pending.m_attempts},
             {"spent_ms", millis(Spent)},
             {"left_ms", millis(Pending.m_deadline - Now)},
+            {"forwarded", Pending.m_forwarded.has_value()},
             {"revision", Pending.m_configuration->m_revision.value()}});
-  m_state.m_metrics.onRequestEnded(Pending.m_route->m_name, Outcome, Spent);
+  if (Pending.m_forwarded)
+    addOutcomeHeaders(Response, Outcome, Reason);
+  else
+    m_state.m_metrics.onRequestEnded(Pending.m_route->m_name, Outcome, Spent);
   std::shared_ptr<Exchange> CallerExchange = Pending.m_exchange;
-  bool LacksRequestId =
-      Response.header(m_state.m_codec.headers().m_requestId).empty();
+  const std::string &IdHeader = m_state.m_codec.headers().m_requestId;
+  std::string_view RequestId = CallerExchange->request().header(IdHeader);
+  if (Response.header(IdHeader).empty() && !RequestId.empty())
+    Response.m_headers.push_back({IdHeader, std::string(RequestId)});
   m_pending.erase(Pending.m_number);
-  if (!LacksRequestId)
-    return CallerExchange->answer(Response);
-  HttpResponse ResponseWithId = Response;
-  std::string_view RequestId =
-      CallerExchange->request().header(m_state.m_codec.headers().m_requestId);
-  if (!RequestId.empty())
-    ResponseWithId.m_headers.push_back(
-        {m_state.m_codec.headers().m_requestId, std::string(RequestId)});
-  CallerExchange->answer(ResponseWithId);
+  CallerExchange->answer(Response);
 }
 
 void RequestRelay::sweep(Instant Now) {
-  m_connections.sweep(Now);
+  m_connections.sweep(
+      [this](const UpstreamId &Id) {
+        return m_state.m_registry.find(Id) != nullptr;
+      },
+      Now);
+  m_forwarder.sweep(Now);
   m_suspects.sweep(Now);
   auto IsUnregistered = [this](const auto &Entry) {
     return !m_state.m_registry.find(Entry.first);
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -10,7 +10,7 @@
 #include "burdockpulley/upstream_selection.h"
 #include "burdockpulley/wait_queue.h"
 #include "gateway_state.h"
-#include "upstream_connections.h"
+#include "request_forwarder.h"
 
 #include <functional>
 #include <optional>
@@ -31,6 +31,14 @@
   /// Accepts a request from a caller.
   void onRequest(std::shared_ptr<Exchange> CallerExchange, Instant Now);
 
+  /// Accepts a request that another host forwards because it has no path to the
+  /// upstreams. It is served like a caller's, but not forwarded again.
+  void onForwardedRequest(std::shared_ptr<Exchange> PeerExchange, Instant Now);
+
+  /// Finds out whether this host has lost its paths to all upstreams. Call it
+  /// many times a second.
+  void updateReachability(Instant Now);
+
   /// Sends waiting requests for which an upstream has a free slot, and refuses
   /// those that can no longer be served. Call it whenever upstreams, owners or
   /// their loads have changed, and many times a second.
@@ -84,7 +92,13 @@
     Instant m_deadline;
     Duration m_workTime{}; ///< Expected at an upstream of usual speed.
 
+    /// Set if another host has forwarded the request to this one.
+    std::optional<ForwardedRequest> m_forwarded;
+
     UpstreamId m_upstream; ///< Of the current or the last attempt.
+    /// Host to which the current attempt was forwarded, if it was.
+    std::optional<HostId> m_forwardedTo;
+    std::set<HostId> m_forwardHosts; ///< All to which it was forwarded.
     bool m_attemptInFlight = false;
     std::optional<QueueKey> m_queue; ///< Empty if it does not wait.
     ChannelCallId m_call;
@@ -99,7 +113,12 @@
   /// be relayed.
   std::unique_ptr<PendingRequest>
   makePendingRequest(const std::shared_ptr<Exchange> &CallerExchange,
-                     Instant Now);
+                     std::optional<ForwardedRequest> Forwarded, Instant Now);
+  /// Sends a new request, or queues it.
+  void accept(std::unique_ptr<PendingRequest> NewRequest, Instant Now);
+  /// The target that the forwarding host or the route's weights choose; null if
+  /// the route has no such target.
+  const RouteTarget *chooseTarget(const PendingRequest &Pending);
   /// Returns false if the deadline header is malformed; it may be missing.
   bool readDeadline(PendingRequest &Pending, Instant Now);
   /// Returns false if the shard key header is malformed or missing.
@@ -115,6 +134,10 @@
     UpstreamState *m_upstream = nullptr; ///< Null if it may not be used.
     bool m_unreachable = false;
   };
+  /// The host to which to forward a request for which this host has no usable
+  /// upstream; null if there is none that reaches one.
+  const ForwardingPeer *chooseForwardingPeer(const PendingRequest &Pending,
+                                             Instant Now) const;
   /// Precondition: the request has a key.
   OwnerLookup findOwner(const PendingRequest &Pending, Instant Now);
   /// True if the upstream is not cold, or if this host may send it one more
@@ -127,8 +150,15 @@
   /// Queues a request, or refuses it if it would not be served in time.
   void enqueue(PendingRequest &Pending, Instant Now);
   void send(PendingRequest &Pending, UpstreamState &Upstream, Instant Now);
-  HttpRequest encodeRequest(const PendingRequest &Pending,
-                            const UpstreamState &Upstream, Instant Now) const;
+  /// Sends a request to a host that serves it in place of this one.
+  void forward(PendingRequest &Pending, const ForwardingPeer &Peer,
+               Instant Now);
+  void onForwardResult(RequestNumber Number, ChannelResult &&Result);
+  /// The caller's request without headers that are not passed on, and with the
+  /// time that is left.
+  HttpRequest encodeRequest(const PendingRequest &Pending, Instant Now) const;
+  /// Upstreams that the request may be sent to, at most.
+  std::uint32_t maxAttempts(const PendingRequest &Pending) const;
   void onResult(RequestNumber Number, ChannelResult &&Result);
   AttemptOutcome classify(const PendingRequest &Pending,
                           const ChannelResult &Result) const;
@@ -146,12 +176,15 @@
   void retry(PendingRequest &Pending, Duration Pause, Instant Now);
   void onCallerGone(RequestNumber Number);
   void deliver(PendingRequest &Pending, HttpResponse &&Response, Instant Now);
+  /// Passes on a response that another host has generated itself.
+  void deliverLocal(PendingRequest &Pending, HttpResponse &&Response,
+                    const char *Outcome, Instant Now);
   void refuse(PendingRequest &Pending, const char *Reason, Duration RetryAfter,
               Instant Now);
   void reportUnknown(PendingRequest &Pending, AttemptOutcome Outcome,
                      Instant Now);
   /// Sends the final response, logs and counts it, and removes the request.
-  void finish(PendingRequest &Pending, const HttpResponse &Response,
+  void finish(PendingRequest &Pending, HttpResponse &&Response,
               const char *Outcome, const char *Reason, Instant Now);
   void removeFromQueue(PendingRequest &Pending);
   void updateWaitingCount(const UpstreamId &Owner);
@@ -162,7 +195,8 @@
   Duration refusalRetryAfter(const PendingRequest &Pending, Instant Now) const;
 
   GatewayState &m_state;
-  UpstreamConnections m_connections;
+  ConnectionPools<UpstreamId> m_connections;
+  RequestForwarder m_forwarder;
   TrafficSplitter m_splitter;
   ServiceTimes m_serviceTimes;
   CrashSuspects m_suspects;
--- a/src/libgateway/upstream_registry.cpp
+++ b/src/libgateway/upstream_registry.cpp
@@ -73,10 +73,19 @@
 }
 
 void UpstreamRegistry::onRenewed(UpstreamState &Upstream, Instant Now) const {
-  if (Now > Upstream.m_unreachableSince)
+  if (Now > Upstream.m_unreachableSince && !m_pathsLost)
     Upstream.m_unreachable = false;
 }
 
+void UpstreamRegistry::setPathsLost(bool Lost, Instant Now) {
+  m_pathsLost = Lost;
+  for (auto &[Id, Upstream] : m_upstreams) {
+    Upstream.m_unreachable = Lost;
+    if (Lost)
+      Upstream.m_unreachableSince = Now;
+  }
+}
+
 UpstreamState *UpstreamRegistry::onRemoved(const UpstreamId &Id, Instant Now) {
   UpstreamState *Upstream = find(Id);
   if (!Upstream || !Upstream->m_registered)
@@ -104,7 +113,7 @@
   for (const UpstreamId &Id : Removed)
     onRemoved(Id, Now);
   for (auto &[Id, Upstream] : m_upstreams)
-    if (Upstream.m_unreachable &&
+    if (Upstream.m_unreachable && !m_pathsLost &&
         Now - Upstream.m_unreachableSince > UnreachableTimeout) {
       Upstream.m_unreachable = false;
       Upstream.m_assumedColdUntil = Now + UnreachableTimeout;
--- a/src/libhttp/channel_pool.cpp
+++ b/src/libhttp/channel_pool.cpp
@@ -148,6 +148,12 @@
   evtimer_add(m_cleanupEvent, &NoDelay);
 }
 
+void ChannelPool::closeIdle() {
+  for (detail::Channel *Idle : m_idle)
+    Idle->close();
+  scheduleCleanup();
+}
+
 void ChannelPool::sweep(Instant Now) {
   for (const auto &Channel : m_channels)
     if (std::find(m_idle.begin(), m_idle.end(), Channel.get()) !=
