gateway: a coordinator that loses its paths to the upstreams steps down

Cause: the office is held by a lease in the store, and the store was reached. What the office is for, granting keys to upstreams, could not be done: grants ran out 3.5 s after their last renewal.

Change: commands to upstreams count for UpstreamReachability as requests do. A coordinator whose paths are lost for 300 ms resigns if another host has not lost its own, and a host with lost paths does not stand for election. If no host has paths nothing changes.

--- a/src/libgateway/coordinator_driver.cpp
+++ b/src/libgateway/coordinator_driver.cpp
@@ -43,6 +43,9 @@
 /// Matches no connection of a pool.
 constexpr std::uint64_t NoConnection = ~std::uint64_t(0);
 constexpr Duration GrantTimeout{400'000};
+/// A coordinator steps down after its paths to the upstreams have been lost for
+/// this time. Grants outlive it and the election of another host.
+constexpr Duration MaxPathLoss{300'000};
 constexpr Duration ReleaseTimeout{2'000'000};
 
 Duration scaled(Duration Time, double Factor) {
@@ -147,6 +150,8 @@
     return startElectionIfDue(Now);
   if (Now >= m_leaseValidUntil)
     return stepDown("lease-over");
+  if (othersReachUpstreams() && Now - m_state.m_pathsChangedAt > MaxPathLoss)
+    return stepDown("upstreams-lost");
   renewLease(Now);
   auto Configuration = m_state.m_routes.current();
   if (!m_storedTablesRead || !Configuration)
@@ -160,10 +165,14 @@
     Pool->sweep(Now);
 }
 
+bool CoordinatorDriver::othersReachUpstreams() const {
+  return m_state.m_registry.pathsLost() && !m_state.m_forwardingPeers.empty();
+}
+
 void CoordinatorDriver::startElectionIfDue(Instant Now) {
-  if (!m_coordinatorKnown || !m_coordinator.value().empty() ||
-      m_electionInProgress || m_resigned || m_state.m_stopping ||
-      Now < m_nextLeaseAttempt)
+  if (othersReachUpstreams() || !m_coordinatorKnown ||
+      !m_coordinator.value().empty() || m_electionInProgress || m_resigned ||
+      m_state.m_stopping || Now < m_nextLeaseAttempt)
     return;
   m_electionInProgress = true;
   ++m_electionNumber;
@@ -474,6 +483,19 @@
   });
 }
 
+void CoordinatorDriver::recordReachability(const UpstreamId &Upstream,
+                                           const ChannelResult &Result,
+                                           Instant Now) {
+  if (Result.m_error == ChannelError::None) {
+    m_state.m_reachability.onResponse();
+    if (UpstreamState *Responding = m_state.m_registry.find(Upstream))
+      Responding->m_answeredAt = Now;
+  } else if (Result.m_connection !=
+             0) { // Else its connection has ended before.
+    m_state.m_reachability.onFailure(Upstream, Now);
+  }
+}
+
 CommandQueue *CoordinatorDriver::commandQueue(const UpstreamId &Upstream) {
   const UpstreamState *Known = m_state.m_registry.find(Upstream);
   if (!Known)
@@ -505,10 +527,11 @@
   };
   Next.m_done = [this, Service, Command,
                  Epoch = m_epoch](ChannelResult &&Result) {
+    Instant Now = bootClockNow();
+    recordReachability(Command.m_range.m_owner, Result, Now);
     if (Epoch != m_epoch)
       return;
     ServiceCoordination &Coordination = coordination(Service);
-    Instant Now = bootClockNow();
     GrantOutcome Outcome = GrantOutcome::Unanswered;
     if (Result.m_error == ChannelError::None)
       Outcome = m_state.m_codec.decodeGrant(Result.m_response);
--- a/src/libgateway/coordinator_driver.h
+++ b/src/libgateway/coordinator_driver.h
@@ -113,6 +113,13 @@
     std::set<std::pair<UpstreamId, UpstreamIncarnation>> m_endedProcesses;
   };
 
+  /// True when this host has lost its paths to the upstreams, but others have
+  /// not.
+  bool othersReachUpstreams() const;
+  /// Takes note of what the end of a command says about the path to an
+  /// upstream.
+  void recordReachability(const UpstreamId &Upstream,
+                          const ChannelResult &Result, Instant Now);
   void startElectionIfDue(Instant Now);
   void delayElection(Duration MaxDelay, Instant Now);
   void onElectionLease(const StoreReply<StoreLease> &Reply, Instant Began);
