gateway: requests are not blamed for crashes of upstreams that live

Cause: a connection that broke and a refused one after it counted as the end of the upstream's process. A partition does the same.

Change: a refusal is decided 1 s later. If the upstream has responded to any host since, or this host has lost its paths to all upstreams, the interruptions are forgotten. A restart that the upstream registers counts at once, as before.

--- a/src/include/burdockpulley/crash_suspects.h
+++ b/src/include/burdockpulley/crash_suspects.h
@@ -31,6 +31,10 @@
   std::vector<Fingerprint> onUpstreamDown(const UpstreamId &Upstream,
                                           Instant Now);
 
+  /// Removes the interruptions at an upstream: its process has not ended, and
+  /// its connections broke for another reason.
+  void forgetInterruptions(const UpstreamId &Upstream);
+
   /// Counts one crash of an upstream against a request that this host or
   /// another one suspects.
   void onSuspicion(Fingerprint Request, const UpstreamId &Upstream,
--- a/src/libgateway/crash_suspects.cpp
+++ b/src/libgateway/crash_suspects.cpp
@@ -27,14 +27,18 @@
     if (Interrupted.m_upstream == Upstream &&
         Now - Interrupted.m_interruptedAt <= MaxCrashDelay)
       Suspected.push_back(Interrupted.m_request);
-  std::erase_if(m_interruptions, [&](const Interruption &Interrupted) {
-    return Interrupted.m_upstream == Upstream;
-  });
+  forgetInterruptions(Upstream);
   for (Fingerprint Request : Suspected)
     onSuspicion(Request, Upstream, Now);
   return Suspected;
 }
 
+void CrashSuspects::forgetInterruptions(const UpstreamId &Upstream) {
+  std::erase_if(m_interruptions, [&](const Interruption &Interrupted) {
+    return Interrupted.m_upstream == Upstream;
+  });
+}
+
 void CrashSuspects::onSuspicion(Fingerprint Request, const UpstreamId &,
                                 Instant Now) {
   Suspect &Entry = m_suspects[Request];
--- a/src/libgateway/decisions_test.cpp
+++ b/src/libgateway/decisions_test.cpp
@@ -354,6 +354,16 @@
   BOOST_TEST(Suspects.onUpstreamDown(UpstreamId("u"), at(20)).empty());
 }
 
+BOOST_AUTO_TEST_CASE(connections_that_a_path_fault_broke_are_no_crashes) {
+  CrashSuspects Suspects;
+  UpstreamId Upstream("u");
+  Suspects.onInterrupted(Fingerprint(1), Upstream, at(1));
+  Suspects.onInterrupted(Fingerprint(1), UpstreamId("v"), at(1));
+  Suspects.forgetInterruptions(Upstream);
+  BOOST_TEST(Suspects.onUpstreamDown(Upstream, at(1.5)).empty());
+  BOOST_TEST(Suspects.onUpstreamDown(UpstreamId("v"), at(1.5)).size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(the_newest_key_table_is_kept_from_whichever_source) {
   auto Table = [](std::uint64_t Version, const char *Owner) {
     KeyTable Keys;
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -38,6 +38,10 @@
 constexpr Duration MaxOwnerWait{500'000};
 /// An owner that is leaving serves its keys for this share of the drain time.
 constexpr double OwnerDrainShare = 0.3;
+/// Time after which an upstream that has refused a connection is taken to have
+/// ended, unless it has responded to any host meanwhile or this host has lost
+/// its paths to all upstreams.
+constexpr Duration RefusalDecisionTime{1'000'000};
 /// Hosts to which a request may be forwarded, one after the other.
 constexpr std::size_t MaxForwards = 2;
 template <class Number> bool parseNumber(std::string_view Text, Number &Value) {
@@ -698,7 +702,26 @@
             {"refused", Result.m_refused},
             {"request", Pending.m_requestId}});
   if (Result.m_refused)
-    onUpstreamDown(Pending.m_upstream, Now);
+    m_refusedAt.try_emplace(Pending.m_upstream, Now);
+}
+
+void RequestRelay::decideRefusals(Instant Now) {
+  for (auto It = m_refusedAt.begin(); It != m_refusedAt.end();) {
+    auto [Id, RefusedAt] = *It;
+    const UpstreamState *Upstream = m_state.m_registry.find(Id);
+    bool Responded = Upstream && (Upstream->m_answeredAt > RefusedAt ||
+                                  Upstream->m_peerAnsweredAt > RefusedAt);
+    bool PathFault = Responded || m_state.m_registry.pathsLost();
+    if (!PathFault && Now - RefusedAt < RefusalDecisionTime) {
+      ++It;
+      continue;
+    }
+    It = m_refusedAt.erase(It);
+    if (PathFault)
+      m_suspects.forgetInterruptions(Id);
+    else
+      onUpstreamDown(Id, Now);
+  }
 }
 
 void RequestRelay::recordRequestLimit(UpstreamState &Upstream,
@@ -916,6 +939,7 @@
       },
       Now);
   m_forwarder.sweep(Now);
+  decideRefusals(Now);
   m_suspects.sweep(Now);
   auto IsUnregistered = [this](const auto &Entry) {
     return !m_state.m_registry.find(Entry.first);
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -170,6 +170,8 @@
   /// states.
   void recordRequestLimit(UpstreamState &Upstream, const HttpResponse &Response,
                           AttemptOutcome Outcome, Instant Now);
+  /// Decides whether upstreams that have refused connections have ended.
+  void decideRefusals(Instant Now);
   /// Retries the request or ends it, as decideNextAction() says.
   void applyNextAction(PendingRequest &Pending, AttemptOutcome Outcome,
                        HttpResponse &&Response, Instant Now);
@@ -206,6 +208,9 @@
   std::map<UpstreamId, RequestLimiter> m_requestLimiters;
   std::map<RequestNumber, std::unique_ptr<PendingRequest>> m_pending;
   std::map<QueueKey, WaitQueue> m_queues;
+  /// Upstreams that have refused a connection of this host, and when. Whether
+  /// their processes have ended is not decided yet.
+  std::map<UpstreamId, Instant> m_refusedAt;
   KeyRequestCounts m_keyRequestCounts;
   std::uint64_t m_nextNumber = 0;
   std::mt19937_64 m_random;
