gateway: allow for the error of times that other hosts report

Found by reading: a host takes another one's response of an upstream as proof that the upstream lives, if it is newer than its own failure. The time of that response is computed from an age in a datagram, and comes out too late by the time that the datagram takes and waits. A response just before a crash could so count as one after it: requests would be forwarded for nothing, and the request that crashes upstreams would not be found. Such times now have to be 100 ms newer.

--- a/src/include/burdockpulley/upstream_registry.h
+++ b/src/include/burdockpulley/upstream_registry.h
@@ -45,6 +45,9 @@
   bool m_isLocal = false; ///< The response came to this host.
 };
 
+/// Error of the times at which other hosts say that they received a response.
+constexpr Duration PeerTimeError{100'000};
+
 /// One upstream as this host sees it.
 struct UpstreamState {
   UpstreamRecord m_record;
@@ -81,6 +84,10 @@
   double m_localRatioSum = 0; ///< Sum of this host's samples not sent to peers.
   std::uint32_t m_localRatioCount = 0; ///< Number of these samples.
 
+  /// True when it has certainly responded to some host after \p When.
+  bool respondedSince(Instant When) const {
+    return m_answeredAt > When || m_peerAnsweredAt > When + PeerTimeError;
+  }
   bool leaving() const { return !m_registered || m_record.m_draining; }
   bool cold(Instant Now) const {
     return Now < m_coldUntil || Now < m_assumedColdUntil;
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -44,6 +44,7 @@
 constexpr Duration RefusalDecisionTime{1'000'000};
 /// Hosts to which a request may be forwarded, one after the other.
 constexpr std::size_t MaxForwards = 2;
+
 template <class Number> bool parseNumber(std::string_view Text, Number &Value) {
   auto [End, Error] =
       std::from_chars(Text.data(), Text.data() + Text.size(), Value);
@@ -275,7 +276,7 @@
   // Another host has reached an upstream since this one found it unreachable.
   auto ReachedByPeer = [](const UpstreamState &Upstream) {
     return Upstream.m_unreachable && !Upstream.leaving() &&
-           Upstream.m_peerAnsweredAt > Upstream.m_unreachableSince;
+           Upstream.respondedSince(Upstream.m_unreachableSince);
   };
   std::vector<const UpstreamState *> Upstreams;
   if (Pending.m_key) {
@@ -709,9 +710,8 @@
   for (auto It = m_refusedAt.begin(); It != m_refusedAt.end();) {
     auto [Id, RefusedAt] = *It;
     const UpstreamState *Upstream = m_state.m_registry.find(Id);
-    bool Responded = Upstream && (Upstream->m_answeredAt > RefusedAt ||
-                                  Upstream->m_peerAnsweredAt > RefusedAt);
-    bool PathFault = Responded || m_state.m_registry.pathsLost();
+    bool PathFault = (Upstream && Upstream->respondedSince(RefusedAt)) ||
+                     m_state.m_registry.pathsLost();
     if (!PathFault && Now - RefusedAt < RefusalDecisionTime) {
       ++It;
       continue;
