gateway: spend less on each status message and response

The loss of all paths was evaluated over all upstreams at every response, and each status message of another host built an index of the one before.

Measured: gateway_test and the partition and limit cases of case_platform pass. The processor time was not measured apart.

--- a/src/include/burdockpulley/peer_loads.h
+++ b/src/include/burdockpulley/peer_loads.h
@@ -78,10 +78,13 @@
     Instant m_receivedAt;
   };
 
-  /// Applies what a host reports of one upstream. \p Previous is its previous
-  /// report; null when there is none.
+  /// Applies what a host reports of one upstream. \p Previous is the host's
+  /// previous report.
   void onUpstreamLoad(const HostId &Host, const PeerUpstreamLoad &Reported,
-                      const PeerUpstreamLoad *Previous, Instant Now);
+                      const PeerLoad &Previous, Instant Now);
+  /// Adds the requests that a host has sent since its previous report.
+  static void addSent(UpstreamState &Upstream, const PeerUpstreamLoad &Reported,
+                      const PeerLoad &Previous);
   /// Adds a host's load to the totals, or subtracts it if \p Sign is negative.
   void addToTotals(const PeerLoad &Load, int Sign);
 
--- a/src/libgateway/peer_loads.cpp
+++ b/src/libgateway/peer_loads.cpp
@@ -59,7 +59,7 @@
 
 void PeerLoads::onUpstreamLoad(const HostId &Host,
                                const PeerUpstreamLoad &Reported,
-                               const PeerUpstreamLoad *Previous, Instant Now) {
+                               const PeerLoad &Previous, Instant Now) {
   UpstreamState *Upstream = find(Reported.m_upstream);
   if (!Upstream)
     return;
@@ -79,20 +79,29 @@
   if (Reported.m_hasRequestLimit)
     onRequestLimit(*Upstream, Reported.m_requestLimit,
                    Now - Reported.m_requestLimitAge, Host, false, Now);
+  if (Reported.m_sent)
+    addSent(*Upstream, Reported, Previous);
+}
+
+void PeerLoads::addSent(UpstreamState &Upstream,
+                        const PeerUpstreamLoad &Reported,
+                        const PeerLoad &Previous) {
+  auto Before =
+      std::find_if(Previous.m_upstreams.begin(), Previous.m_upstreams.end(),
+                   [&Reported](const PeerUpstreamLoad &Each) {
+                     return Each.m_upstream == Reported.m_upstream;
+                   });
   // A count that went back is that of a restarted host.
-  if (Reported.m_sent && Previous && Previous->m_sent &&
-      *Reported.m_sent > *Previous->m_sent)
-    Upstream->m_peerSent += *Reported.m_sent - *Previous->m_sent;
+  if (Before != Previous.m_upstreams.end() && Before->m_sent &&
+      *Reported.m_sent > *Before->m_sent)
+    Upstream.m_peerSent += *Reported.m_sent - *Before->m_sent;
 }
 
 void PeerLoads::onLoad(const HostId &Host, PeerLoad Load, Instant Now) {
   HostLoad &Current = m_hosts[Host];
   addToTotals(Current.m_load, -1);
-  std::map<NameHash, const PeerUpstreamLoad *> Previous;
-  for (const PeerUpstreamLoad &Reported : Current.m_load.m_upstreams)
-    Previous[Reported.m_upstream] = &Reported;
   for (const PeerUpstreamLoad &Reported : Load.m_upstreams)
-    onUpstreamLoad(Host, Reported, Previous[Reported.m_upstream], Now);
+    onUpstreamLoad(Host, Reported, Current.m_load, Now);
   Current.m_load = std::move(Load);
   Current.m_receivedAt = Now;
   addToTotals(Current.m_load, 1);
--- a/src/libgateway/upstream_reachability.cpp
+++ b/src/libgateway/upstream_reachability.cpp
@@ -39,6 +39,8 @@
 }
 
 bool UpstreamReachability::lost(const UpstreamRegistry &Registry) const {
+  if (m_failed.size() < MinRegistered)
+    return false;
   std::size_t Registered = 0;
   std::size_t Failed = 0;
   std::set<DomainId> RegisteredDomains;
