gateway: the limit of a restarted upstream counts at once

Found by reading, not reported: a restart resets what hosts have counted for an upstream. A limiter that outlived it subtracted the old count from the new one, both unsigned, and took the result for four billion requests of other hosts. If the new start named a limit within 250 ms, nothing was sent to it for many seconds.

Measured: a_restarted_upstream_gets_its_limit_at_once fails without the change and passes with it.

--- a/src/libgateway/request_limiter.cpp
+++ b/src/libgateway/request_limiter.cpp
@@ -56,7 +56,9 @@
     m_peerSent = Upstream.m_peerSent;
   }
   double Seconds = std::chrono::duration<double>(Now - m_refilledAt).count();
-  double PeersSent = Upstream.m_peerSent - m_peerSent;
+  // The count starts anew when the upstream does.
+  double PeersSent =
+      Upstream.m_peerSent - std::min(m_peerSent, Upstream.m_peerSent);
   m_tokens += Rate * Seconds - PeersSent;
   m_tokens = std::clamp(m_tokens, -Rate * OwedSeconds,
                         std::max(1.0, Rate * SavedSeconds));
--- a/src/libgateway/request_limiter_test.cpp
+++ b/src/libgateway/request_limiter_test.cpp
@@ -157,6 +157,20 @@
   BOOST_TEST(Result.m_mostInWindow <= allowed(0));
 }
 
+// An upstream that restarts is a new one for the registry, with new counts.
+BOOST_AUTO_TEST_CASE(a_restarted_upstream_gets_its_limit_at_once) {
+  std::mt19937_64 Random(1);
+  UpstreamState Upstream;
+  Upstream.m_requestLimit.m_rate = 8;
+  Upstream.m_peerSent = 100;
+  RequestLimiter Limiter;
+  LimitSharers Sharers;
+  Limiter.available(Upstream, Sharers, Random, at(0));
+  Upstream.m_peerSent = 0;
+  Limiter.available(Upstream, Sharers, Random, at(0.1));
+  BOOST_TEST(Limiter.available(Upstream, Sharers, Random, at(0.6)));
+}
+
 BOOST_AUTO_TEST_CASE(the_newest_statement_about_a_limit_counts) {
   UpstreamState Upstream;
   HostId Host("host-1");
