--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -780,7 +780,7 @@
            {{"forwarding_hosts", m_state.m_forwardingPeers.size()}});
   if (!Lost)
     return;
-  // Idle connections may be dead without a sign; later ones are not.
+  // Idle connections may hang although no error was reported on them.
   m_connections.closeIdle();
 }
 
