gateway: plainer words for request limits and lost paths

A bound on how often a silent upstream is tried was given more firmly than the test shows it. No behaviour is changed.

--- a/src/include/burdockpulley/request_limiter.h
+++ b/src/include/burdockpulley/request_limiter.h
@@ -5,7 +5,6 @@
 
 #include <optional>
 #include <random>
-#include <string_view>
 
 namespace burdockpulley {
 
@@ -39,7 +38,8 @@
 /// once per report interval, in proportion to its waiting and its recent
 /// requests and rounded at random, so that together they draw about what the
 /// bucket holds. For hosts that do not report, an equal part of the rate is
-/// left out. Thread safety: none.
+/// not used.
+/// Thread safety: none.
 class RequestLimiter {
 public:
   /// True when this host may send a request now.
--- a/src/include/burdockpulley/upstream_reachability.h
+++ b/src/include/burdockpulley/upstream_reachability.h
@@ -14,9 +14,9 @@
 /// The paths count as lost when requests or probes to several upstreams, in
 /// more than one failure domain if there are several, have failed and no
 /// upstream has responded in between. One response from any upstream shows that
-/// they are back. Requests alone would tell slowly: few of them fail while
-/// connections are silent. Probes are therefore wanted as soon as something is
-/// amiss. Thread safety: none.
+/// they are back. While connections hang, few requests fail, so probes are
+/// wanted after the first failure and after a time without any response.
+/// Thread safety: none.
 class UpstreamReachability {
 public:
   /// A request was sent to an upstream, or is about to be.
--- a/src/libgateway/request_limiter.cpp
+++ b/src/libgateway/request_limiter.cpp
@@ -36,7 +36,7 @@
              {{"upstream", Upstream.m_record.m_id.value()},
               {"limited", Rate.has_value()},
               {"requests_per_s", Rate.value_or(0)},
-              {"told", Host.value()},
+              {"received_by", Host.value()},
               {"age_ms", (Now - StatedAt).count() / 1000}});
   }
   Limit.m_rate = Rate;
