coordinator: log and count why keys lose their owner

From the logs it could not be told why keys became free (released, run out, process ended) nor when a grant was decided and when it was sent: the trace in docs/incidents/two-owners.md had to reckon back from 3.87 s.

Metrics burdockpulley_gateway_grant_seconds and burdockpulley_gateway_keys_freed_total.

No decision is changed.

--- a/src/include/burdockpulley/key_coordinator.h
+++ b/src/include/burdockpulley/key_coordinator.h
@@ -41,6 +41,29 @@
                ///< a path may have led to a wrong address for a moment.
 };
 
+/// Returns the name of an outcome for logs. Thread safety: safe.
+const char *toString(GrantOutcome Outcome);
+
+/// Why keys have no owner any more.
+enum class FreeReason {
+  Released,     ///< The owner has released them.
+  Expired,      ///< All grants that the owner may have had have run out.
+  ProcessEnded, ///< The owner's process has ended for certain.
+  Unreached,    ///< No grant can have reached the owner.
+};
+
+/// Returns the name of a reason for logs. Thread safety: safe.
+const char *toString(FreeReason Reason);
+
+/// Keys that have lost their owner, and what was known of its grants then.
+struct FreedKeys {
+  KeyRange m_range; ///< As it was with that owner.
+  FreeReason m_reason = FreeReason::Released;
+  /// When the last grant that the owner may have had runs out; Instant() when
+  /// it can have had none.
+  Instant m_grantsEnd;
+};
+
 /// Decides who owns the keys of one service, while this host is the
 /// coordinator.
 ///
@@ -90,6 +113,8 @@
     /// has not changed since the last write. Call onWritten() when the write
     /// has succeeded.
     std::optional<KeyTable> m_write;
+    /// Keys that have become free since the last call, for logs and metrics.
+    std::vector<FreedKeys> m_freed;
   };
 
   KeyCoordinator(ServiceId Service, Settings CoordinatorSettings);
@@ -181,7 +206,7 @@
   void advancePhase(RangeState &State, const KeyCandidates &Candidates,
                     Instant Now);
   void startRelease(RangeState &State, Instant Now);
-  void makeFree(RangeState &State);
+  void makeFree(RangeState &State, FreeReason Reason);
   void cancelRelease(RangeState &State, const KeyCandidate &Owner);
   void issueCommand(RangeState &State, bool StoreReachable,
                     Commands &NewCommands, Instant Now);
@@ -208,6 +233,7 @@
   Settings m_settings;
   std::vector<RangeState> m_rangeStates;   ///< In order of their keys.
   std::vector<Replacement> m_replacements; ///< Applied by onWritten().
+  std::vector<FreedKeys> m_freed;          ///< Since the last tick().
   bool m_writing = false;
   std::uint64_t m_version = 0;
   FencingToken m_lastToken;
--- a/src/libgateway/coordinator_driver.cpp
+++ b/src/libgateway/coordinator_driver.cpp
@@ -494,6 +494,8 @@
     Coordination.m_pendingTable->m_era = eraOf(StoreVersion(m_epoch));
     Coordination.m_nextCall = Now;
   }
+  for (const FreedKeys &Freed : Commands.m_freed)
+    reportFreed(Service, Freed, Now);
   for (const ReleaseCommand &Release : Commands.m_releases)
     sendRelease(Service, Release);
   for (const GrantCommand &Grant : Commands.m_grants)
@@ -510,6 +512,24 @@
   }
 }
 
+void CoordinatorDriver::reportFreed(const ServiceId &Service,
+                                    const FreedKeys &Freed, Instant Now) const {
+  const KeyRange &Range = Freed.m_range;
+  const char *Reason = toString(Freed.m_reason);
+  m_state.m_metrics.onKeysFreed(Reason);
+  std::int64_t GrantsLeft = 0;
+  if (Freed.m_grantsEnd != Instant())
+    GrantsLeft = (Freed.m_grantsEnd - Now).count() / 1000;
+  logEvent(Severity::Info, "keys_freed",
+           {{"service", Service.value()},
+            {"upstream", Range.m_owner.value()},
+            {"first", Range.m_first},
+            {"last", Range.m_last},
+            {"token", Range.m_token.value()},
+            {"reason", Reason},
+            {"grants_left_ms", GrantsLeft}});
+}
+
 void CoordinatorDriver::writeTable(const ServiceId &Service, Instant) {
   ServiceCoordination &Coordination = coordination(Service);
   Coordination.m_callInFlight = true;
@@ -646,11 +666,12 @@
         ConnectionIt == Connections.end() ? NoConnection : ConnectionIt->second;
   }
   Next.m_timeout = GrantTimeout;
-  Next.m_sendBefore = bootClockNow() + MaxCommandWait;
+  Instant Decided = bootClockNow();
+  Next.m_sendBefore = Decided + MaxCommandWait;
   Next.m_allowed = [this, Epoch = m_epoch] {
     return Epoch == m_epoch && leaseValid(bootClockNow());
   };
-  Next.m_done = [this, Service, Command, Epoch = m_epoch,
+  Next.m_done = [this, Service, Command, Decided, Epoch = m_epoch,
                  SendBefore = Next.m_sendBefore](ChannelResult &&Result) {
     Instant Now = bootClockNow();
     recordReachability(Command.m_range.m_owner, Result, Now);
@@ -666,14 +687,19 @@
       Outcome = Now > SendBefore && Result.m_connection == 0
                     ? GrantOutcome::Dropped
                     : GrantOutcome::NotSent;
-    if (Outcome != GrantOutcome::Granted || Command.m_first)
+    m_state.m_metrics.onGrantEnded(toString(Outcome), Now - Decided);
+    if (Outcome != GrantOutcome::Granted || Command.m_first ||
+        Now - Decided > MaxCommandWait)
       logEvent(Severity::Info, "grant_ended",
                {{"upstream", Command.m_range.m_owner.value()},
                 {"first", Command.m_range.m_first},
                 {"last", Command.m_range.m_last},
                 {"token", Command.m_range.m_token.value()},
-                {"outcome", static_cast<int>(Outcome)},
+                {"hold_ms", Command.m_duration.count() / 1000},
+                {"outcome", toString(Outcome)},
                 {"error", toString(Result.m_error)},
+                {"waited_ms",
+                 (Now - Decided - Result.m_spent).count() / 1000},
                 {"spent_ms", Result.m_spent.count() / 1000}});
     if (Outcome == GrantOutcome::Granted && Command.m_first)
       Coordination.m_firstGrantConnections[Command.m_range.m_token] =
--- a/src/libgateway/coordinator_driver.h
+++ b/src/libgateway/coordinator_driver.h
@@ -160,6 +160,9 @@
                            Instant Now) const;
   /// See MoveLimits::m_busyRate.
   double busyRate(const ServiceId &Service) const;
+  /// Logs and counts why keys have lost their owner.
+  void reportFreed(const ServiceId &Service, const FreedKeys &Freed,
+                   Instant Now) const;
   void writeTable(const ServiceId &Service, Instant Now);
   void onTableWritten(const ServiceId &Service,
                       const StoreReply<StoreCommit> &Reply);
--- a/src/libgateway/gateway_metrics.cpp
+++ b/src/libgateway/gateway_metrics.cpp
@@ -34,6 +34,13 @@
       m_storeCalls(counter(m_registry,
                            "burdockpulley_gateway_store_calls_total",
                            "Calls to the platform's store by result")),
+      m_grantSeconds(prometheus::BuildHistogram()
+                         .Name("burdockpulley_gateway_grant_seconds")
+                         .Help("Time from the decision to grant keys to its "
+                               "end, by outcome")
+                         .Register(m_registry)),
+      m_keysFreed(counter(m_registry, "burdockpulley_gateway_keys_freed_total",
+                          "Ranges of keys that lost their owner, by reason")),
       m_rejectedDatagrams(
           gauge(m_registry, "burdockpulley_gateway_rejected_datagrams",
                 "Datagrams dropped because no host has made them")),
@@ -73,6 +80,15 @@
       .Observe(std::chrono::duration<double>(Time).count());
 }
 
+void GatewayMetrics::onGrantEnded(std::string_view Outcome, Duration Time) {
+  m_grantSeconds.Add({{"outcome", std::string(Outcome)}}, LatencyBuckets)
+      .Observe(std::chrono::duration<double>(Time).count());
+}
+
+void GatewayMetrics::onKeysFreed(std::string_view Reason) {
+  m_keysFreed.Add({{"reason", std::string(Reason)}}).Increment();
+}
+
 void GatewayMetrics::onAttempt(const ServiceId &Service,
                                std::string_view Outcome) {
   m_attempts.Add({{"service", Service.value()}, {"end", std::string(Outcome)}})
--- a/src/libgateway/gateway_metrics.h
+++ b/src/libgateway/gateway_metrics.h
@@ -28,6 +28,11 @@
   void onAttempt(const ServiceId &Service, std::string_view Outcome);
   /// A call to the store has ended. \p Call and \p Result come from fixed sets.
   void onStoreCall(std::string_view Call, std::string_view Result);
+  /// A grant has ended, \p Time after the decision to send it. \p Outcome comes
+  /// from a fixed set.
+  void onGrantEnded(std::string_view Outcome, Duration Time);
+  /// A range of keys has lost its owner. \p Reason comes from a fixed set.
+  void onKeysFreed(std::string_view Reason);
   /// Datagrams dropped so far because no host of the fleet has sent them.
   void setRejectedDatagrams(std::uint64_t Count);
   void setRevision(Revision Number);
@@ -51,6 +56,8 @@
   prometheus::Family<prometheus::Histogram> &m_requestSeconds;
   prometheus::Family<prometheus::Counter> &m_attempts;
   prometheus::Family<prometheus::Counter> &m_storeCalls;
+  prometheus::Family<prometheus::Histogram> &m_grantSeconds;
+  prometheus::Family<prometheus::Counter> &m_keysFreed;
   prometheus::Gauge &m_rejectedDatagrams;
   prometheus::Gauge &m_revision;
   prometheus::Gauge &m_waitingRequests;
--- a/src/libgateway/key_coordinator.cpp
+++ b/src/libgateway/key_coordinator.cpp
@@ -1,6 +1,7 @@
 #include "burdockpulley/key_coordinator.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace burdockpulley {
 
@@ -22,6 +23,38 @@
 
 } // namespace
 
+const char *toString(GrantOutcome Outcome) {
+  switch (Outcome) {
+  case GrantOutcome::Granted:
+    return "granted";
+  case GrantOutcome::Superseded:
+    return "superseded";
+  case GrantOutcome::NotSent:
+    return "not-sent";
+  case GrantOutcome::Dropped:
+    return "dropped";
+  case GrantOutcome::Unanswered:
+    return "unanswered";
+  case GrantOutcome::Misdirected:
+    return "misdirected";
+  }
+  return "unknown";
+}
+
+const char *toString(FreeReason Reason) {
+  switch (Reason) {
+  case FreeReason::Released:
+    return "released";
+  case FreeReason::Expired:
+    return "expired";
+  case FreeReason::ProcessEnded:
+    return "process-ended";
+  case FreeReason::Unreached:
+    return "unreached";
+  }
+  return "unknown";
+}
+
 KeyCoordinator::KeyCoordinator(ServiceId Service, Settings CoordinatorSettings)
     : m_service(std::move(Service)), m_settings(CoordinatorSettings) {}
 
@@ -126,10 +159,12 @@
   }
   for (RangeState &State : m_rangeStates)
     issueCommand(State, StoreReachable, NewCommands, Now);
+  NewCommands.m_freed = std::exchange(m_freed, {});
   return NewCommands;
 }
 
-void KeyCoordinator::makeFree(RangeState &State) {
+void KeyCoordinator::makeFree(RangeState &State, FreeReason Reason) {
+  m_freed.push_back({State.m_range, Reason, State.m_latestExpiry});
   State.m_phase = Phase::Free;
   State.m_needsHigherToken = false;
   State.m_confirmed = false;
@@ -146,7 +181,7 @@
   if (State.m_commandInFlight.value() != 0)
     return; // The outcome of the command in flight must be known first.
   if (State.m_latestExpiry == Instant())
-    return makeFree(State); // No grant can have reached this owner.
+    return makeFree(State, FreeReason::Unreached);
   // A grant without a response could take effect after the release. Once the
   // owner has confirmed a higher token, it refuses such a grant. An owner that
   // does not confirm the higher token gets no further grants, so all that it
@@ -198,12 +233,14 @@
   if (ProcessEnded || Expired || Unreached) {
     if (!State.m_released)
       State.m_range.m_handover.clear();
-    return makeFree(State);
+    return makeFree(State, ProcessEnded ? FreeReason::ProcessEnded
+                           : Expired    ? FreeReason::Expired
+                                        : FreeReason::Unreached);
   }
   if (State.m_phase == Phase::Releasing) {
     bool Returned = Owner && !Owner->m_mustRelease;
     if (State.m_released && Now >= State.m_uncertainUntil)
-      makeFree(State);
+      makeFree(State, FreeReason::Released);
     else if (Returned && !State.m_moveWanted && Now < State.m_uncertainUntil &&
              State.m_commandInFlight.value() == 0)
       cancelRelease(State, *Owner);
