http: keep the requests of ended calls out of the network

Causes: - A ChannelPool that was destroyed with a call under way closed the connection in order. The kernel then goes on sending the request, for as long as its time-out for unacknowledged bytes allows (1.5 s). A coordinator destroys its pools when it steps down, which it does when it has lost its paths to the upstreams: when its grants are most likely to be held up. docs/design/platform.md already said that the connection is reset; only calls that failed or were cancelled did so. - A request was handed to the connection before that was established. A process that was suspended meanwhile sent it when it went on, whatever had changed since.

Change: a pool resets the connections of calls under way. A request is written once its connection is established, and with ChannelPoolSettings::m_maxSendDelay only if that took no longer.

Tests: a_call_under_way_is_reset_when_its_pool_ends and a_request_that_is_late_is_not_sent; before the change the first saw no reset, the second a sent request of 27 bytes.

--- a/src/include/burdockpulley/channel_pool.h
+++ b/src/include/burdockpulley/channel_pool.h
@@ -53,6 +53,11 @@
   /// being kept.
   std::size_t m_maxConnections = 64;
   Duration m_connectTimeout = std::chrono::milliseconds(200);
+  /// A request for which a connection was established later than this after its
+  /// call is not sent, also if the process was suspended meanwhile; the call
+  /// ends with ConnectFailed. Zero for no limit but m_connectTimeout, which is
+  /// not kept to by a suspended process.
+  Duration m_maxSendDelay{};
   /// Idle connections are closed after this time, or earlier if the server
   /// has announced a shorter one in a Keep-Alive header.
   Duration m_idleTimeout = std::chrono::seconds(8);
--- a/src/libgateway/coordinator_driver.cpp
+++ b/src/libgateway/coordinator_driver.cpp
@@ -74,6 +74,15 @@
   Settings.m_maxResponseBytes = MaxCommandResponseBytes;
   Settings.m_echoHeader = Codec.headers().m_requestId;
   Settings.m_echoRequired = false;
+  Settings.m_maxSendDelay = Settings.m_connectTimeout;
+  return Settings;
+}
+
+/// Settings of the connection for grants. What is not delivered in time is not
+/// delivered at all, also if this process is suspended meanwhile.
+ChannelPoolSettings grantSettings(const PlatformCodec &Codec) {
+  ChannelPoolSettings Settings = commandSettings(Codec);
+  Settings.m_unacknowledgedTimeout = GrantTimeout;
   return Settings;
 }
 
@@ -646,7 +655,7 @@
   if (!Queue || Queue->address() != Known->m_record.m_address)
     Queue = std::make_unique<CommandQueue>(m_state.m_base,
                                            Known->m_record.m_address,
-                                           commandSettings(m_state.m_codec));
+                                           grantSettings(m_state.m_codec));
   return Queue.get();
 }
 
--- a/src/libhttp/channel.cpp
+++ b/src/libhttp/channel.cpp
@@ -90,6 +90,8 @@
 Channel::~Channel() {
   event_free(m_timer);
   updateMemory(0);
+  // The kernel must not go on sending a request whose call has ended.
+  m_resetOnClose |= m_done != nullptr;
   closeStream();
 }
 
@@ -122,9 +124,9 @@
     m_parser.expectNoBody();
   if (!m_stream)
     connect();
-  std::string Bytes = encode(Request);
-  if (m_stream)
-    bufferevent_write(m_stream, Bytes.data(), Bytes.size());
+  m_unsent = encode(Request);
+  if (m_connected)
+    sendRequest();
   Duration FirstTimeout =
       m_connected ? Timeout
                   : std::min(Timeout, m_pool.m_settings.m_connectTimeout);
@@ -162,7 +164,16 @@
   m_stream = nullptr;
 }
 
+void Channel::sendRequest() {
+  bufferevent_write(m_stream, m_unsent.data(), m_unsent.size());
+  m_unsent.clear();
+}
+
 void Channel::onConnected() {
+  Duration MaxDelay = m_pool.m_settings.m_maxSendDelay;
+  Instant Now = bootClockNow();
+  if (m_done && MaxDelay > Duration() && Now - m_started > MaxDelay)
+    return failCall(ChannelError::ConnectFailed);
   m_connected = true;
   int Descriptor = bufferevent_getfd(m_stream);
   int Enabled = 1;
@@ -172,8 +183,10 @@
   unsigned Milliseconds = static_cast<unsigned>(Timeout.count());
   setsockopt(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &Milliseconds,
              sizeof(Milliseconds));
-  if (m_done)
-    startTimer(m_deadline - bootClockNow());
+  if (!m_done)
+    return;
+  sendRequest();
+  startTimer(m_deadline - Now);
 }
 
 void Channel::startTimer(Duration Timeout) {
@@ -316,7 +329,7 @@
   m_closed = true;
   m_resetOnClose = true;
   // The stream is closed before the callback runs: the connection may have been
-  // established just now, and the buffered request would then still be sent.
+  // established just now, and the request would then still be sent.
   closeStream();
   auto Done = std::exchange(m_done, nullptr);
   m_pool.release(this, false);
--- a/src/libhttp/channel.h
+++ b/src/libhttp/channel.h
@@ -39,6 +39,7 @@
 private:
   void connect();
   void onConnected();
+  void sendRequest();
   void onReadable();
   void onDisconnected(short Events);
   void onTimer();
@@ -58,6 +59,7 @@
   event *m_timer; ///< Ends the attempt to connect, then the call.
   MessageParser m_parser;
   ChannelCallId m_call;
+  std::string m_unsent; ///< The request, until there is a connection.
   std::string m_echoId;
   ChannelPool::Callback m_done; ///< Empty while no call is in progress.
   Instant m_started;
--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -20,11 +20,7 @@
       : m_base(event_base_new()),
         m_server(m_base, std::move(Response), CloseAfterResponse) {
     std::signal(SIGPIPE, SIG_IGN);
-    ChannelPoolSettings Settings;
-    Settings.m_echoHeader = "Request-Id";
-    Settings.m_responseMemory = Memory;
-    m_pool =
-        std::make_unique<ChannelPool>(m_base, m_server.m_endpoint, Settings);
+    createPool({}, Memory);
   }
   ~PoolFixture() {
     m_pool.reset();
@@ -32,6 +28,15 @@
     event_base_free(m_base);
   }
 
+  void createPool(Duration MaxSendDelay, ResponseMemory *Memory = nullptr) {
+    ChannelPoolSettings Settings;
+    Settings.m_echoHeader = "Request-Id";
+    Settings.m_responseMemory = Memory;
+    Settings.m_maxSendDelay = MaxSendDelay;
+    m_pool =
+        std::make_unique<ChannelPool>(m_base, m_server.m_endpoint, Settings);
+  }
+
   ChannelResult call(const HttpRequest &Request, const std::string &EchoId,
                      Duration Timeout = std::chrono::seconds(20),
                      std::uint64_t ConnectionNumber = 0) {
@@ -281,6 +286,38 @@
   BOOST_TEST(!CallbackRan);
 }
 
+// Two upstreams held keys after grants of a former coordinator had stayed in
+// its kernel, which went on sending them.
+BOOST_AUTO_TEST_CASE(a_call_under_way_is_reset_when_its_pool_ends) {
+  PoolFixture Fixture("");
+  Fixture.m_pool->call(GetRequest, "r1", std::chrono::seconds(20),
+                       ChannelPool::Reuse::Any, [](ChannelResult &&) {});
+  Fixture.runUntil([&] { return Fixture.m_server.m_receivedBytes > 0; });
+  Fixture.m_pool.reset();
+  Fixture.runUntil([&] { return Fixture.m_server.m_endCount > 0; });
+  BOOST_TEST(Fixture.m_server.m_resetCount == 1);
+}
+
+// The process was suspended while its connection was being established.
+BOOST_AUTO_TEST_CASE(a_request_that_is_late_is_not_sent) {
+  PoolFixture Fixture(OkResponse);
+  constexpr Duration MaxDelay = std::chrono::milliseconds(20);
+  Fixture.createPool(MaxDelay);
+  std::optional<ChannelResult> CallResult;
+  Instant Called = bootClockNow();
+  Fixture.m_pool->call(
+      GetRequest, "r1", std::chrono::seconds(20), ChannelPool::Reuse::Any,
+      [&](ChannelResult &&Result) { CallResult = std::move(Result); });
+  while (bootClockNow() <= Called + MaxDelay) {
+  }
+  Fixture.runUntil([&] { return CallResult.has_value(); });
+  BOOST_TEST((CallResult->m_error == ChannelError::ConnectFailed));
+  BOOST_TEST(!CallResult->m_sent);
+  Fixture.m_pool.reset();
+  Fixture.runUntil([&] { return Fixture.m_server.m_endCount > 0; });
+  BOOST_TEST(Fixture.m_server.m_receivedBytes == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(a_call_for_one_connection_uses_no_other) {
   PoolFixture Fixture(OkResponse);
   ChannelResult FirstResult = Fixture.call(GetRequest, "r1");
--- a/src/libhttp/raw_server.h
+++ b/src/libhttp/raw_server.h
@@ -56,7 +56,8 @@
   bool m_resetAfterResponse = false;
   int m_acceptedCount = 0;
   std::size_t m_receivedBytes = 0;
-  int m_resetCount = 0; ///< Connections that clients have reset.
+  int m_endCount = 0;   ///< Connections that clients have ended.
+  int m_resetCount = 0; ///< Those of them that clients have reset.
   Endpoint m_endpoint;
   std::vector<bufferevent *> m_streams;
 
@@ -82,8 +83,10 @@
   }
 
   static void onDisconnected(bufferevent *, short Events, void *Argument) {
+    auto *Self = static_cast<RawServer *>(Argument);
+    ++Self->m_endCount;
     if (Events & BEV_EVENT_ERROR)
-      ++static_cast<RawServer *>(Argument)->m_resetCount;
+      ++Self->m_resetCount;
   }
 
   static void onSent(bufferevent *Stream, void *Argument) {
