coordinator: raise no token for an earlier start of an owner

Cause: a range keeps the start of its owner to which its keys were granted. With a higher token, that became the start that the coordinator's registry shows. A host that has just become coordinator may know of an earlier start than its predecessor had stored. If the address of that earlier start has gone to another upstream, its process counts as ended for certain, and the keys that the later start holds are given away.

Change: the start of a range never goes back.

Test: a_higher_token_is_never_for_an_earlier_start_of_an_owner; before the change the keys were moved.

--- a/src/libgateway/key_coordinator.cpp
+++ b/src/libgateway/key_coordinator.cpp
@@ -560,8 +560,10 @@
     Raised.m_range.m_token = nextToken();
     Raised.m_range.m_handover.clear();
     Raised.m_lastSentAt = Instant();
+    // A predecessor may have known of a later start than this host does.
     if (Owner != Candidates.end())
-      Raised.m_range.m_incarnation = Owner->second.m_incarnation;
+      Raised.m_range.m_incarnation =
+          std::max(Raised.m_range.m_incarnation, Owner->second.m_incarnation);
     m_replacements.push_back({Index, {std::move(Raised)}});
   }
   if (m_replacements.empty())
--- a/src/libgateway/key_coordinator_test.cpp
+++ b/src/libgateway/key_coordinator_test.cpp
@@ -236,6 +236,36 @@
   BOOST_TEST(Moved);
 }
 
+// Another host has stored a later start of the owner than this one knows of.
+BOOST_AUTO_TEST_CASE(a_higher_token_is_never_for_an_earlier_start_of_an_owner) {
+  KeyTable Stored;
+  Stored.m_service = ServiceId("herd");
+  Stored.m_lastToken = FencingToken(7);
+  Stored.m_ranges.push_back({0, ShardKeyCount - 1, UpstreamId("a"),
+                             UpstreamIncarnation(2), FencingToken(7), ""});
+  KeyCoordinator Keys(ServiceId("herd"), {});
+  KeyLoad Load;
+  Keys.takeOver(Stored, at(0));
+  auto Candidates = candidates({"a", "b"});
+  bool Moved = false;
+  for (int Now = 10; Now < 3000; Now += 20) {
+    // The known start had another address, which another upstream has by now.
+    KeyCandidate &Owner = Candidates[UpstreamId("a")];
+    Owner.m_processEnded = Owner.m_mustRelease = Now > 100;
+    Owner.m_eligible = Now <= 100;
+    auto Commands = Keys.tick(Candidates, Load, 0, true, at(Now));
+    for (const GrantCommand &Grant : Commands.m_grants)
+      Keys.onGrant(Grant.m_number, GrantOutcome::Misdirected, at(Now));
+    for (const ReleaseCommand &Release : Commands.m_releases)
+      Keys.onRelease(Release.m_number, false, "", at(Now));
+    if (!Commands.m_write)
+      continue;
+    Moved |= Commands.m_write->m_ranges.at(0).m_owner.value() != "a";
+    Keys.onWritten(at(Now));
+  }
+  BOOST_TEST(!Moved);
+}
+
 // Soak seed 1023: a response of another upstream freed the keys of
 // an owner that was alive.
 BOOST_AUTO_TEST_CASE(a_response_of_another_upstream_frees_no_keys) {
