coordinator: tell another coordinator's table from its own

Cause: a write that the store refuses may have been carried out by an earlier attempt, so verifyTableWrite() compared the stored table with the one to be written. Two hosts that take over the same table raise its tokens alike, so that the tables have the same bytes. Sequence: a host is elected; the store ends its lease early, before its first write; another host is elected and writes; the first one's write is refused, the table is equal, and it goes on to send grants, with the very tokens of the second, while it believes in its lease. When the second has given the keys to another upstream, the first owner still takes renewals of the first host.

Change: the coordinator's record is read after the table, and the host steps down unless it is the one that it has written. Nobody else can write a table meanwhile.

Test: a_table_that_another_coordinator_wrote_is_not_its_own drives two CoordinatorDriver against a store in memory; before the change the first host still coordinated.

--- a/src/libgateway/coordinator_driver.cpp
+++ b/src/libgateway/coordinator_driver.cpp
@@ -611,7 +611,34 @@
                          encodeKeyTable(*Coordination.m_pendingTable);
     if (!Committed)
       return stepDown("table-changed");
-    Coordination.m_tableVersion = Range->m_entries[0].m_modified;
+    verifyWriter(Service, Range->m_entries[0].m_modified);
+  });
+}
+
+void CoordinatorDriver::verifyWriter(const ServiceId &Service,
+                                     StoreVersion TableVersion) {
+  // Another coordinator may have written the same table: whoever takes over
+  // raises the tokens in the same way. As long as the record is this host's,
+  // nobody else could write.
+  coordination(Service).m_callInFlight = true;
+  StoreQuery Query;
+  Query.m_key = store_keys::Coordinator;
+  m_store.read(Query, [this, Service, TableVersion,
+                       Epoch = m_epoch](const StoreReply<StoreRange> &Reply) {
+    if (Epoch != m_epoch)
+      return;
+    ServiceCoordination &Coordination = coordination(Service);
+    Coordination.m_callInFlight = false;
+    const auto *Range = std::get_if<StoreRange>(&Reply);
+    if (!Range) {
+      Coordination.m_nextCall = bootClockNow() + TableWriteRetryDelay;
+      return;
+    }
+    bool Own = Range->m_entries.size() == 1 &&
+               Range->m_entries[0].m_modified == m_coordinatorRecordVersion;
+    if (!Own)
+      return stepDown("another-host-elected");
+    Coordination.m_tableVersion = TableVersion;
     Coordination.m_pendingTable.reset();
     Coordination.m_keyCoordinator.onWritten(bootClockNow());
   });
--- a/src/libgateway/coordinator_driver.h
+++ b/src/libgateway/coordinator_driver.h
@@ -170,6 +170,9 @@
   void onTableWritten(const ServiceId &Service,
                       const StoreReply<StoreCommit> &Reply);
   void verifyTableWrite(const ServiceId &Service);
+  /// The stored table is the one that was to be written. Finds out whether this
+  /// host has written it.
+  void verifyWriter(const ServiceId &Service, StoreVersion TableVersion);
   void sendGrant(const ServiceId &Service, const GrantCommand &Command);
   void sendRelease(const ServiceId &Service, const ReleaseCommand &Command);
   /// Adds an id that no other command has, and returns it.
--- /dev/null
+++ b/src/libgateway/coordinator_driver_test.cpp
@@ -0,0 +1,184 @@
+#include "burdockpulley/clock.h"
+#include "coordinator_driver.h"
+#include "store_keys.h"
+
+#include <boost/test/unit_test.hpp>
+#include <event2/event.h>
+
+#include <algorithm>
+#include <memory>
+
+using namespace burdockpulley;
+
+namespace {
+
+const ServiceId Herd("herd");
+const std::string HerdTable = store_keys::KeyTables + "herd";
+
+/// A store in memory. Calls are answered by answerAll().
+class MemoryStore : public WatchableStore {
+public:
+  void read(const StoreQuery &Query, StoreCallback<StoreRange> Done) override {
+    m_calls.push_back([this, Query, Done] {
+      StoreRange Range;
+      for (const auto &[Key, Entry] : m_entries)
+        if (Query.m_prefix ? Key.starts_with(Query.m_key) : Key == Query.m_key)
+          Range.m_entries.push_back(Entry);
+      Range.m_version = m_version;
+      Done(Range);
+    });
+  }
+  void commit(const StoreTransaction &Change,
+              StoreCallback<StoreCommit> Done) override {
+    m_calls.push_back([this, Change, Done] {
+      bool Applied =
+          std::all_of(Change.m_conditions.begin(), Change.m_conditions.end(),
+                      [this](const StoreCondition &Condition) {
+                        auto EntryIt = m_entries.find(Condition.m_key);
+                        StoreVersion Modified =
+                            EntryIt == m_entries.end()
+                                ? StoreVersion(0)
+                                : EntryIt->second.m_modified;
+                        return Modified == Condition.m_modified;
+                      });
+      if (Applied)
+        for (const StoreWrite &Write : Change.m_writes)
+          write(Write.m_key, Write.m_value);
+      Done(StoreCommit{Applied, m_version});
+    });
+  }
+  void grantLease(Duration, StoreCallback<StoreLease> Done) override {
+    m_calls.push_back([Done] { Done(StoreLease(1)); });
+  }
+  void keepAlive(StoreLease Lease, StoreCallback<StoreLease> Done) override {
+    m_calls.push_back([Lease, Done] { Done(Lease); });
+  }
+  void endLease(StoreLease, StoreCallback<StoreLease>) override {}
+  void watch(const std::string &, StoreVersion, Duration,
+             StoreCallback<StoreEvents>) override {}
+
+  void write(const std::string &Key, const std::string &Value) {
+    m_version = StoreVersion(m_version.value() + 1);
+    m_entries[Key] = {Key, Value, m_version};
+  }
+  /// Answers all calls, also those that answers lead to.
+  void answerAll() {
+    while (!m_calls.empty()) {
+      auto Call = std::move(m_calls.front());
+      m_calls.erase(m_calls.begin());
+      Call();
+    }
+  }
+
+  std::map<std::string, StoreEntry> m_entries;
+  StoreVersion m_version = combineWithEra(StoreEra(1), 100);
+  std::vector<std::function<void()>> m_calls;
+};
+
+/// Upstreams are not reached in these tests, so nothing is decoded.
+class NoCodec : public PlatformCodec {
+public:
+  const HeaderNames &headers() const override { return m_headers; }
+  RegistryChange decodeEntry(const StoreEntry &) override { return {}; }
+  RegistryChange decodeRemoval(const std::string &) override { return {}; }
+  std::vector<std::string> followedPrefixes() const override { return {}; }
+  std::optional<UpstreamId> upstreamOfKey(const std::string &) const override {
+    return std::nullopt;
+  }
+  std::optional<LoadReport> decodeLoad(std::string_view) const override {
+    return std::nullopt;
+  }
+  std::optional<double> decodeRequestLimit(std::string_view) const override {
+    return std::nullopt;
+  }
+  UpstreamNotice decodeNotice(const HttpResponse &) const override {
+    return {};
+  }
+  HttpRequest encodeGrant(const GrantCommand &) const override { return {}; }
+  GrantOutcome decodeGrant(const HttpResponse &) const override {
+    return GrantOutcome::Unanswered;
+  }
+  HttpRequest encodeRelease(const ReleaseCommand &) const override {
+    return {};
+  }
+  std::optional<std::string>
+  decodeRelease(const HttpResponse &) const override {
+    return std::nullopt;
+  }
+  bool showsOtherUpstream(const HttpResponse &) const override { return false; }
+
+private:
+  HeaderNames m_headers;
+};
+
+GatewaySettings hostSettings(const char *Host) {
+  GatewaySettings Settings;
+  Settings.m_host = HostId(Host);
+  return Settings;
+}
+
+/// One entry host, as far as it takes part in the coordination.
+struct CoordinatingHost {
+  explicit CoordinatingHost(MemoryStore &Store, const char *Host)
+      : m_base(event_base_new()),
+        m_state(m_base.get(), hostSettings(Host), m_codec),
+        m_driver(m_state, Store) {
+    auto Configuration = std::make_shared<RoutingConfiguration>();
+    Configuration->m_services[Herd].m_keyed = true;
+    m_state.m_routes.apply(Configuration);
+    UpstreamRecord Owner;
+    Owner.m_id = UpstreamId("a");
+    Owner.m_service = Herd;
+    Owner.m_incarnation = UpstreamIncarnation(1);
+    m_state.m_registry.onRecord(Owner, bootClockNow());
+    m_driver.onRegistryLoaded(bootClockNow());
+  }
+
+  struct FreeBase {
+    void operator()(event_base *Base) const { event_base_free(Base); }
+  };
+  std::unique_ptr<event_base, FreeBase> m_base;
+  NoCodec m_codec;
+  GatewayState m_state;
+  CoordinatorDriver m_driver;
+};
+
+} // namespace
+
+// Two hosts that take over the same table raise its tokens alike. The first one
+// took the table that the second had written for its own, and went on to grant
+// keys with the tokens of the second.
+BOOST_AUTO_TEST_CASE(a_table_that_another_coordinator_wrote_is_not_its_own) {
+  MemoryStore Store;
+  KeyTable Stored;
+  Stored.m_service = Herd;
+  Stored.m_version = 3;
+  Stored.m_era = StoreEra(1);
+  Stored.m_lastToken = FencingToken(7);
+  Stored.m_ranges.push_back({0, ShardKeyCount - 1, UpstreamId("a"),
+                             UpstreamIncarnation(1), FencingToken(7), ""});
+  Store.write(HerdTable, encodeKeyTable(Stored));
+  CoordinatingHost First(Store, "first");
+  CoordinatingHost Second(Store, "second");
+  // Later than any delay of an election.
+  Instant Now = bootClockNow() + std::chrono::seconds(1);
+  First.m_driver.tick(Now);
+  Store.answerAll();
+  BOOST_REQUIRE(First.m_driver.coordinating());
+  // The write of the first one is late: the store ends its lease before.
+  First.m_driver.tick(Now);
+  auto FirstWrite = std::exchange(Store.m_calls, {});
+  BOOST_REQUIRE(FirstWrite.size() == 1u);
+  Store.m_entries.erase(store_keys::Coordinator);
+  Second.m_driver.tick(Now);
+  Store.answerAll();
+  BOOST_REQUIRE(Second.m_driver.coordinating());
+  Second.m_driver.tick(Now);
+  Store.answerAll();
+  auto Written = decodeKeyTable(Store.m_entries[HerdTable].m_value);
+  BOOST_REQUIRE(Written);
+  BOOST_REQUIRE(Written->m_version == 4u);
+  Store.m_calls = std::move(FirstWrite);
+  Store.answerAll();
+  BOOST_TEST(!First.m_driver.coordinating());
+}
