coordinator: count the time for a first grant from the plan of its write

Cause: that a write succeeded shows that no other host coordinated when the store carried it out. The time in which a first grant may follow was counted from the response, which may be late; meanwhile another host may have become coordinator and have granted the keys under a higher token, and the owner may have started again.

Change: the time counts from the plan of the write, and is 500 ms in place of 300 ms after the response. While the store takes longer than that to answer, keys get no new owner.

--- a/src/include/burdockpulley/key_coordinator.h
+++ b/src/include/burdockpulley/key_coordinator.h
@@ -103,9 +103,10 @@
     /// Longest time for which packets of a connection that has been reset stay
     /// in the network.
     Duration m_networkTime = std::chrono::milliseconds(300);
-    /// Time after a write within which a first grant under a token from that
-    /// write may be sent.
-    Duration m_firstGrantWindow = std::chrono::milliseconds(300);
+    /// Time after the plan of a write within which a first grant under a token
+    /// from that write may be sent. The response to the write may be late, and
+    /// says only that no other host was coordinator when it was carried out.
+    Duration m_firstGrantWindow = std::chrono::milliseconds(500);
     /// Time after a write for which keys stay assigned to an owner to which no
     /// grant could be sent.
     Duration m_confirmTimeout = std::chrono::milliseconds(700);
@@ -200,6 +201,8 @@
     std::map<CommandId, Duration> m_earlierGrants;
     /// When the write of this owner and token to the store succeeded.
     Instant m_storedAt;
+    /// When that write was planned. The store has carried it out later.
+    Instant m_writePlannedAt;
     Instant m_lastSentAt;
     /// All grants that the owner may have are expired from this time on, apart
     /// from those in flight; Instant() when no other can have reached it.
@@ -266,6 +269,7 @@
   std::vector<Replacement> m_replacements; ///< Applied by onWritten().
   std::vector<FreedKeys> m_freed;          ///< Since the last tick().
   bool m_writing = false;
+  Instant m_writePlannedAt; ///< Of the last write.
   std::uint64_t m_version = 0;
   FencingToken m_lastToken;
   std::uint64_t m_nextCommand = 0;
--- a/src/libgateway/key_coordinator.cpp
+++ b/src/libgateway/key_coordinator.cpp
@@ -306,7 +306,7 @@
   // more: another host may be the coordinator by now, and only another
   // conditional write would show that.
   if (!State.m_confirmed &&
-      Now - State.m_storedAt > m_settings.m_firstGrantWindow)
+      Now - State.m_writePlannedAt > m_settings.m_firstGrantWindow)
     State.m_needsHigherToken = true;
   if (State.m_needsHigherToken)
     return;
@@ -545,7 +545,8 @@
 
 std::optional<KeyTable>
 KeyCoordinator::planWrite(const KeyCandidates &Candidates, const KeyLoad &Load,
-                          Instant) {
+                          Instant Now) {
+  m_writePlannedAt = Now;
   m_replacements.clear();
   placeFree(Candidates, Load);
   for (std::size_t Index = 0; Index < m_rangeStates.size(); ++Index) {
@@ -642,6 +643,7 @@
     }
     for (RangeState &State : It->m_newStates) {
       State.m_storedAt = Now;
+      State.m_writePlannedAt = m_writePlannedAt;
       State.m_earlierGrants.clear(); // Those since the plan are carried over.
       Next.push_back(std::move(State));
     }
--- a/src/libgateway/key_coordinator_model.cpp
+++ b/src/libgateway/key_coordinator_model.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t MaxCopies = 60;
 /// Longest time that a grant waits for earlier commands before it is sent.
 constexpr Duration MaxCommandWait{100'000};
+constexpr Duration MaxWriteResponseTime{1'500'000};
 
 template <class Visitor>
 void forSampledKeys(const KeyRange &Range, Visitor Visit) {
@@ -36,7 +37,8 @@
   return (ShardKeyCount - FirstSample + SampleInterval - 1) / SampleInterval;
 }
 
-CoordinatorModel::CoordinatorModel(std::uint64_t Seed) : m_random(Seed) {
+CoordinatorModel::CoordinatorModel(std::uint64_t Seed, RareFaults Rare)
+    : m_random(Seed), m_rare(Rare) {
   for (int Index = 0; Index < 5; ++Index) {
     ModelUpstream Upstream;
     Upstream.m_id = UpstreamId("u" + std::to_string(Index));
@@ -329,38 +331,41 @@
 
 void CoordinatorModel::write(std::size_t CoordinatorIndex) {
   m_coordinators[CoordinatorIndex].m_writeInFlight = true;
-  schedule(randomDuration(Duration(2'000), Duration(60'000)),
-           [this, CoordinatorIndex] {
-             Coordinator &Writer = m_coordinators[CoordinatorIndex];
-             bool ConditionHolds = Writer.m_epoch == m_epoch &&
-                                   Writer.m_era == m_era &&
-                                   Writer.m_tableVersion == m_tableVersion;
-             bool AlreadyWritten = m_table && Writer.m_tableToWrite &&
-                                   Writer.m_era == m_era &&
-                                   Writer.m_epoch == m_epoch &&
-                                   encodeKeyTable(*m_table) ==
-                                       encodeKeyTable(*Writer.m_tableToWrite);
-             if (ConditionHolds) {
-               m_table = Writer.m_tableToWrite;
-               ++m_tableVersion;
-             }
-             bool ResponseLost = !m_faultsStopped && chance(0.1);
-             schedule(Duration(4'000), [this, CoordinatorIndex,
-                                        Done = ConditionHolds || AlreadyWritten,
-                                        ResponseLost] {
-               Coordinator &Requester = m_coordinators[CoordinatorIndex];
-               Requester.m_writeInFlight = false;
-               if (!Requester.m_active || ResponseLost)
-                 return; // tickCoordinator() tries the same write again.
-               if (!Done) {
-                 Requester.m_active = false;
-                 return;
-               }
-               Requester.m_tableVersion = m_tableVersion;
-               Requester.m_tableToWrite.reset();
-               Requester.m_keys->onWritten(m_now);
-             });
-           });
+  schedule(
+      randomDuration(Duration(2'000), Duration(60'000)),
+      [this, CoordinatorIndex] {
+        Coordinator &Writer = m_coordinators[CoordinatorIndex];
+        bool ConditionHolds = Writer.m_epoch == m_epoch &&
+                              Writer.m_era == m_era &&
+                              Writer.m_tableVersion == m_tableVersion;
+        bool AlreadyWritten =
+            m_table && Writer.m_tableToWrite && Writer.m_era == m_era &&
+            Writer.m_epoch == m_epoch &&
+            encodeKeyTable(*m_table) == encodeKeyTable(*Writer.m_tableToWrite);
+        if (ConditionHolds) {
+          m_table = Writer.m_tableToWrite;
+          ++m_tableVersion;
+        }
+        bool ResponseLost = !m_faultsStopped && chance(0.1);
+        Duration ResponseTime(4'000);
+        if (m_rare.m_lateWriteResponses && !m_faultsStopped && chance(0.05))
+          ResponseTime = randomDuration(Duration(), MaxWriteResponseTime);
+        schedule(ResponseTime,
+                 [this, CoordinatorIndex,
+                  Done = ConditionHolds || AlreadyWritten, ResponseLost] {
+                   Coordinator &Requester = m_coordinators[CoordinatorIndex];
+                   Requester.m_writeInFlight = false;
+                   if (!Requester.m_active || ResponseLost)
+                     return; // tickCoordinator() tries the same write again.
+                   if (!Done) {
+                     Requester.m_active = false;
+                     return;
+                   }
+                   Requester.m_tableVersion = m_tableVersion;
+                   Requester.m_tableToWrite.reset();
+                   Requester.m_keys->onWritten(m_now);
+                 });
+      });
 }
 
 void CoordinatorModel::tickCoordinator(std::size_t CoordinatorIndex) {
--- a/src/libgateway/key_coordinator_model.h
+++ b/src/libgateway/key_coordinator_model.h
@@ -40,13 +40,19 @@
   }
 };
 
+/// Faults beside those of every world.
+struct RareFaults {
+  /// The response to a write of the table takes up to 1.5 s.
+  bool m_lateWriteResponses = false;
+};
+
 /// Upstreams, a store and several coordinators in virtual time, with faults.
 /// Checks after every step that no sampled key has two holders, and that each
 /// new holder has a higher token than all others had.
 /// Thread safety: none.
 class CoordinatorModel {
 public:
-  explicit CoordinatorModel(std::uint64_t Seed);
+  explicit CoordinatorModel(std::uint64_t Seed, RareFaults Rare = {});
 
   /// Simulates \p Steps steps of 10 ms. False when a rule was violated; see
   /// violation().
@@ -111,6 +117,7 @@
   void checkHolders();
 
   std::mt19937_64 m_random;
+  RareFaults m_rare;
   bool m_faultsStopped = false;
   Instant m_now{std::chrono::seconds(100)};
   std::vector<Event> m_events;
--- a/src/libgateway/key_coordinator_test.cpp
+++ b/src/libgateway/key_coordinator_test.cpp
@@ -459,6 +459,21 @@
   }
 }
 
+// A first grant was sent soon after the response to its write, but long after
+// the write itself, by a coordinator that had been replaced meanwhile.
+BOOST_AUTO_TEST_CASE(a_first_grant_is_not_sent_long_after_its_write) {
+  model::RareFaults Rare;
+  Rare.m_lateWriteResponses = true;
+  model::CoordinatorModel Model(448893944757294, Rare);
+  BOOST_TEST(Model.run(3000), Model.violation());
+  BOOST_TEST(rc::check("late responses", [](std::uint64_t Seed) {
+    model::RareFaults Late;
+    Late.m_lateWriteResponses = true;
+    model::CoordinatorModel World(Seed, Late);
+    RC_ASSERT(World.run(3000));
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(every_key_has_a_holder_again_after_faults_end) {
   BOOST_TEST(rc::check("recovery", [](std::uint64_t Seed) {
     model::CoordinatorModel Model(Seed);
