coordinator: send first grants to the start that the table names

Cause: an owner that starts again while the write of its higher token is under way got the first grant under that token at its new address, while the stored table names its earlier start. A successor that knows of the earlier start only, and that its address is another upstream's by now, takes that process for ended and gives the keys away.

Change: such a range gets a higher token, and with it the new start, first.

Test: a_first_grant_is_for_the_start_that_the_table_names failed before (start 1 in place of 2). That a successor frees the keys is read, not played.

--- a/src/libgateway/key_coordinator.cpp
+++ b/src/libgateway/key_coordinator.cpp
@@ -283,6 +283,14 @@
   // It is not known which incarnation carried out the last grant, so a restart
   // alone does not free the keys.
   bool Restarted = Owner && Owner->m_incarnation > State.m_range.m_incarnation;
+  bool FirstGrantPending = !State.m_confirmed && !State.m_needsHigherToken &&
+                           !State.anythingInFlight() &&
+                           State.m_lastSentAt == Instant();
+  if (Restarted && FirstGrantPending) {
+    // The stored table has to name the start that gets the grant.
+    State.m_needsHigherToken = true;
+    return;
+  }
   bool MustRelease = !Owner || Owner->m_mustRelease || Restarted;
   if (MustRelease || State.m_moveWanted)
     startRelease(State, Now);
--- a/src/libgateway/key_coordinator_test.cpp
+++ b/src/libgateway/key_coordinator_test.cpp
@@ -266,6 +266,34 @@
   BOOST_TEST(!Moved);
 }
 
+// The owner restarted while the write of its higher token was under way. The
+// table names the earlier start, so a later coordinator that knows only of that
+// one, and that its address is another upstream's by now, took the keys from
+// the new start.
+BOOST_AUTO_TEST_CASE(a_first_grant_is_for_the_start_that_the_table_names) {
+  ConfirmedCoordinator Coordinator;
+  auto Renewal = Coordinator.tick(1000).m_grants.at(0);
+  Coordinator.m_keys.onGrant(Renewal.m_number, GrantOutcome::NotSent, at(1001));
+  auto Write = Coordinator.tick(1020).m_write;
+  BOOST_REQUIRE(Write);
+  Coordinator.m_candidates[UpstreamId("a")].m_incarnation =
+      UpstreamIncarnation(2);
+  Coordinator.m_keys.onWritten(at(1030));
+  for (int Now = 1040; Now < 2000; Now += 20) {
+    auto Commands = Coordinator.tick(Now);
+    if (Commands.m_write)
+      Coordinator.m_keys.onWritten(at(Now));
+    // They are sent to the address of the second start.
+    for (const GrantCommand &Grant : Commands.m_grants) {
+      BOOST_TEST(Grant.m_range.m_incarnation.value() == 2u);
+      Coordinator.m_keys.onGrant(Grant.m_number, GrantOutcome::Granted,
+                                 at(Now));
+    }
+    for (const ReleaseCommand &Release : Commands.m_releases)
+      Coordinator.m_keys.onRelease(Release.m_number, false, "", at(Now));
+  }
+}
+
 // Soak seed 1023: a response of another upstream freed the keys of
 // an owner that was alive.
 BOOST_AUTO_TEST_CASE(a_response_of_another_upstream_frees_no_keys) {
