coordinator: reckon slow clocks and a predecessor's last grant in full

- A clock that runs 2% slow shows 3.5 s after 3.5 s / 0.98, not after 3.5 s * 1.02: 1.4 ms too early, 4 ms for grants of 10 s.
Test: a_grant_lasts_as_long_as_by_the_slowest_clock (moved 1428 us early before).
The model had the same factor.

--- a/src/include/burdockpulley/key_coordinator.h
+++ b/src/include/burdockpulley/key_coordinator.h
@@ -97,7 +97,7 @@
     Duration m_predecessorTime = std::chrono::seconds(2);
     /// Longest time from when a predecessor sends a grant until it arrives or
     /// its connection has been reset.
-    Duration m_predecessorDeliveryTime = std::chrono::milliseconds(500);
+    Duration m_predecessorDeliveryTime = std::chrono::milliseconds(700);
     /// Share by which the clock of an upstream may run slow.
     double m_clockSlack = 0.02;
     /// Longest time for which packets of a connection that has been reset stay
--- a/src/libgateway/key_coordinator.cpp
+++ b/src/libgateway/key_coordinator.cpp
@@ -1,6 +1,7 @@
 #include "burdockpulley/key_coordinator.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace burdockpulley {
@@ -96,9 +97,9 @@
 }
 
 Duration KeyCoordinator::maxHold(Duration GrantDuration) const {
-  return Duration(
-      static_cast<std::int64_t>(static_cast<double>(GrantDuration.count()) *
-                                (1 + m_settings.m_clockSlack)));
+  return Duration(static_cast<std::int64_t>(
+      std::ceil(static_cast<double>(GrantDuration.count()) /
+                (1 - m_settings.m_clockSlack))));
 }
 
 Instant KeyCoordinator::earlierGrantsEnd(Instant Now) const {
--- a/src/libgateway/key_coordinator_model.cpp
+++ b/src/libgateway/key_coordinator_model.cpp
@@ -15,7 +15,7 @@
 /// Time for which a host that has lost the coordinator lease may still act as
 /// coordinator, before it learns of the loss.
 constexpr Duration CoordinatorLease{2'000'000};
-constexpr double SlowClockFactor = 1.02;
+constexpr double SlowClockFactor = 1 / 0.98;
 constexpr Duration MisdirectedTime{5'000'000};
 /// Copies of the store that are kept, about 20 a second.
 constexpr std::size_t MaxCopies = 60;
--- a/src/libgateway/key_coordinator_test.cpp
+++ b/src/libgateway/key_coordinator_test.cpp
@@ -294,6 +294,22 @@
   }
 }
 
+// Keys were free 1.4 ms too early: a clock that runs 2% slow shows 3.5 s after
+// 3.5 s / 0.98, not after 3.5 s * 1.02.
+BOOST_AUTO_TEST_CASE(a_grant_lasts_as_long_as_by_the_slowest_clock) {
+  ConfirmedCoordinator Coordinator;
+  Coordinator.makeOwnerRelease(false);
+  Instant End = at(12) + Duration(3'500'000 * 100 / 98);
+  for (Instant Now = at(20); Now < End; Now += Duration(200)) {
+    auto Commands = Coordinator.m_keys.tick(Coordinator.m_candidates,
+                                            Coordinator.m_load, 0, true, Now);
+    BOOST_REQUIRE_MESSAGE(!Commands.m_write,
+                          "moved " << (End - Now).count() << " us early");
+    for (const ReleaseCommand &Release : Commands.m_releases)
+      Coordinator.m_keys.onRelease(Release.m_number, false, "", Now);
+  }
+}
+
 // Soak seed 1023: a response of another upstream freed the keys of
 // an owner that was alive.
 BOOST_AUTO_TEST_CASE(a_response_of_another_upstream_frees_no_keys) {
