coordinator: play replaced coordinators and late packets in the model

An owner of the platform does not restart that fast, and a store that takes 240 ms to answer leaves time for a grant.

--- a/src/include/burdockpulley/key_coordinator.h
+++ b/src/include/burdockpulley/key_coordinator.h
@@ -106,7 +106,7 @@
     /// Time after the plan of a write within which a first grant under a token
     /// from that write may be sent. The response to the write may be late, and
     /// says only that no other host was coordinator when it was carried out.
-    Duration m_firstGrantWindow = std::chrono::milliseconds(500);
+    Duration m_firstGrantWindow = std::chrono::milliseconds(300);
     /// Time after a write for which keys stay assigned to an owner to which no
     /// grant could be sent.
     Duration m_confirmTimeout = std::chrono::milliseconds(700);
--- a/src/libgateway/key_coordinator_model.h
+++ b/src/libgateway/key_coordinator_model.h
@@ -44,6 +44,11 @@
 struct RareFaults {
   /// The response to a write of the table takes up to 1.5 s.
   bool m_lateWriteResponses = false;
+  /// A coordinator that does not know yet that it is replaced may be the first
+  /// to notice a restore.
+  bool m_replacedNoticesRestore = false;
+  /// Grants arrive up to 300 ms after their connection was reset.
+  bool m_packetsAfterReset = false;
 };
 
 /// Upstreams, a store and several coordinators in virtual time, with faults.
