--- a/src/libbase/types.cpp
+++ b/src/libbase/types.cpp
@@ -16,7 +16,9 @@
     return false;
   std::string Address = Text.substr(0, Colon);
   in_addr BinaryAddress{};
-  if (inet_pton(AF_INET, Address.c_str(), &BinaryAddress) != 1)
+  // inet_pton() reads up to the first null character.
+  if (Address.find('\0') != Address.npos ||
+      inet_pton(AF_INET, Address.c_str(), &BinaryAddress) != 1)
     return false;
   std::uint16_t Port = 0;
   const char *TextEnd = Text.data() + Text.size();
@@ -32,7 +34,9 @@
   double Number = 0;
   const char *TextEnd = Text.data() + Text.size();
   auto [NumberEnd, Error] = std::from_chars(Text.data(), TextEnd, Number);
-  if (Error != std::errc() || Number < 0)
+  // This is also false for "nan".
+  bool IsNonNegative = Number >= 0;
+  if (Error != std::errc() || !IsNonNegative)
     return false;
   std::string_view Unit(NumberEnd,
                         static_cast<std::size_t>(TextEnd - NumberEnd));
--- a/src/libbase/types_test.cpp
+++ b/src/libbase/types_test.cpp
@@ -21,6 +21,18 @@
   BOOST_TEST(toString(Address) == "10.0.0.1:1");
 }
 
+BOOST_AUTO_TEST_CASE(endpoint_rejects_text_behind_a_null_character) {
+  Endpoint Address;
+  BOOST_TEST(!parseEndpoint(std::string("127.0.0.1\0x:80", 14), Address));
+}
+
+BOOST_AUTO_TEST_CASE(duration_rejects_what_is_not_a_number) {
+  Duration Time{};
+  for (const char *Text : {"nanms", "nans", "-nans", "infs", "1e300s"})
+    BOOST_TEST(!parseDuration(Text, Time), Text);
+  BOOST_TEST(Time.count() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(hash_values_do_not_change) {
   // Hosts of different versions must compute the same values.
   BOOST_TEST(stableHash("") == 0x2d06800538d394c2ULL);
