--- a/src/include/burdockpulley/store.h
+++ b/src/include/burdockpulley/store.h
@@ -31,6 +31,9 @@
 constexpr StoreEra MaxStoreEra((std::int64_t(1) << (62 - detail::EraShift)) -
                                1);
 
+/// Highest number of a version within an era.
+constexpr std::int64_t MaxStoreNumber = detail::NumberMask;
+
 /// Combines an era with the number of a version. Zero stays zero: no version.
 /// Precondition: the era is at most MaxStoreEra. Thread safety: safe.
 inline StoreVersion combineWithEra(StoreEra Era, std::int64_t Number) {
