gateway: keep no record in whose place an unreadable entry stands

If another writer replaced the record of an upstream by an entry that can't be read, the earlier record stayed in use for as long as the entry stood there, also after the upstream had ended: its record was not removed, as it was not there any more.

PROTOCOL.md says that such an entry names no backend to use. The upstream may be well and write again within a heartbeat, though, and its keys should not move for that. So the entry counts as a removal that is held for 2.2 s, as those are that come with trouble of the store; a record that is written meanwhile ends it, further unreadable entries do not prolong it. An unreadable configuration or host record still replaces nothing.

Tests: a_record_replaced_by_an_unreadable_entry_is_not_kept_for_ever and an_unreadable_entry_removes_nothing_while_removals_are_held; both fail on a variant that ignores the entry.

--- a/src/include/burdockpulley/upstream_registry.h
+++ b/src/include/burdockpulley/upstream_registry.h
@@ -133,6 +133,11 @@
   /// not registered or the removal is held.
   UpstreamState *onRemoved(const UpstreamId &Id, Instant Now);
 
+  /// Applies an entry that cannot be read, in the place of an upstream's
+  /// record. The upstream itself may still be there: it is removed at \p Until,
+  /// or at the time of an earlier call, unless its record has returned.
+  void onUnreadable(const UpstreamId &Id, Instant Until);
+
   /// Called when the store has lost records that may come back. Removals before
   /// \p Until are held, and carried out then if the record has not returned.
   void holdRemovals(Instant Until) { m_holdRemovalsUntil = Until; }
--- a/src/libgateway/decisions_test.cpp
+++ b/src/libgateway/decisions_test.cpp
@@ -258,6 +258,42 @@
   BOOST_TEST(!Registry.usable(*Registry.find(Lost)));
 }
 
+BOOST_AUTO_TEST_CASE(
+    a_record_replaced_by_an_unreadable_entry_is_not_kept_for_ever) {
+  UpstreamRegistry Registry;
+  UpstreamId Ended("ended");
+  UpstreamId Alive("alive");
+  Registry.onRecord(record("ended"), at(0));
+  Registry.onRecord(record("alive"), at(0));
+  Registry.onUnreadable(Ended, at(3));
+  Registry.onUnreadable(Alive, at(3));
+  Registry.onUnreadable(UpstreamId("unknown"), at(3));
+  BOOST_TEST(Registry.usable(*Registry.find(Ended)));
+  Registry.onRecord(record("alive", "a", 1, 2), at(2));
+  // Written again and again, it changes nothing.
+  Registry.onUnreadable(Ended, at(5));
+  BOOST_TEST(Registry.sweep(at(2.9)).empty());
+  std::vector<UpstreamId> Removed = Registry.sweep(at(3.1));
+  BOOST_REQUIRE(Removed.size() == 1u);
+  BOOST_TEST(Removed[0].value() == "ended");
+  BOOST_TEST(!Registry.usable(*Registry.find(Ended)));
+  BOOST_TEST(Registry.usable(*Registry.find(Alive)));
+  Registry.onRecord(record("ended", "a", 1, 3), at(4));
+  BOOST_TEST(Registry.usable(*Registry.find(Ended)));
+}
+
+BOOST_AUTO_TEST_CASE(
+    an_unreadable_entry_removes_nothing_while_removals_are_held) {
+  UpstreamRegistry Registry;
+  UpstreamId Kept("kept");
+  Registry.onRecord(record("kept"), at(0));
+  Registry.onUnreadable(Kept, at(3));
+  Registry.holdRemovals(at(12));
+  BOOST_TEST(Registry.sweep(at(4)).empty());
+  BOOST_TEST(Registry.usable(*Registry.find(Kept)));
+  BOOST_TEST(Registry.sweep(at(12.1)).size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(
     an_unreachable_upstream_is_used_again_after_a_later_heartbeat) {
   UpstreamRegistry Registry;
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -49,7 +49,8 @@
 /// is for sending the responses; then the process ends.
 constexpr Duration StopMargin{400'000};
 /// After an outage of the store, removals are deferred for this time, because
-/// the records may return.
+/// the records may return. So may a record in whose place an entry stands that
+/// cannot be read.
 constexpr Duration RecordReturnTime{2'200'000};
 
 /// After the store has come back from an older copy, a failure domain whose
@@ -523,7 +524,9 @@
              {{"domain", Change.m_domain.value()}, {"out", Change.m_out}});
   }
 
-  void onChange(const UnreadableEntry &Change, Instant) {
+  void onChange(const UnreadableEntry &Change, Instant Now) {
+    if (auto Upstream = m_codec->upstreamOfKey(Change.m_key))
+      m_state.m_registry.onUnreadable(*Upstream, Now + RecordReturnTime);
     logEvent(Severity::Warning, "entry_unreadable",
              {{"key", Change.m_key}, {"reason", Change.m_reason}});
   }
--- a/src/libgateway/upstream_registry.cpp
+++ b/src/libgateway/upstream_registry.cpp
@@ -107,6 +107,12 @@
   return Upstream;
 }
 
+void UpstreamRegistry::onUnreadable(const UpstreamId &Id, Instant Until) {
+  const UpstreamState *Upstream = find(Id);
+  if (Upstream && Upstream->m_registered)
+    m_heldRemovals.try_emplace(Id, Until);
+}
+
 std::vector<UpstreamId> UpstreamRegistry::sweep(Instant Now) {
   std::vector<UpstreamId> Removed;
   for (auto It = m_heldRemovals.begin(); It != m_heldRemovals.end();) {
@@ -117,8 +123,9 @@
     Removed.push_back(It->first);
     It = m_heldRemovals.erase(It);
   }
-  for (const UpstreamId &Id : Removed)
-    onRemoved(Id, Now);
+  std::erase_if(Removed, [this, Now](const UpstreamId &Id) {
+    return onRemoved(Id, Now) == nullptr;
+  });
   for (auto &[Id, Upstream] : m_upstreams)
     if (Upstream.m_unreachable && !m_pathsLost &&
         Now - Upstream.m_unreachableSince > UnreachableTimeout) {
