standins: let the fault proxy repeat responses

Upstreams may write an earlier response once more on a kept connection, where the next response is expected. No fault of the proxy did so.

Change: with "repeatAnswer", a link sends the last bytes of the target once more when the caller sends the next ones.

--- a/src/standins/fault_link.cpp
+++ b/src/standins/fault_link.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace burdockpulley {
 
@@ -112,6 +113,9 @@
   if (&Which == &m_toCaller)
     return deliverToCaller(std::move(Bytes));
   bufferevent_write(Which.m_to, Bytes.data(), Bytes.size());
+  if (m_faults.m_repeatAnswer && !m_lastAnswer.empty())
+    deliverToCaller(std::exchange(m_lastAnswer, ""));
+  m_lastAnswer.clear();
 }
 
 void FaultLink::deliverToCaller(std::string Bytes) {
@@ -141,6 +145,7 @@
     return;
   }
   bufferevent_write(Caller, Bytes.data(), Bytes.size());
+  m_lastAnswer = std::move(Bytes);
 }
 
 void FaultLink::reset() {
--- a/src/standins/fault_link.h
+++ b/src/standins/fault_link.h
@@ -22,6 +22,10 @@
   std::optional<std::uint64_t> m_truncateAfter;
   std::optional<std::uint64_t> m_resetAfter;
   std::optional<std::uint64_t> m_halfCloseAfter;
+  /// The caller gets the bytes that the target has sent last once more when it
+  /// sends the next ones. Links whose messages are sent in one piece repeat a
+  /// whole response.
+  bool m_repeatAnswer = false;
 };
 
 /// One connection of a caller and the one to the target that belongs to it.
@@ -68,7 +72,8 @@
   Flow m_toTarget;
   Flow m_toCaller;
   std::uint64_t m_answered = 0;
-  bool m_muted = false; ///< Nothing more goes to the caller.
+  std::string m_lastAnswer; ///< Not repeated yet; see m_repeatAnswer.
+  bool m_muted = false;     ///< Nothing more goes to the caller.
   bool m_ended = false;
 };
 
--- a/src/standins/fault_proxy.cpp
+++ b/src/standins/fault_proxy.cpp
@@ -1,10 +1,11 @@
 // A TCP proxy that puts faults on its links: latency, cuts of one or both
-// directions, resets, half-closes and truncated answers. For tests only.
+// directions, resets, half-closes, truncated and repeated answers. For tests
+// only.
 //
 // POST /faults on the control port replaces the faults by those of a JSON
 // object: latencyUs, cutToTarget, cutToCaller, refuse, truncateAfter,
-// resetAfter, halfCloseAfter, and closed: new connections are refused by the
-// kernel, open ones go on.
+// resetAfter, halfCloseAfter, repeatAnswer, and closed: new connections are
+// refused by the kernel, open ones go on.
 #include "burdockpulley/http.h"
 #include "burdockpulley/reserved_port.h"
 #include "fault_link.h"
@@ -42,6 +43,7 @@
   Wanted.m_truncateAfter = limit(Object, "truncateAfter");
   Wanted.m_resetAfter = limit(Object, "resetAfter");
   Wanted.m_halfCloseAfter = limit(Object, "halfCloseAfter");
+  Wanted.m_repeatAnswer = Object.value("repeatAnswer", false);
   return Wanted;
 }
 
