coordinator: send each release over a connection of its own

Callers could see two upstreams hold the same keys, with upstreams that write an earlier response once more on a kept connection.

Change: connections for releases are not kept, so that there is no earlier response on them. Their price is one connection a move.

Test: a_pool_that_keeps_no_connections_uses_each_once shows what the change rests on. Open: a repeated response to a grant still counts for the next grant on its connection, which renewals can not change; the upstream gets that grant a moment later.

--- a/src/libgateway/coordinator_driver.cpp
+++ b/src/libgateway/coordinator_driver.cpp
@@ -86,6 +86,15 @@
   return Settings;
 }
 
+/// Settings of the connections for releases. Each has one of its own: a
+/// response to an earlier command that the upstream repeats, without an id,
+/// would show keys as released that the owner still holds.
+ChannelPoolSettings releaseSettings(const PlatformCodec &Codec) {
+  ChannelPoolSettings Settings = commandSettings(Codec);
+  Settings.m_maxConnections = 0;
+  return Settings;
+}
+
 ChannelPoolSettings oneConnection(ChannelPoolSettings Settings) {
   Settings.m_maxConnections = 1;
   return Settings;
@@ -764,7 +773,7 @@
   if (!Pool)
     Pool =
         std::make_unique<ChannelPool>(m_state.m_base, Owner->m_record.m_address,
-                                      commandSettings(m_state.m_codec));
+                                      releaseSettings(m_state.m_codec));
   HttpRequest Request = m_state.m_codec.encodeRelease(Command);
   std::string Id = addCommandId(Request);
   Pool->call(Request, Id, ReleaseTimeout, ChannelPool::Reuse::Any,
--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -318,6 +318,15 @@
   BOOST_TEST(Fixture.m_server.m_receivedBytes == 0u);
 }
 
+// A repeated response to one release was taken for that to the next one.
+BOOST_AUTO_TEST_CASE(a_pool_that_keeps_no_connections_uses_each_once) {
+  PoolFixture Fixture(OkResponse);
+  Fixture.m_pool->setMaxConnections(0);
+  for (int Count = 0; Count < 3; ++Count)
+    BOOST_TEST(Fixture.call(GetRequest, "r1").m_response.m_body == "ok");
+  BOOST_TEST(Fixture.m_server.m_acceptedCount == 3);
+}
+
 BOOST_AUTO_TEST_CASE(a_call_for_one_connection_uses_no_other) {
   PoolFixture Fixture(OkResponse);
   ChannelResult FirstResult = Fixture.call(GetRequest, "r1");
