http: read the body of a response that follows one to HEAD

Callers got a 200 with an empty body, framed as whole, for a request that went over a connection on which a HEAD had been served before: the channel told its parser that responses have no body, and nothing took that back for the next call. Requests of callers keep their method, so that one HEAD sufficed.

The expectation is now set for each call. The new test a_response_after_one_to_head_keeps_its_body failed before: `check Result.m_response.m_body == "ok" has failed [ != ok]`; it passes now.

--- a/src/libhttp/channel.cpp
+++ b/src/libhttp/channel.cpp
@@ -120,8 +120,7 @@
   m_parser.reset();
   m_memoryExceeded = false;
   m_skippedResponses = 0;
-  if (Request.m_method == "HEAD")
-    m_parser.expectNoBody();
+  m_parser.expectNoBody(Request.m_method == "HEAD");
   if (!m_stream)
     connect();
   m_unsent = encode(Request);
--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -93,6 +93,19 @@
   BOOST_TEST(Result.m_sent);
 }
 
+BOOST_AUTO_TEST_CASE(a_response_after_one_to_head_keeps_its_body) {
+  PoolFixture Fixture(
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\n");
+  HttpRequest HeadRequest = GetRequest;
+  HeadRequest.m_method = "HEAD";
+  BOOST_TEST(Fixture.call(HeadRequest, "r1").m_response.m_status == 200);
+  Fixture.m_server.m_response = OkResponse;
+  ChannelResult Result = Fixture.call(GetRequest, "r1");
+  BOOST_TEST((Result.m_error == ChannelError::None));
+  BOOST_TEST(Result.m_response.m_body == "ok");
+  BOOST_TEST(Fixture.m_server.m_acceptedCount == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_response_to_an_earlier_request_is_skipped) {
   std::string LateResponse =
       "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 3\r\n\r\nold";
--- a/src/libhttp/message_parser.h
+++ b/src/libhttp/message_parser.h
@@ -38,8 +38,9 @@
   /// Prepares for the next message.
   void reset();
 
-  /// Reads all further responses as having no body, whatever their headers say.
-  void expectNoBody() { m_noBody = true; }
+  /// Sets whether the responses from now on have no body, whatever their
+  /// headers say, as is the case for those to HEAD. reset() does not change it.
+  void expectNoBody(bool Expected) { m_noBody = Expected; }
 
   void setLimits(Limits SizeLimits) { m_limits = SizeLimits; }
 
