http: end 1xx, 204 and 304 responses with their head

A 304 that names the length of what it stands for, as it may, never became complete: callers would see a 502 or 504. If other bytes followed, such as a late response to an earlier request, they were taken as its body. A 1xx with a length put the first bytes of the final response into its body. All three came from http_parser, which ends only those responses early whose framing it is told to skip. HEAD was told, these were not, and the body limit was applied to lengths that announce no body here.

The parser now skips the body of these statuses and of responses to HEAD, and checks the limit only where a body follows.

Tests: responses of any framing, cut at any byte, with an orderly end or a reset, are complete only where their framing says so (a_response_that_is_cut_at_any_byte_is_never_complete for the parser in pieces of any size, a_response_that_breaks_off_is_never_delivered for connections). They found no cut response that passes as whole, but failed on the 304s: `RC_ASSERT((Parser.state() == Complete) == Whole)` with `false == true`, and `RC_ASSERT(Reset || !MayBeComplete)`. Without the change, the_kind_of_one_response_has_no_effect_on_the_next fails on a 304, and a_response_without_body_takes_no_bytes_of_the_next with 21 failures, among them `check Parser.m_body == ... has failed [HTTP/ != ok]`. All pass now.

RawServer ends its connection also if its response is empty.

--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -1,3 +1,4 @@
+#include "arbitrary_response.h"
 #include "burdockpulley/channel_pool.h"
 #include "burdockpulley/clock.h"
 #include "raw_server.h"
@@ -93,6 +94,33 @@
   BOOST_TEST(Result.m_sent);
 }
 
+// A server stopped in the middle of a head; its clients got an empty 200.
+BOOST_AUTO_TEST_CASE(a_response_that_breaks_off_is_never_delivered) {
+  BOOST_TEST(rc::check([](bool Reset) {
+    ResponseShapes Shapes;
+    Shapes.m_headerLines = "Request-Id: r1\r\n";
+    const ArbitraryResponse Response = arbitraryResponse(Shapes);
+    const std::size_t Size = arbitraryCut(Response);
+    PoolFixture Fixture(Response.m_bytes.substr(0, Size), true);
+    Fixture.m_server.m_resetAfterResponse = Reset;
+    HttpRequest Request = GetRequest;
+    Request.m_method = Response.m_method;
+    ChannelResult Result = Fixture.call(Request, "r1");
+    // What was sent before a reset may be lost.
+    bool MayBeComplete =
+        Response.completeAt(Size) && !(Reset && Response.m_endsWithConnection);
+    if (Result.m_error == ChannelError::None) {
+      RC_ASSERT(MayBeComplete);
+      RC_ASSERT(Result.m_response.m_status == Response.m_status);
+      RC_ASSERT(Result.m_response.m_body == Response.bodyAt(Size));
+    } else {
+      RC_ASSERT(Result.m_error == ChannelError::Interrupted);
+      RC_ASSERT(Result.m_response.m_body.empty());
+      RC_ASSERT(Reset || !MayBeComplete);
+    }
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(a_response_after_one_to_head_keeps_its_body) {
   PoolFixture Fixture(
       "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\n");
--- a/src/libhttp/message_parser.cpp
+++ b/src/libhttp/message_parser.cpp
@@ -19,6 +19,14 @@
 
 bool isInterim(int Status) { return Status >= 100 && Status < 200; }
 
+/// Returns true if a response with this status ends with its head, whatever its
+/// headers say.
+bool endsWithHead(int Status) {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  return isInterim(Status) || Status == NoContent || Status == NotModified;
+}
+
 } // namespace
 
 MessageParser::MessageParser(Kind MessageKind, Limits SizeLimits)
@@ -149,6 +157,8 @@
         m_expectsContinue =
             strcasecmp(Header.m_value.c_str(), "100-continue") == 0;
   }
+  if (m_kind == Kind::Response && (m_noBody || endsWithHead(m_status)))
+    return SkipBody;
   constexpr std::uint64_t UnknownLength = ~std::uint64_t(0);
   if (m_parser.content_length != UnknownLength) {
     if (m_parser.content_length > m_limits.m_bodyBytes)
@@ -156,7 +166,7 @@
     m_body.reserve(
         std::min<std::uint64_t>(m_parser.content_length, MaxReservedBodyBytes));
   }
-  return m_noBody && !isInterim(m_status) ? SkipBody : 0;
+  return 0;
 }
 
 int MessageParser::onBody(const char *Bytes, std::size_t Size) {
--- a/src/libhttp/message_parser_test.cpp
+++ b/src/libhttp/message_parser_test.cpp
@@ -1,3 +1,4 @@
+#include "arbitrary_response.h"
 #include "message_parser.h"
 
 #include <boost/test/unit_test.hpp>
@@ -117,3 +118,65 @@
   BOOST_TEST(Parser.m_status == 201);
   BOOST_TEST(Parser.m_headers.size() == 1u);
 }
+
+// A server stopped in the middle of a head; its clients got an empty 200.
+BOOST_AUTO_TEST_CASE(a_response_that_is_cut_at_any_byte_is_never_complete) {
+  BOOST_TEST(rc::check([](const std::vector<std::uint8_t> &Sizes) {
+    const ArbitraryResponse Response = arbitraryResponse();
+    for (std::size_t Cut = 0; Cut <= Response.m_bytes.size(); ++Cut) {
+      MessageParser Parser(MessageParser::Kind::Response, LargeLimits);
+      Parser.expectNoBody(Response.m_method == "HEAD");
+      RC_ASSERT(feedInPieces(Parser, Response.m_bytes.substr(0, Cut), Sizes) ==
+                Cut);
+      bool Whole =
+          Cut == Response.m_bytes.size() && !Response.m_endsWithConnection;
+      RC_ASSERT((Parser.state() == MessageParser::State::Complete) == Whole);
+      Parser.finish();
+      bool Complete = Parser.state() == MessageParser::State::Complete;
+      RC_ASSERT(Complete == Response.completeAt(Cut));
+      if (!Complete)
+        continue;
+      RC_ASSERT(Parser.m_status == Response.m_status);
+      RC_ASSERT(Parser.m_body == Response.bodyAt(Cut));
+    }
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(the_kind_of_one_response_has_no_effect_on_the_next) {
+  BOOST_TEST(rc::check([](const std::vector<std::uint8_t> &Sizes) {
+    ResponseShapes Shapes;
+    Shapes.m_endWithConnection = false;
+    MessageParser Parser(MessageParser::Kind::Response, LargeLimits);
+    for (int Count = 0; Count < 4; ++Count) {
+      const ArbitraryResponse Response = arbitraryResponse(Shapes);
+      Parser.reset();
+      Parser.expectNoBody(Response.m_method == "HEAD");
+      RC_ASSERT(feedInPieces(Parser, Response.m_bytes, Sizes) ==
+                Response.m_bytes.size());
+      RC_ASSERT(Parser.state() == MessageParser::State::Complete);
+      RC_ASSERT(Parser.m_status == Response.m_status);
+      RC_ASSERT(Parser.m_body == Response.m_body);
+    }
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(a_response_without_body_takes_no_bytes_of_the_next) {
+  const std::string Next = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  for (const char *Framing :
+       {"Content-Length: 5\r\n", "Content-Length: 90000000\r\n",
+        "Transfer-Encoding: chunked\r\n"})
+    for (const char *Status : {"103", "204", "304", "200 HEAD"}) {
+      const bool IsHead = std::string(Status).ends_with("HEAD");
+      const bool IsInterim = Status[0] == '1';
+      const std::string First =
+          std::string("HTTP/1.1 ") + Status + "\r\n" + Framing + "\r\n";
+      MessageParser Parser(MessageParser::Kind::Response, LargeLimits);
+      Parser.expectNoBody(IsHead);
+      BOOST_TEST_CONTEXT(First) {
+        std::size_t Used = feedInPieces(Parser, First + Next, {});
+        BOOST_TEST((Parser.state() == MessageParser::State::Complete));
+        BOOST_TEST(Used == First.size() + (IsInterim ? Next.size() : 0));
+        BOOST_TEST(Parser.m_body == (IsInterim ? "ok" : ""));
+      }
+    }
+}
--- a/src/libhttp/raw_server.h
+++ b/src/libhttp/raw_server.h
@@ -80,6 +80,8 @@
     evbuffer_drain(Input, evbuffer_get_length(Input));
     Self->m_responded.insert(Stream);
     bufferevent_write(Stream, Self->m_response.data(), Self->m_response.size());
+    if (Self->m_response.empty())
+      onSent(Stream, Self);
   }
 
   static void onDisconnected(bufferevent *, short Events, void *Argument) {
