http: never deliver an interim response as the final one

In the declared mode, callers of HEAD could get a 103 of the upstream as their final response, with the final one lost. evhttp skips only 100 and ends the request with any other 1xx; the client then took a response to HEAD as complete whatever its status was, and one to other methods if it had a length.

A response below 200 is now incomplete, as any other whose end was not seen.

The new property a_response_that_breaks_off_is_no_response (any response, cut at any byte, ended in order or reset) failed before: `Size == Response.m_bytes.size()` with `40 == 110`, and `Result.m_response.m_status == Response.m_status` with `103 == 503`, for HEAD with 103 both times.

--- a/src/libhttp/faulty_server_test.cpp
+++ b/src/libhttp/faulty_server_test.cpp
@@ -1,3 +1,4 @@
+#include "arbitrary_response.h"
 #include "burdockpulley/http.h"
 #include "raw_server.h"
 
@@ -99,6 +100,30 @@
   }
 }
 
+// A server stopped in the middle of a head; its clients got an empty 200.
+BOOST_AUTO_TEST_CASE(a_response_that_breaks_off_is_no_response) {
+  BOOST_TEST(rc::check([](bool Reset) {
+    const ArbitraryResponse Response = arbitraryResponse();
+    const std::size_t Size = arbitraryCut(Response);
+    std::unique_ptr<event_base, decltype(&event_base_free)> Base(
+        event_base_new(), event_base_free);
+    RawServer Server(Base.get(), Response.m_bytes.substr(0, Size), true);
+    Server.m_resetAfterResponse = Reset;
+    HttpClient Client(Base.get(), Server.m_endpoint, 1);
+    CallResult Result =
+        callAndWait(Base.get(), Client, Response.m_method.c_str());
+    if (Result.m_error != HttpError::None) {
+      RC_ASSERT(Result.m_error == HttpError::Interrupted);
+      RC_ASSERT(Result.m_response.m_body.empty());
+      return;
+    }
+    RC_ASSERT(Size == Response.m_bytes.size());
+    RC_ASSERT(!Response.m_endsWithConnection);
+    RC_ASSERT(Result.m_response.m_status == Response.m_status);
+    RC_ASSERT(Result.m_response.m_body == Response.m_body);
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(a_response_without_a_request_is_never_delivered) {
   event_base *Base = event_base_new();
   {
--- a/src/libhttp/http_client.cpp
+++ b/src/libhttp/http_client.cpp
@@ -65,9 +65,13 @@
                     }));
 }
 
-/// Returns true if the framing defines where the body ends, and all of the body
-/// has been received.
+/// Returns true if the response is a final one, its framing defines where the
+/// body ends, and all of the body has been received.
 bool isComplete(const HttpResponse &Response, bool IsHeadRequest) {
+  // evhttp takes each interim response but 100 for the final one.
+  constexpr int FirstFinalStatus = 200;
+  if (Response.m_status < FirstFinalStatus)
+    return false;
   std::size_t ContentLengths = countHeader(Response, "Content-Length");
   std::size_t TransferEncodings = countHeader(Response, "Transfer-Encoding");
   if (ContentLengths + TransferEncodings > 1)
