http: send no body after the head of a response that ends there

A caller that sent HEAD over a kept connection could get bytes of a body that it did not expect, and take them for the beginning of its next response: the metrics port of the registry mode, and the admin port and the errors of the declared mode, respond to HEAD as to GET. The same held for a 204 or 304 with a body. Neither CallerConnection nor evhttp looks at the method of the request.

Both servers now end these responses with the head. endsWithHead() is the one place that says which they are; the parser and the evhttp client use it too.

Tests: a_response_that_ends_with_its_head_is_sent_without_body, and ..._is_sent_ by_a_server_without_body for evhttp.

--- a/src/libhttp/caller_connection.cpp
+++ b/src/libhttp/caller_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "burdockpulley/clock.h"
 #include "burdockpulley/event_log.h"
+#include "framing.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -174,6 +175,7 @@
 }
 
 void CallerConnection::sendResponse(const HttpResponse &Response) {
+  bool ToHead = m_exchange && m_exchange->request().m_method == "HEAD";
   m_exchange = nullptr;
   bool Close = !m_keepAlive || m_listener.m_closeAfterResponses;
   std::string Message;
@@ -195,13 +197,13 @@
     Message +=
         "Keep-Alive: timeout=" + std::to_string(IdleTime.count()) + "\r\n";
   }
-  constexpr int NoContent = 204;
-  constexpr int NotModified = 304;
-  if (Response.m_status != NoContent && Response.m_status != NotModified)
+  bool HasBody = !endsWithHead(Response.m_status, ToHead);
+  if (HasBody)
     Message +=
         "Content-Length: " + std::to_string(Response.m_body.size()) + "\r\n";
   Message += "\r\n";
-  Message += Response.m_body;
+  if (HasBody)
+    Message += Response.m_body;
   bufferevent_write(m_stream, Message.data(), Message.size());
   m_since = bootClockNow();
   if (Close)
--- a/src/libhttp/caller_listener_test.cpp
+++ b/src/libhttp/caller_listener_test.cpp
@@ -70,7 +70,7 @@
           m_latestExchange = NewExchange;
           if (m_respondAtOnce)
             NewExchange->answer(
-                HttpResponse{200, {}, NewExchange->request().m_target});
+                HttpResponse{m_status, {}, NewExchange->request().m_target});
           else
             m_openExchanges.push_back(std::move(NewExchange));
         }) {
@@ -89,6 +89,7 @@
   std::unique_ptr<event_base, decltype(&event_base_free)> m_baseOwner;
   event_base *m_base;
   bool m_respondAtOnce = true;
+  int m_status = 200; ///< Of the responses that are sent at once.
   std::weak_ptr<Exchange> m_latestExchange;
   std::vector<std::shared_ptr<Exchange>> m_openExchanges;
   CallerListener m_listener;
@@ -111,6 +112,22 @@
   BOOST_TEST(!Caller.m_disconnected);
 }
 
+// The caller would take a body for the beginning of the next response.
+BOOST_AUTO_TEST_CASE(a_response_that_ends_with_its_head_is_sent_without_body) {
+  for (int Status : {200, 204, 304}) {
+    ListenerFixture Fixture;
+    Fixture.m_status = Status;
+    RawCaller Caller(Fixture.m_base, Fixture.m_port);
+    std::string Method = Status == 200 ? "HEAD" : "GET";
+    Caller.send(Method + " /one HTTP/1.1\r\nHost: x\r\n\r\n");
+    Fixture.runUntil([&] { return contains(Caller.m_received, "\r\n\r\n"); });
+    Fixture.m_status = 200;
+    Caller.send("GET /two HTTP/1.1\r\nHost: x\r\n\r\n");
+    Fixture.runUntil([&] { return contains(Caller.m_received, "/two"); });
+    BOOST_TEST(!contains(Caller.m_received, "/one"), Caller.m_received);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_disconnect_is_reported_while_the_request_is_handled) {
   ListenerFixture Fixture;
   Fixture.m_respondAtOnce = false;
--- a/src/libhttp/http_client.cpp
+++ b/src/libhttp/http_client.cpp
@@ -1,4 +1,5 @@
 #include "evhttp_glue.h"
+#include "framing.h"
 
 #include "burdockpulley/clock.h"
 #include <event2/bufferevent.h>
@@ -69,14 +70,13 @@
 /// body ends, and all of the body has been received.
 bool isComplete(const HttpResponse &Response, bool IsHeadRequest) {
   // evhttp takes each interim response but 100 for the final one.
-  constexpr int FirstFinalStatus = 200;
-  if (Response.m_status < FirstFinalStatus)
+  if (detail::isInterim(Response.m_status))
     return false;
   std::size_t ContentLengths = countHeader(Response, "Content-Length");
   std::size_t TransferEncodings = countHeader(Response, "Transfer-Encoding");
   if (ContentLengths + TransferEncodings > 1)
     return false;
-  if (IsHeadRequest || Response.m_status == 204 || Response.m_status == 304)
+  if (detail::endsWithHead(Response.m_status, IsHeadRequest))
     return true;
   if (TransferEncodings == 1)
     return strcasecmp(std::string(Response.header("Transfer-Encoding")).c_str(),
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -1,4 +1,5 @@
 #include "evhttp_glue.h"
+#include "framing.h"
 
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
@@ -94,8 +95,10 @@
   if (m_closeAfterResponse)
     detail::writeHeaders(evhttp_request_get_output_headers(Request),
                          {{"Connection", "close"}});
-  evbuffer *Body = evhttp_request_get_output_buffer(Request);
-  evbuffer_add(Body, Response.m_body.data(), Response.m_body.size());
+  bool ToHead = evhttp_request_get_command(Request) == EVHTTP_REQ_HEAD;
+  if (!detail::endsWithHead(Response.m_status, ToHead))
+    evbuffer_add(evhttp_request_get_output_buffer(Request),
+                 Response.m_body.data(), Response.m_body.size());
   evhttp_send_reply(Request, Response.m_status, nullptr, nullptr);
 }
 
--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -74,6 +74,26 @@
   BOOST_TEST((RefusedError == HttpError::ConnectFailed));
 }
 
+// The caller would take a body for the beginning of the next response.
+BOOST_AUTO_TEST_CASE(
+    a_response_that_ends_with_its_head_is_sent_by_a_server_without_body) {
+  for (int Status : {200, 204, 304}) {
+    EventLoop Loop;
+    HttpServer Server(Loop.m_base, [&](HttpRequest &&Request, auto Responder) {
+      bool IsFirst = Request.m_target == "/one";
+      Responder->send(
+          HttpResponse{IsFirst ? Status : 200, {}, Request.m_target});
+    });
+    BlockingCaller Caller(Server.listen({"127.0.0.1", 0}));
+    std::string Method = Status == 200 ? "HEAD" : "GET";
+    Caller.send(Method + " /one HTTP/1.1\r\nHost: x\r\n\r\n");
+    Loop.runUntil([&] { return Caller.received("\r\n\r\n"); });
+    Caller.send("GET /two HTTP/1.1\r\nHost: x\r\n\r\n");
+    Loop.runUntil([&] { return Caller.received("/two"); });
+    BOOST_TEST(!Caller.received("/one"));
+  }
+}
+
 // A planned stop reset connections that were established but not accepted yet.
 BOOST_AUTO_TEST_CASE(a_server_that_stops_serves_connections_not_accepted_yet) {
   EventLoop Loop;
--- a/src/libhttp/message_parser.cpp
+++ b/src/libhttp/message_parser.cpp
@@ -1,5 +1,7 @@
 #include "message_parser.h"
 
+#include "framing.h"
+
 #include <strings.h>
 
 #include <algorithm>
@@ -17,16 +19,6 @@
 /// Least size of a 1xx response.
 constexpr std::size_t InterimResponseBytes = 16;
 
-bool isInterim(int Status) { return Status >= 100 && Status < 200; }
-
-/// Returns true if a response with this status ends with its head, whatever its
-/// headers say.
-bool endsWithHead(int Status) {
-  constexpr int NoContent = 204;
-  constexpr int NotModified = 304;
-  return isInterim(Status) || Status == NoContent || Status == NotModified;
-}
-
 } // namespace
 
 MessageParser::MessageParser(Kind MessageKind, Limits SizeLimits)
@@ -157,7 +149,7 @@
         m_expectsContinue =
             strcasecmp(Header.m_value.c_str(), "100-continue") == 0;
   }
-  if (m_kind == Kind::Response && (m_noBody || endsWithHead(m_status)))
+  if (m_kind == Kind::Response && endsWithHead(m_status, m_noBody))
     return SkipBody;
   constexpr std::uint64_t UnknownLength = ~std::uint64_t(0);
   if (m_parser.content_length != UnknownLength) {
