http: test that a cut request reaches no handler

Requests without a body, with a length and in chunks, cut at every byte, with an orderly end or a reset: none is handled, neither by CallerListener nor by the evhttp server, and no fault was found. On a variant of CallerConnection that dispatches at the end of a connection once the head is whole, the test of the listener fails 42 times; the one of evhttp checks that whole requests do arrive.

--- a/src/libhttp/blocking_caller.h
+++ b/src/libhttp/blocking_caller.h
@@ -9,6 +9,7 @@
 
 #include <cerrno>
 #include <string>
+#include <vector>
 
 namespace burdockpulley {
 
@@ -24,7 +25,12 @@
     BOOST_REQUIRE(connect(m_socket, reinterpret_cast<sockaddr *>(&Address),
                           sizeof(Address)) == 0);
   }
-  ~BlockingCaller() { close(m_socket); }
+  ~BlockingCaller() {
+    if (m_socket >= 0)
+      close(m_socket);
+  }
+  BlockingCaller(const BlockingCaller &) = delete;
+  BlockingCaller &operator=(const BlockingCaller &) = delete;
 
   void send(const std::string &Bytes) const {
     BOOST_REQUIRE(write(m_socket, Bytes.data(), Bytes.size()) ==
@@ -42,11 +48,39 @@
     return m_received.find(Text) != std::string::npos;
   }
 
+  /// Sends no more, and still receives.
+  void endInOrder() const { shutdown(m_socket, SHUT_WR); }
+  /// Resets the connection.
+  void reset() {
+    linger Reset{1, 0};
+    setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &Reset, sizeof(Reset));
+    close(m_socket);
+    m_socket = -1;
+  }
+  /// True once the other side has ended the connection.
+  bool ended() const {
+    char Byte = 0;
+    ssize_t Size = 0;
+    do
+      Size = recv(m_socket, &Byte, 1, MSG_DONTWAIT);
+    while (Size > 0);
+    return Size == 0 || errno != EAGAIN;
+  }
+
 private:
   int m_socket;
   std::string m_received;
 };
 
+/// Requests without a body, with a length and in chunks.
+inline std::vector<std::string> sampleRequests(const std::string &Target) {
+  const std::string End = " " + Target + " HTTP/1.1\r\nHost: x\r\n";
+  return {"GET" + End + "\r\n", "POST" + End + "Content-Length: 3\r\n\r\nabc",
+          "POST" + End +
+              "Transfer-Encoding: chunked\r\n\r\n"
+              "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"};
+}
+
 } // namespace burdockpulley
 
 #endif
--- a/src/libhttp/caller_listener_test.cpp
+++ b/src/libhttp/caller_listener_test.cpp
@@ -68,6 +68,7 @@
         m_base(m_baseOwner.get()),
         m_listener(m_base, 16, [this](std::shared_ptr<Exchange> NewExchange) {
           m_latestExchange = NewExchange;
+          ++m_handled;
           if (m_respondAtOnce)
             NewExchange->answer(
                 HttpResponse{m_status, {}, NewExchange->request().m_target});
@@ -91,6 +92,7 @@
   bool m_respondAtOnce = true;
   int m_status = 200; ///< Of the responses that are sent at once.
   std::weak_ptr<Exchange> m_latestExchange;
+  int m_handled = 0; ///< Exchanges so far.
   std::vector<std::shared_ptr<Exchange>> m_openExchanges;
   CallerListener m_listener;
   std::uint16_t m_port = 0;
@@ -128,6 +130,24 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_is_cut_at_any_byte_is_not_handled) {
+  for (const std::string &Request : sampleRequests("/cut"))
+    for (bool Reset : {false, true})
+      for (std::size_t Size = 0; Size < Request.size(); ++Size) {
+        ListenerFixture Fixture;
+        BlockingCaller Cut(Fixture.m_port);
+        Cut.send(Request.substr(0, Size));
+        Reset ? Cut.reset() : Cut.endInOrder();
+        BlockingCaller Whole(Fixture.m_port);
+        Whole.send("GET /whole HTTP/1.1\r\nHost: x\r\n\r\n");
+        Fixture.runUntil([&] {
+          return Whole.received("/whole") &&
+                 Fixture.m_listener.connections() == 1;
+        });
+        BOOST_TEST(Fixture.m_handled == 1, Request.substr(0, Size));
+      }
+}
+
 BOOST_AUTO_TEST_CASE(a_disconnect_is_reported_while_the_request_is_handled) {
   ListenerFixture Fixture;
   Fixture.m_respondAtOnce = false;
--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -94,6 +94,26 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_is_cut_at_any_byte_reaches_no_handler) {
+  EventLoop Loop;
+  int Handled = 0;
+  HttpServer Server(Loop.m_base, [&](HttpRequest &&, auto Responder) {
+    ++Handled;
+    Responder->send(HttpResponse{});
+  });
+  std::uint16_t Port = Server.listen({"127.0.0.1", 0});
+  for (const std::string &Request : sampleRequests("/"))
+    for (std::size_t Size = 0; Size <= Request.size(); ++Size) {
+      BlockingCaller Caller(Port);
+      Caller.send(Request.substr(0, Size));
+      Caller.endInOrder();
+      Loop.runUntil([&] { return Caller.ended(); });
+      BOOST_TEST(Handled == (Size == Request.size() ? 1 : 0),
+                 Request.substr(0, Size));
+      Handled = 0;
+    }
+}
+
 // A planned stop reset connections that were established but not accepted yet.
 BOOST_AUTO_TEST_CASE(a_server_that_stops_serves_connections_not_accepted_yet) {
   EventLoop Loop;
