--- a/src/libhttp/raw_server.h
+++ b/src/libhttp/raw_server.h
@@ -101,6 +101,7 @@
       setsockopt(bufferevent_getfd(Stream), SOL_SOCKET, SO_LINGER, &Reset,
                  sizeof(Reset));
       std::erase(Self->m_streams, Stream);
+      Self->m_responded.erase(Stream);
       bufferevent_free(Stream);
       return;
     }
