http: reject a response whose head names two requests

If a head broke off in a header field and a late response to an earlier request followed on the connection, the two were read as one response: it named the request first and then the other one, and had the body of the other one. Only the first id was compared.

A response with different ids is now unusable, and its connection is closed. a_head_that_names_two_requests_is_rejected failed before (`m_error == ChannelError::BadAnswer has failed`); it passes now, as do the 52 tests of http_test.

--- a/src/libhttp/channel.cpp
+++ b/src/libhttp/channel.cpp
@@ -249,11 +249,18 @@
   if (!m_echoId.empty()) {
     std::string_view Echo = Response.header(m_pool.m_settings.m_echoHeader);
     bool Missing = Echo.empty() && !m_pool.m_settings.m_echoRequired;
-    if (Echo != m_echoId && !Missing) {
+    bool Ambiguous = std::any_of(
+        Response.m_headers.begin(), Response.m_headers.end(),
+        [&](const HttpHeader &Header) {
+          return Header.m_value != Echo &&
+                 strcasecmp(Header.m_name.c_str(),
+                            m_pool.m_settings.m_echoHeader.c_str()) == 0;
+        });
+    if ((Echo != m_echoId && !Missing) || Ambiguous) {
       // A late or repeated response to an earlier request. The response to this
       // call can only follow it if the connection stays open.
       m_notReusable = true;
-      bool MayFollow = m_parser.keepAlive() && !Echo.empty() &&
+      bool MayFollow = m_parser.keepAlive() && !Echo.empty() && !Ambiguous &&
                        ++m_skippedResponses <= MaxSkippedResponses;
       m_parser.reset();
       if (!MayFollow)
--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -152,6 +152,16 @@
       (Fixture.call(GetRequest, "r1").m_error == ChannelError::BadAnswer));
 }
 
+// A head broke off, and the next bytes were a late response: together they look
+// like one response.
+BOOST_AUTO_TEST_CASE(a_head_that_names_two_requests_is_rejected) {
+  const std::string Begin = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nX-A: ab";
+  PoolFixture Fixture(Begin + "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n"
+                              "Content-Length: 3\r\n\r\nold");
+  BOOST_TEST(
+      (Fixture.call(GetRequest, "r1").m_error == ChannelError::BadAnswer));
+}
+
 /// A response without end: its first bytes, and those that are repeated.
 struct EndlessResponse {
   const char *m_problem;
