--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -1,3 +1,4 @@
+#include "arbitrary_response.h"
 #include "burdockpulley/channel_pool.h"
 #include "burdockpulley/clock.h"
 #include "raw_server.h"
@@ -93,6 +94,46 @@
   BOOST_TEST(Result.m_sent);
 }
 
+// A server stopped in the middle of a head; its clients got an empty 200.
+BOOST_AUTO_TEST_CASE(a_response_that_breaks_off_is_never_delivered) {
+  BOOST_TEST(rc::check([](bool Reset) {
+    ResponseShapes Shapes;
+    Shapes.m_headerLines = "Request-Id: r1\r\n";
+    const ArbitraryResponse Response = arbitraryResponse(Shapes);
+    const std::size_t Size = arbitraryCut(Response);
+    PoolFixture Fixture(Response.m_bytes.substr(0, Size), true);
+    Fixture.m_server.m_resetAfterResponse = Reset;
+    HttpRequest Request = GetRequest;
+    Request.m_method = Response.m_method;
+    ChannelResult Result = Fixture.call(Request, "r1");
+    // What was sent before a reset may be lost.
+    bool MayBeComplete =
+        Response.completeAt(Size) && !(Reset && Response.m_endsWithConnection);
+    if (Result.m_error == ChannelError::None) {
+      RC_ASSERT(MayBeComplete);
+      RC_ASSERT(Result.m_response.m_status == Response.m_status);
+      RC_ASSERT(Result.m_response.m_body == Response.bodyAt(Size));
+    } else {
+      RC_ASSERT(Result.m_error == ChannelError::Interrupted);
+      RC_ASSERT(Result.m_response.m_body.empty());
+      RC_ASSERT(Reset || !MayBeComplete);
+    }
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(a_response_after_one_to_head_keeps_its_body) {
+  PoolFixture Fixture(
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\n");
+  HttpRequest HeadRequest = GetRequest;
+  HeadRequest.m_method = "HEAD";
+  BOOST_TEST(Fixture.call(HeadRequest, "r1").m_response.m_status == 200);
+  Fixture.m_server.m_response = OkResponse;
+  ChannelResult Result = Fixture.call(GetRequest, "r1");
+  BOOST_TEST((Result.m_error == ChannelError::None));
+  BOOST_TEST(Result.m_response.m_body == "ok");
+  BOOST_TEST(Fixture.m_server.m_acceptedCount == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_response_to_an_earlier_request_is_skipped) {
   std::string LateResponse =
       "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 3\r\n\r\nold";
@@ -111,6 +152,16 @@
       (Fixture.call(GetRequest, "r1").m_error == ChannelError::BadAnswer));
 }
 
+// A head broke off, and the next bytes were a late response: together they look
+// like one response.
+BOOST_AUTO_TEST_CASE(a_head_that_names_two_requests_is_rejected) {
+  const std::string Begin = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nX-A: ab";
+  PoolFixture Fixture(Begin + "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n"
+                              "Content-Length: 3\r\n\r\nold");
+  BOOST_TEST(
+      (Fixture.call(GetRequest, "r1").m_error == ChannelError::BadAnswer));
+}
+
 /// A response without end: its first bytes, and those that are repeated.
 struct EndlessResponse {
   const char *m_problem;
--- a/src/libhttp/message_parser.cpp
+++ b/src/libhttp/message_parser.cpp
@@ -1,5 +1,7 @@
 #include "message_parser.h"
 
+#include "framing.h"
+
 #include <strings.h>
 
 #include <algorithm>
@@ -17,8 +19,6 @@
 /// Least size of a 1xx response.
 constexpr std::size_t InterimResponseBytes = 16;
 
-bool isInterim(int Status) { return Status >= 100 && Status < 200; }
-
 } // namespace
 
 MessageParser::MessageParser(Kind MessageKind, Limits SizeLimits)
@@ -149,6 +149,8 @@
         m_expectsContinue =
             strcasecmp(Header.m_value.c_str(), "100-continue") == 0;
   }
+  if (m_kind == Kind::Response && endsWithHead(m_status, m_noBody))
+    return SkipBody;
   constexpr std::uint64_t UnknownLength = ~std::uint64_t(0);
   if (m_parser.content_length != UnknownLength) {
     if (m_parser.content_length > m_limits.m_bodyBytes)
@@ -156,7 +158,7 @@
     m_body.reserve(
         std::min<std::uint64_t>(m_parser.content_length, MaxReservedBodyBytes));
   }
-  return m_noBody && !isInterim(m_status) ? SkipBody : 0;
+  return 0;
 }
 
 int MessageParser::onBody(const char *Bytes, std::size_t Size) {
--- a/src/libhttp/raw_server.h
+++ b/src/libhttp/raw_server.h
@@ -80,6 +80,8 @@
     evbuffer_drain(Input, evbuffer_get_length(Input));
     Self->m_responded.insert(Stream);
     bufferevent_write(Stream, Self->m_response.data(), Self->m_response.size());
+    if (Self->m_response.empty())
+      onSent(Stream, Self);
   }
 
   static void onDisconnected(bufferevent *, short Events, void *Argument) {
@@ -99,6 +101,7 @@
       setsockopt(bufferevent_getfd(Stream), SOL_SOCKET, SO_LINGER, &Reset,
                  sizeof(Reset));
       std::erase(Self->m_streams, Stream);
+      Self->m_responded.erase(Stream);
       bufferevent_free(Stream);
       return;
     }
