http: send no refused request over the connection that refused it

A caller could be told "not run, try again" (503) for a request that its upstream was running, or the request could be sent to a further upstream.

A keyed request that its owner has refused is sent to the same owner again, with the caller's id, and the pool takes the connection used last. An upstream that writes the first refusal once more on that connection thus writes the expected id, and the copy was taken for the response to the second attempt. Bytes outside a call close a connection, but a copy may arrive just before or after the second request is written.

A connection on which a call has ended with an error status is now not used again for a call with the same id. It keeps hashes of up to 256 such ids (2 KiB), and is closed after that many. Closing each connection after a refusal would need no memory, but would cost a new connection for each refused request. Other requests still share the connection; for them the copy is a late response with another id, which is skipped.

Four tests in channel_test.

--- a/src/include/burdockpulley/channel_pool.h
+++ b/src/include/burdockpulley/channel_pool.h
@@ -83,7 +83,9 @@
 /// response is complete only if its framing says so. Unlike HttpClient, it
 /// accepts responses that are delimited by the end of the connection and
 /// responses that arrive while the request is still being written, and it
-/// skips late responses to earlier requests.
+/// skips late responses to earlier requests. The id tells such a response from
+/// that to the present call, unless both have the same id: a connection on
+/// which a call has ended with an error status is not used again for its id.
 /// Thread safety: none; use it on the event loop's thread only.
 class ChannelPool {
 public:
@@ -106,7 +108,8 @@
   /// \p EchoId is the id that the response must repeat in the echo header; an
   /// empty one accepts any response. If \p ConnectionNumber is not zero, the
   /// call uses only that connection (see ChannelResult::m_connection), and ends
-  /// with ConnectFailed if it does not exist or is not idle.
+  /// with ConnectFailed if it does not exist, is not idle, or has refused a
+  /// call with the same id.
   ChannelCallId call(const HttpRequest &Request, const std::string &EchoId,
                      Duration Timeout, Reuse AllowedReuse, Callback Done,
                      std::uint64_t ConnectionNumber = 0);
@@ -135,8 +138,13 @@
 
 private:
   friend class detail::Channel;
-  detail::Channel *takeAny(Reuse AllowedReuse, Instant Now);
-  detail::Channel *takeByNumber(std::uint64_t ConnectionNumber, Instant Now);
+  /// Takes an idle connection that has refused no call with \p EchoId, or makes
+  /// a new one.
+  detail::Channel *takeAny(const std::string &EchoId, Reuse AllowedReuse,
+                           Instant Now);
+  /// Returns null if that connection does not exist or may not be used.
+  detail::Channel *takeByNumber(std::uint64_t ConnectionNumber,
+                                const std::string &EchoId, Instant Now);
   void release(detail::Channel *Channel, bool Reusable);
   void failCallsWithoutConnection();
   void freeClosed();
--- a/src/libhttp/channel.cpp
+++ b/src/libhttp/channel.cpp
@@ -1,6 +1,7 @@
 #include "channel.h"
 
 #include "burdockpulley/clock.h"
+#include "burdockpulley/hashing.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -23,6 +24,10 @@
 constexpr std::size_t MaxResponseHeaderBytes = 64 << 10;
 /// Late responses to earlier requests that a call skips.
 constexpr std::uint32_t MaxSkippedResponses = 8;
+/// A connection is closed once it has refused as many calls as it remembers.
+/// The ids take 2 KiB.
+constexpr std::size_t MaxRefusedIds = 256;
+constexpr int MinErrorStatus = 400;
 /// Idle connections are closed this long before the server would close them, so
 /// that no request is sent just as the server closes its end.
 constexpr Duration IdleMargin{500'000};
@@ -264,6 +269,7 @@
   }
   evbuffer *Input = bufferevent_get_input(m_stream);
   evbuffer *Output = bufferevent_get_output(m_stream);
+  rememberRefusal(Response.m_status);
   bool Clean = evbuffer_get_length(Input) == 0 &&
                evbuffer_get_length(Output) == 0 && !m_notReusable;
   bool Reusable = Clean && m_parser.keepAlive();
@@ -286,6 +292,19 @@
   Done(std::move(Result));
 }
 
+bool Channel::hasRefused(const std::string &EchoId) const {
+  return !m_refusedIds.empty() &&
+         std::find(m_refusedIds.begin(), m_refusedIds.end(),
+                   stableHash(EchoId)) != m_refusedIds.end();
+}
+
+void Channel::rememberRefusal(int Status) {
+  if (m_echoId.empty() || Status < MinErrorStatus)
+    return;
+  m_refusedIds.push_back(stableHash(m_echoId));
+  m_notReusable |= m_refusedIds.size() >= MaxRefusedIds;
+}
+
 void Channel::onDisconnected(short Events) {
   if (!m_done) {
     m_closed = true;
--- a/src/libhttp/channel.h
+++ b/src/libhttp/channel.h
@@ -5,6 +5,8 @@
 #include "burdockpulley/response_memory.h"
 #include "message_parser.h"
 
+#include <vector>
+
 struct bufferevent;
 struct event;
 
@@ -32,6 +34,9 @@
   ChannelCallId callId() const { return m_call; }
   /// Returns true if the connection has ended and the object can be freed.
   bool closed() const { return m_closed; }
+  /// Returns true if a call with this id has ended with an error status on this
+  /// connection. A repeated copy of that response may follow at any time.
+  bool hasRefused(const std::string &EchoId) const;
   bool idleTooLong(Instant Now) const { return Now >= m_idleUntil; }
   Instant idleSince() const { return m_idleSince; }
   Duration idleLimit() const { return m_idleLimit; }
@@ -51,6 +56,8 @@
   /// \p Problem: see ChannelResult::m_problem.
   void failCall(ChannelError Error, const char *Problem = "");
   void closeStream();
+  /// Remembers the call's id if \p Status is an error.
+  void rememberRefusal(int Status);
 
   ChannelPool &m_pool;
   event_base *m_base;
@@ -73,6 +80,8 @@
   bool m_notReusable = false;
   bool m_memoryExceeded = false;
   std::uint32_t m_skippedResponses = 0; ///< Those to earlier requests.
+  /// Hashes of the ids of calls that have ended with an error status.
+  std::vector<std::uint64_t> m_refusedIds;
   bool m_closed = false;
   bool m_resetOnClose = false; ///< Set when a call has failed or was cancelled.
 };
--- a/src/libhttp/channel_pool.cpp
+++ b/src/libhttp/channel_pool.cpp
@@ -57,19 +57,22 @@
   }
 }
 
-detail::Channel *ChannelPool::takeAny(Reuse AllowedReuse, Instant Now) {
-  while (!m_idle.empty()) {
-    detail::Channel *MostRecent = m_idle.back();
+detail::Channel *ChannelPool::takeAny(const std::string &EchoId,
+                                      Reuse AllowedReuse, Instant Now) {
+  for (std::size_t Index = m_idle.size(); Index-- > 0;) {
+    detail::Channel *MostRecent = m_idle[Index];
     bool Recent = Now - MostRecent->idleSince() <=
                   MostRecent->idleLimit() / RecentUseDivisor;
     if (MostRecent->closed() || MostRecent->idleTooLong(Now)) {
-      m_idle.pop_back();
+      std::erase(m_idle, MostRecent);
       MostRecent->close();
       continue;
     }
     if (AllowedReuse == Reuse::RecentlyUsed && !Recent)
       break;
-    m_idle.pop_back();
+    if (MostRecent->hasRefused(EchoId))
+      continue;
+    std::erase(m_idle, MostRecent);
     return MostRecent;
   }
   m_channels.push_back(
@@ -78,10 +81,11 @@
 }
 
 detail::Channel *ChannelPool::takeByNumber(std::uint64_t ConnectionNumber,
+                                           const std::string &EchoId,
                                            Instant Now) {
   for (detail::Channel *Idle : m_idle) {
     if (Idle->number() != ConnectionNumber || Idle->closed() ||
-        Idle->idleTooLong(Now))
+        Idle->idleTooLong(Now) || Idle->hasRefused(EchoId))
       continue;
     std::erase(m_idle, Idle);
     return Idle;
@@ -96,8 +100,8 @@
   Instant Now = bootClockNow();
   ChannelCallId Call(++m_nextCall);
   detail::Channel *Channel = ConnectionNumber == 0
-                                 ? takeAny(AllowedReuse, Now)
-                                 : takeByNumber(ConnectionNumber, Now);
+                                 ? takeAny(EchoId, AllowedReuse, Now)
+                                 : takeByNumber(ConnectionNumber, EchoId, Now);
   if (!Channel) {
     m_callsWithoutConnection.emplace_back(Call, std::move(Done));
     scheduleCleanup();
--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -105,6 +105,102 @@
   BOOST_TEST(Fixture.m_server.m_acceptedCount == 2);
 }
 
+namespace {
+
+std::string refusalOf(const std::string &Id) {
+  return "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + Id +
+         "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string successOf(const std::string &Id) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
+         "\r\nContent-Length: 0\r\n\r\n";
+}
+
+} // namespace
+
+// A keyed request goes to its owner again, with the same id. A second copy of
+// the refusal would show it as not run while it runs.
+BOOST_AUTO_TEST_CASE(a_repeated_refusal_does_not_answer_the_next_attempt) {
+  const std::vector<std::vector<std::string>> IdsBetweenAttempts = {
+      {}, {"r2"}, {"r2", "r3", "r2"}};
+  for (const auto &Ids : IdsBetweenAttempts) {
+    PoolFixture Fixture(refusalOf("r1"));
+    BOOST_TEST(Fixture.call(GetRequest, "r1").m_response.m_status == 503);
+    for (const std::string &Id : Ids) {
+      Fixture.m_server.m_response = successOf(Id);
+      BOOST_TEST(Fixture.call(GetRequest, Id).m_response.m_status == 200);
+    }
+    // The other requests have used the first connection too.
+    BOOST_TEST(Fixture.m_server.m_acceptedCount == 1);
+    // The copy is there before the second attempt is sent.
+    std::string Copy = refusalOf("r1");
+    BOOST_REQUIRE(send(bufferevent_getfd(Fixture.m_server.m_streams.at(0)),
+                       Copy.data(), Copy.size(),
+                       0) == static_cast<ssize_t>(Copy.size()));
+    Fixture.m_server.m_response = successOf("r1");
+    BOOST_REQUIRE(Fixture.call(GetRequest, "r1").m_response.m_status == 200);
+    // Bytes outside a call end the first connection.
+    Fixture.runUntil([&] { return Fixture.m_server.m_endCount == 1; });
+  }
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_refusal_repeated_with_the_next_response_does_not_replace_it) {
+  PoolFixture Fixture(refusalOf("r1"));
+  BOOST_TEST(Fixture.call(GetRequest, "r1").m_response.m_status == 503);
+  bufferevent *Refusing = Fixture.m_server.m_streams.at(0);
+  auto RepeatTheRefusalBefore = [&](const std::string &Response) {
+    Fixture.m_server.m_respond = [Refusing, Response](bufferevent *Stream,
+                                                      const std::string &) {
+      return Stream == Refusing ? refusalOf("r1") + Response : Response;
+    };
+  };
+  RepeatTheRefusalBefore(successOf("r1"));
+  BOOST_TEST(Fixture.call(GetRequest, "r1").m_response.m_status == 200);
+  // For the request of another caller, the copy is a late response.
+  RepeatTheRefusalBefore(successOf("r2"));
+  BOOST_TEST(Fixture.call(GetRequest, "r2").m_response.m_status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_request_is_sent_over_another_kept_connection) {
+  PoolFixture Fixture("");
+  std::vector<ChannelResult> Results;
+  for (const char *Id : {"r1", "r2"}) {
+    std::size_t ReceivedBytes = Fixture.m_server.m_receivedBytes;
+    Fixture.m_pool->call(
+        GetRequest, Id, std::chrono::seconds(20), ChannelPool::Reuse::Any,
+        [&](ChannelResult &&Result) { Results.push_back(std::move(Result)); });
+    Fixture.runUntil(
+        [&] { return Fixture.m_server.m_receivedBytes > ReceivedBytes; });
+  }
+  // The connection of the refused request is the most recently used one.
+  for (std::size_t Stream : {1, 0}) {
+    std::string Response = Stream == 0 ? refusalOf("r1") : successOf("r2");
+    bufferevent_write(Fixture.m_server.m_streams.at(Stream), Response.data(),
+                      Response.size());
+    Fixture.runUntil([&] { return Results.size() == 2 - Stream; });
+  }
+  Fixture.m_server.m_response = successOf("r1");
+  ChannelResult Result = Fixture.call(GetRequest, "r1");
+  BOOST_TEST(Result.m_connection == 2u);
+  BOOST_TEST(Fixture.m_server.m_acceptedCount == 2);
+}
+
+BOOST_AUTO_TEST_CASE(the_refusals_that_a_connection_remembers_are_bounded) {
+  constexpr int MostAttempts = 1000;
+  PoolFixture Fixture("");
+  for (int Attempt = 0;
+       Attempt < MostAttempts && Fixture.m_server.m_acceptedCount < 2;
+       ++Attempt) {
+    std::string Id = "r" + std::to_string(Attempt);
+    Fixture.m_server.m_response = refusalOf(Id);
+    BOOST_TEST(Fixture.call(GetRequest, Id).m_response.m_status == 503);
+  }
+  BOOST_REQUIRE(Fixture.m_server.m_acceptedCount == 2);
+  Fixture.runUntil([&] { return Fixture.m_server.m_endCount == 1; });
+}
+
 BOOST_AUTO_TEST_CASE(a_response_without_the_request_id_is_rejected) {
   PoolFixture Fixture("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
   BOOST_TEST(
--- a/src/libhttp/raw_server.h
+++ b/src/libhttp/raw_server.h
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <functional>
 #include <set>
 #include <string>
 #include <vector>
@@ -49,6 +50,10 @@
 
   event_base *m_base;
   std::string m_response;
+  /// If set, returns what is sent in place of m_response when bytes have been
+  /// received on a connection.
+  std::function<std::string(bufferevent *Stream, const std::string &Received)>
+      m_respond;
   bool m_closeAfterResponse;
   /// Whether m_repeatedBytes are sent each time all output has been sent.
   bool m_keepSending = false;
@@ -76,10 +81,13 @@
   static void onRequest(bufferevent *Stream, void *Argument) {
     auto *Self = static_cast<RawServer *>(Argument);
     evbuffer *Input = bufferevent_get_input(Stream);
-    Self->m_receivedBytes += evbuffer_get_length(Input);
-    evbuffer_drain(Input, evbuffer_get_length(Input));
+    std::string Received(evbuffer_get_length(Input), '\0');
+    evbuffer_remove(Input, Received.data(), Received.size());
+    Self->m_receivedBytes += Received.size();
     Self->m_responded.insert(Stream);
-    bufferevent_write(Stream, Self->m_response.data(), Self->m_response.size());
+    std::string Response =
+        Self->m_respond ? Self->m_respond(Stream, Received) : Self->m_response;
+    bufferevent_write(Stream, Response.data(), Response.size());
   }
 
   static void onDisconnected(bufferevent *, short Events, void *Argument) {
