--- a/src/libgateway/key_coordinator_model.cpp
+++ b/src/libgateway/key_coordinator_model.cpp
@@ -233,6 +233,22 @@
   return GrantOutcome::Granted;
 }
 
+void CoordinatorModel::sendToFormerAddress(
+    std::size_t CoordinatorIndex, const GrantCommand &Grant, Duration Delay,
+    const std::function<void(GrantOutcome)> &Report) {
+  if (chance(0.5)) // Nobody has the address.
+    return schedule(Duration(200'000),
+                    [Report] { Report(GrantOutcome::NotSent); });
+  schedule(Delay,
+           [this, CoordinatorIndex, Grant, Report,
+            Ended = m_upstreams[Grant.m_range.m_owner].m_knownIncarnation] {
+             Coordinator &Informed = m_coordinators[CoordinatorIndex];
+             Informed.m_misdirectedAt[{Grant.m_range.m_owner, Ended}] = m_now;
+             Informed.m_ended.insert({Grant.m_range.m_owner, Ended});
+             Report(GrantOutcome::Misdirected);
+           });
+}
+
 void CoordinatorModel::sendGrant(std::size_t CoordinatorIndex,
                                  const GrantCommand &Grant) {
   Coordinator &Sender = m_coordinators[CoordinatorIndex];
@@ -262,18 +278,8 @@
     Sender.m_connectionOfToken[Grant.m_range.m_token] =
         Sender.m_connections[Upstream.m_id].m_number;
   Duration Delay = randomDuration(Duration(1'000), Duration(15'000));
-  if (Upstream.m_knownAddress != Upstream.m_address) {
-    if (chance(0.5))
-      return schedule(Duration(200'000),
-                      [Report] { Report(GrantOutcome::NotSent); });
-    return schedule(Delay, [this, CoordinatorIndex, Grant, Report,
-                            Ended = Upstream.m_knownIncarnation] {
-      Coordinator &Informed = m_coordinators[CoordinatorIndex];
-      Informed.m_misdirectedAt[{Grant.m_range.m_owner, Ended}] = m_now;
-      Informed.m_ended.insert({Grant.m_range.m_owner, Ended});
-      Report(GrantOutcome::Misdirected);
-    });
-  }
+  if (Upstream.m_knownAddress != Upstream.m_address)
+    return sendToFormerAddress(CoordinatorIndex, Grant, Delay, Report);
   if (!m_faultsStopped && chance(0.02)) // A path leads to another upstream.
     return schedule(Delay, [this, CoordinatorIndex, Grant, Report] {
       m_coordinators[CoordinatorIndex].m_misdirectedAt[{
--- a/src/libgateway/key_coordinator_model.h
+++ b/src/libgateway/key_coordinator_model.h
@@ -114,6 +114,10 @@
   void tickCoordinator(std::size_t CoordinatorIndex);
   KeyCandidates candidates(const Coordinator &For) const;
   void sendGrant(std::size_t CoordinatorIndex, const GrantCommand &Grant);
+  /// The grant goes to an address that the owner had before.
+  void sendToFormerAddress(std::size_t CoordinatorIndex,
+                           const GrantCommand &Grant, Duration Delay,
+                           const std::function<void(GrantOutcome)> &Report);
   void sendRelease(std::size_t CoordinatorIndex, const ReleaseCommand &Release);
   void write(std::size_t CoordinatorIndex);
   GrantOutcome applyGrant(ModelUpstream &Upstream,
