http test: no header of the platform

The response of a refusal in channel_test.cpp had a header whose name belongs into platform/; the channel reads none of it. The test checks the same.

--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -150,7 +150,7 @@
 
 std::string refusalOf(const std::string &Id) {
   return "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + Id +
-         "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+         "\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n";
 }
 
 std::string successOf(const std::string &Id) {
