request relay: split by job

It now sends, forwards and ends requests only. Reading and checking moves to RequestIntake, the choice of upstreams and hosts to UpstreamAssignment, the queues to WaitingRequests, what is learned from results to AttemptResults, and headers to request_encoding. No behaviour changes.

--- a/src/libgateway/peer_state_exchange.cpp
+++ b/src/libgateway/peer_state_exchange.cpp
@@ -132,15 +132,14 @@
                   [this](const HostId &Sender, const wire::Datagram &Message) {
                     onMessage(Sender, Message);
                   }) {
-  Relay.m_onSuspicion = [this](Fingerprint Request,
-                               const UpstreamId &Upstream) {
+  Relay.onSuspicion([this](Fingerprint Request, const UpstreamId &Upstream) {
     wire::Datagram Message;
     wire::CrashReport Report;
     Report.fingerprint = static_cast<std::int64_t>(Request.value());
     Report.upstream = Upstream.value();
     Message.__set_crash(Report);
     m_transport.sendAll(std::move(Message));
-  };
+  });
 }
 
 void PeerStateExchange::tick(Instant Now) {
--- /dev/null
+++ b/src/libgateway/upstream_assignment.h
@@ -0,0 +1,70 @@
+#ifndef BURDOCKPULLEY_LIBGATEWAY_UPSTREAM_ASSIGNMENT_H
+#define BURDOCKPULLEY_LIBGATEWAY_UPSTREAM_ASSIGNMENT_H
+
+#include "burdockpulley/owner_throttle.h"
+#include "burdockpulley/request_limiter.h"
+#include "burdockpulley/shared_limits.h"
+#include "burdockpulley/upstream_selection.h"
+#include "gateway_state.h"
+#include "pending_request.h"
+
+#include <random>
+
+namespace burdockpulley {
+
+/// Decides which upstream, or which other host, a request may be sent to now,
+/// within the limits that all hosts share, and what capacity the upstreams of
+/// its service have.
+/// Thread safety: none; it belongs to the loop's thread.
+class UpstreamAssignment {
+public:
+  /// Precondition: \p State and \p Forwarder outlive the object.
+  UpstreamAssignment(GatewayState &State, const RequestForwarder &Forwarder);
+
+  /// Returns null if no upstream can take the request now. \p CanWait says
+  /// whether one may be able to later.
+  UpstreamState *chooseUpstream(const PendingRequest &Pending, bool &CanWait,
+                                Instant Now);
+  /// The host to which to forward a request for which this host has no usable
+  /// upstream; null if there is none that reaches one.
+  const ForwardingPeer *chooseForwardingPeer(const PendingRequest &Pending,
+                                             Instant Now) const;
+  /// Capacity of the upstreams that the request may be sent to.
+  ServiceCapacity capacityFor(const PendingRequest &Pending, Instant Now) const;
+
+  /// Charges the limits of an upstream with a request that is sent now.
+  void onSend(const PendingRequest &Pending, UpstreamState &Upstream,
+              Instant Now);
+
+  /// Discards the state of upstreams that are gone. Call it a few times a
+  /// second.
+  void sweep();
+
+private:
+  struct OwnerLookup {
+    UpstreamState *m_upstream = nullptr; ///< Null if it may not be used.
+    bool m_unreachable = false;
+  };
+  /// Precondition: the request has a key.
+  OwnerLookup findOwner(const PendingRequest &Pending, Instant Now) const;
+  UpstreamState *chooseOwner(const PendingRequest &Pending, bool &CanWait,
+                             Instant Now);
+  /// True if the upstream is not cold, or if this host may send it one more
+  /// request within its share of the cold start rate.
+  bool allowedByColdStartLimit(const UpstreamState &Upstream,
+                               const PendingRequest &Pending, Instant Now);
+  /// True if the upstream does not limit its requests, or if this host may send
+  /// it one more.
+  bool allowedByRequestLimit(const UpstreamState &Upstream, Instant Now);
+
+  GatewayState &m_state;
+  const RequestForwarder &m_forwarder;
+  std::map<UpstreamId, ColdStartLimiter> m_coldStartLimiters;
+  std::map<UpstreamId, OwnerThrottle> m_ownerThrottles;
+  std::map<UpstreamId, RequestLimiter> m_requestLimiters;
+  std::mt19937_64 m_random;
+};
+
+} // namespace burdockpulley
+
+#endif
--- /dev/null
+++ b/src/libgateway/waiting_requests.h
@@ -0,0 +1,57 @@
+#ifndef BURDOCKPULLEY_LIBGATEWAY_WAITING_REQUESTS_H
+#define BURDOCKPULLEY_LIBGATEWAY_WAITING_REQUESTS_H
+
+#include "pending_request.h"
+
+#include "burdockpulley/upstream_registry.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace burdockpulley {
+
+/// The queues of requests that wait at this host, one for each service without
+/// keys and one for each owner of keys.
+/// Thread safety: none; it belongs to the loop's thread.
+class WaitingRequests {
+public:
+  /// Precondition: \p Registry outlives the object.
+  explicit WaitingRequests(UpstreamRegistry &Registry) : m_registry(Registry) {}
+
+  /// Queues a request, or refuses it if it would not be served in time.
+  /// \p Owner: of its key; empty if it has none.
+  std::optional<Refusal> add(PendingRequest &Pending, const UpstreamId &Owner,
+                             const ServiceCapacity &Capacity, Instant Now);
+  /// Does nothing if the request does not wait.
+  void remove(PendingRequest &Pending);
+
+  /// Removes and returns the requests that can no longer be served in time, and
+  /// sets \p Orders to the others of each queue, in the order in which to send
+  /// them. \p CapacityFor: the capacity for the first request of a queue;
+  /// nothing if that request is not known.
+  using CapacityFunction =
+      std::function<std::optional<ServiceCapacity>(RequestNumber)>;
+  std::vector<RequestNumber>
+  collect(const CapacityFunction &CapacityFor,
+          std::vector<std::vector<RequestNumber>> &Orders, Instant Now);
+
+  /// Discards queues that are no longer needed. Call it a few times a second.
+  void sweep(Instant Now);
+
+  std::size_t size() const;
+  /// The numbers of waiting requests by service; services without any are left
+  /// out.
+  std::map<ServiceId, std::uint32_t> countByService() const;
+
+private:
+  void updateWaitingCount(const UpstreamId &Owner);
+
+  UpstreamRegistry &m_registry;
+  std::map<QueueKey, WaitQueue> m_queues;
+};
+
+} // namespace burdockpulley
+
+#endif
