gateway: teams with API keys

On deployments with tenants, callers' keys reached the upstreams, which got no name of a team, and requests without a key ran. Requests now need a known key unless their route is public; keys are found by their digest and dropped, the team's name is set for the upstream, also through forwards, and only hosts that know teams get such forwards.

--- a/src/include/burdockpulley/platform_codec.h
+++ b/src/include/burdockpulley/platform_codec.h
@@ -55,6 +55,8 @@
   std::string m_upstreamName; ///< The responding upstream.
   /// Present in all responses of an upstream that leaves.
   std::string m_leaving;
+  std::string m_credentials; ///< API key of the caller.
+  std::string m_team;        ///< Tells an upstream the team of a request.
 };
 
 /// What an upstream says of itself in a response.
--- a/src/include/burdockpulley/route_table.h
+++ b/src/include/burdockpulley/route_table.h
@@ -2,6 +2,7 @@
 #define BURDOCKPULLEY_ROUTE_TABLE_H
 
 #include "burdockpulley/caller_listener.h"
+#include "burdockpulley/team_directory.h"
 #include "burdockpulley/types.h"
 
 #include <map>
@@ -28,6 +29,7 @@
   Duration m_latencyGoal{};     ///< Later responses have less value.
   std::uint32_t m_priority = 0; ///< Zero is the most urgent.
   std::uint32_t m_maxAttempts = 1;
+  bool m_public = false; ///< Needs no API key.
   std::vector<RouteTarget> m_targets;
 };
 
@@ -48,6 +50,7 @@
   Revision m_revision;
   std::vector<RouteRule> m_routes;
   std::map<ServiceId, ServicePolicy> m_services;
+  TeamDirectory m_teams;
   CallerLimits m_limits;
 };
 
--- a/src/libgateway/host_registration.cpp
+++ b/src/libgateway/host_registration.cpp
@@ -97,7 +97,7 @@
        encodeHostRecord({m_state.m_settings.m_peerListen,
                          m_state.m_settings.m_domain,
                          m_state.m_settings.highBandwidth(),
-                         m_state.m_settings.m_forwardListen, true}),
+                         m_state.m_settings.m_forwardListen, true, true}),
        false, m_lease});
   m_store.commit(Registration, [this](const StoreReply<StoreCommit> &Reply) {
     m_callInFlight = false;
--- a/src/libgateway/local_response.h
+++ b/src/libgateway/local_response.h
@@ -10,7 +10,9 @@
 /// and GatewayTimeout it may have run.
 enum class LocalStatus {
   BadRequest = 400,
+  Unauthorized = 401,
   NotFound = 404,
+  TooManyRequests = 429,
   BadGateway = 502,
   Unavailable = 503,
   GatewayTimeout = 504,
--- a/src/libgateway/peer_transport.cpp
+++ b/src/libgateway/peer_transport.cpp
@@ -57,6 +57,7 @@
 constexpr std::string_view LowBandwidthMark = "narrow";
 constexpr std::string_view ForwardPrefix = "forward=";
 constexpr std::string_view RelayMark = "relays";
+constexpr std::string_view TeamsMark = "teams";
 
 } // namespace
 
@@ -70,6 +71,8 @@
         " " + std::string(ForwardPrefix) + toString(Record.m_forwardEndpoint);
   if (Record.m_relays)
     Text += " " + std::string(RelayMark);
+  if (Record.m_teams)
+    Text += " " + std::string(TeamsMark);
   return Text;
 }
 
@@ -87,6 +90,8 @@
       Record.m_highBandwidth = false;
     else if (Word == RelayMark)
       Record.m_relays = true;
+    else if (Word == TeamsMark)
+      Record.m_teams = true;
     else if (Word.starts_with(ForwardPrefix) &&
              !parseEndpoint(Word.substr(ForwardPrefix.size()),
                             Record.m_forwardEndpoint))
--- a/src/libgateway/peer_transport.h
+++ b/src/libgateway/peer_transport.h
@@ -28,6 +28,9 @@
   /// The host passes updates of owners on; see RelayPlan. Hosts of older
   /// versions do not.
   bool m_relays = false;
+  /// The host takes the team of a forwarded request from a header. Hosts of
+  /// older versions would run the request without its team.
+  bool m_teams = false;
 
   friend bool operator==(const HostRecord &, const HostRecord &) = default;
 };
--- a/src/libgateway/pending_request.h
+++ b/src/libgateway/pending_request.h
@@ -29,6 +29,8 @@
   const RouteRule *m_route = nullptr;
   const ServicePolicy *m_service = nullptr;
   std::string m_requestId; ///< As sent by the caller.
+  /// Null if the configuration has no teams, or the route needs no key.
+  const TeamPolicy *m_team = nullptr;
   std::optional<ShardKey> m_key;
   Fingerprint m_fingerprint;
   Instant m_arrived;
--- a/src/libgateway/request_encoding.cpp
+++ b/src/libgateway/request_encoding.cpp
@@ -33,10 +33,15 @@
   UpstreamRequest.m_target = CallerRequest.m_target;
   UpstreamRequest.m_body = CallerRequest.m_body;
   std::string_view Connection = CallerRequest.header("Connection");
+  // Only deployments with teams give these two headers a meaning.
+  bool HasTeams = !Pending.m_configuration->m_teams.empty();
   for (const HttpHeader &Header : CallerRequest.m_headers) {
-    bool Replaced = sameHeaderName(Header.m_name, Names.m_deadline) ||
-                    sameHeaderName(Header.m_name, Names.m_expectedUpstream) ||
-                    isForwardHeader(Header.m_name);
+    bool Replaced =
+        sameHeaderName(Header.m_name, Names.m_deadline) ||
+        sameHeaderName(Header.m_name, Names.m_expectedUpstream) ||
+        isForwardHeader(Header.m_name) ||
+        (HasTeams && (sameHeaderName(Header.m_name, Names.m_credentials) ||
+                      sameHeaderName(Header.m_name, Names.m_team)));
     bool AlwaysForwarded = sameHeaderName(Header.m_name, Names.m_requestId) ||
                            sameHeaderName(Header.m_name, Names.m_shardKey) ||
                            sameHeaderName(Header.m_name, "Host");
@@ -45,6 +50,9 @@
     if (!Replaced && !NamedInConnection && !isHopByHopHeader(Header.m_name))
       UpstreamRequest.m_headers.push_back(Header);
   }
+  if (Pending.m_team)
+    UpstreamRequest.m_headers.push_back(
+        {Names.m_team, Pending.m_team->m_name.value()});
   std::int64_t RemainingMillis =
       std::max<std::int64_t>(1, (Pending.m_deadline - Now).count() / 1000);
   UpstreamRequest.m_headers.push_back(
--- a/src/libgateway/request_forwarder.cpp
+++ b/src/libgateway/request_forwarder.cpp
@@ -13,6 +13,7 @@
 constexpr std::string_view HeaderPrefix = "Burdockpulley-";
 constexpr const char *ServiceHeader = "Burdockpulley-Service";
 constexpr const char *AttemptsHeader = "Burdockpulley-Attempts";
+constexpr const char *TeamHeader = "Burdockpulley-Team";
 constexpr const char *OutcomeHeader = "Burdockpulley-Outcome";
 constexpr const char *ReasonHeader = "Burdockpulley-Reason";
 constexpr const char *UpstreamHeader = "Burdockpulley-Upstream";
@@ -38,11 +39,14 @@
   Request.m_headers.push_back({ServiceHeader, Forwarded.m_service.value()});
   Request.m_headers.push_back(
       {AttemptsHeader, std::to_string(Forwarded.m_maxAttempts)});
+  if (!Forwarded.m_team.value().empty())
+    Request.m_headers.push_back({TeamHeader, Forwarded.m_team.value()});
 }
 
 std::optional<ForwardedRequest> readForwardHeaders(const HttpRequest &Request) {
   ForwardedRequest Forwarded;
   Forwarded.m_service = ServiceId(std::string(Request.header(ServiceHeader)));
+  Forwarded.m_team = TeamId(std::string(Request.header(TeamHeader)));
   std::string_view Attempts = Request.header(AttemptsHeader);
   const char *End = Attempts.data() + Attempts.size();
   auto [Parsed, Error] =
@@ -97,11 +101,12 @@
 
 const ForwardingPeer *
 RequestForwarder::choose(const std::optional<HostId> &Preferred,
-                         const std::set<HostId> &Tried, Instant Now) const {
+                         const std::set<HostId> &Tried, bool NeedsTeams,
+                         Instant Now) const {
   const ForwardingPeer *Best = nullptr;
   std::size_t BestCost = 0;
   for (const ForwardingPeer &Peer : m_state.m_forwardingPeers) {
-    if (Tried.count(Peer.m_host))
+    if (Tried.count(Peer.m_host) || (NeedsTeams && !Peer.m_record.m_teams))
       continue;
     auto LoadIt = m_loads.find(Peer.m_host);
     std::size_t Cost = 0;
--- a/src/libgateway/request_forwarder.h
+++ b/src/libgateway/request_forwarder.h
@@ -26,6 +26,7 @@
 struct ForwardedRequest {
   ServiceId m_service;             ///< The route's target that was chosen.
   std::uint32_t m_maxAttempts = 1; ///< Upstreams that may still be tried.
+  TeamId m_team;                   ///< Of the caller; empty if it has none.
 };
 
 /// Adds to a request what a host that serves it for another one has to know.
@@ -58,12 +59,12 @@
   /// Precondition: \p State outlives the object.
   explicit RequestForwarder(GatewayState &State);
 
-  /// Chooses a host: \p Preferred if it can serve requests, else the one with
-  /// the fewest requests of this host, with preference for hosts of this
-  /// failure domain and for wide links. Null if there is none but those in \p
-  /// Tried.
+  /// Chooses a host that knows teams, if \p NeedsTeams: \p Preferred if it can
+  /// serve requests, else the one with the fewest requests of this host, with
+  /// preference for hosts of this failure domain and for wide links. Null if
+  /// there is none but those in \p Tried.
   const ForwardingPeer *choose(const std::optional<HostId> &Preferred,
-                               const std::set<HostId> &Tried,
+                               const std::set<HostId> &Tried, bool NeedsTeams,
                                Instant Now) const;
 
   /// Sends a request to a host. See ChannelPool::call().
--- a/src/libgateway/request_intake.cpp
+++ b/src/libgateway/request_intake.cpp
@@ -85,6 +85,11 @@
       m_state.m_routes.find(Request.header("Host"), Request.m_target);
   if (!Pending->m_route || Pending->m_route->m_targets.empty())
     return Reject(LocalStatus::NotFound, "no-route", {});
+  if (!readTeam(*Pending, Names))
+    return Pending->m_forwarded // The configurations of the hosts differ.
+               ? Reject(LocalStatus::Unavailable, "no-team",
+                        NoServiceRetryAfter)
+               : Reject(LocalStatus::Unauthorized, "no-api-key", {});
   const RouteTarget *Target = chooseTarget(*Pending);
   if (!Target) // The configurations of the two hosts differ.
     return Reject(LocalStatus::Unavailable, "no-service", NoServiceRetryAfter);
@@ -104,6 +109,23 @@
   return Pending;
 }
 
+bool RequestIntake::readTeam(PendingRequest &Pending,
+                             const HeaderNames &Names) {
+  const TeamDirectory &Teams = Pending.m_configuration->m_teams;
+  if (Teams.empty())
+    return true;
+  if (Pending.m_forwarded && !Pending.m_forwarded->m_team.value().empty()) {
+    // The forwarding host has checked the key.
+    Pending.m_team = Teams.findByName(Pending.m_forwarded->m_team);
+    return Pending.m_team != nullptr;
+  }
+  std::string_view Key =
+      apiKeyOf(Pending.m_exchange->request().header(Names.m_credentials));
+  if (!Key.empty())
+    Pending.m_team = Teams.findByKey(Key);
+  return Pending.m_team || Pending.m_route->m_public;
+}
+
 bool RequestIntake::readDeadline(PendingRequest &Pending, Instant Now) {
   std::string_view Text = Pending.m_exchange->request().header(
       m_state.m_codec.headers().m_deadline);
--- a/src/libgateway/request_intake.h
+++ b/src/libgateway/request_intake.h
@@ -24,6 +24,9 @@
   /// The target that the forwarding host or the route's weights choose; null if
   /// the route has no such target.
   const RouteTarget *chooseTarget(const PendingRequest &Pending);
+  /// Finds the team of the caller. Returns false if the route needs an API key
+  /// and the request has no known one.
+  static bool readTeam(PendingRequest &Pending, const HeaderNames &Names);
   /// Returns false if the deadline header is malformed; it may be missing.
   bool readDeadline(PendingRequest &Pending, Instant Now);
   /// Returns false if the shard key header is malformed or missing.
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -205,8 +205,10 @@
   Pending.m_forwardedTo = Peer.m_host;
   Pending.m_forwardHosts.insert(Peer.m_host);
   HttpRequest Request = encodeRequest(Pending, m_state.m_codec.headers(), Now);
-  addForwardHeaders(Request, {Pending.m_service->m_name,
-                              maxAttempts(Pending) - Pending.m_attempts});
+  addForwardHeaders(Request,
+                    {Pending.m_service->m_name,
+                     maxAttempts(Pending) - Pending.m_attempts,
+                     Pending.m_team ? Pending.m_team->m_name : TeamId()});
   Duration Remaining = std::max(Duration(1000), Pending.m_deadline - Now);
   Pending.m_call = m_forwarder.call(
       Peer, Request, Pending.m_requestId, Remaining,
--- a/src/libgateway/upstream_assignment.cpp
+++ b/src/libgateway/upstream_assignment.cpp
@@ -75,8 +75,10 @@
   if (Pending.m_forwarded || Pending.m_forwardHosts.size() >= MaxForwards ||
       Pending.m_attempts >= maxAttempts(Pending))
     return nullptr;
+  bool NeedsTeams = !Pending.m_configuration->m_teams.empty();
   if (m_state.m_registry.pathsLost())
-    return m_forwarder.choose(std::nullopt, Pending.m_forwardHosts, Now);
+    return m_forwarder.choose(std::nullopt, Pending.m_forwardHosts, NeedsTeams,
+                              Now);
   // Another host has reached an upstream since this one found it unreachable.
   auto ReachedByPeer = [](const UpstreamState &Upstream) {
     return Upstream.m_unreachable && !Upstream.leaving() &&
@@ -97,7 +99,7 @@
     if (ReachedByPeer(*Upstream) &&
         !m_state.m_registry.domainOut(Upstream->m_record.m_domain))
       return m_forwarder.choose(Upstream->m_answeredPeer,
-                                Pending.m_forwardHosts, Now);
+                                Pending.m_forwardHosts, NeedsTeams, Now);
   return nullptr;
 }
 
