--- a/src/libgateway/gateway.thrift
+++ b/src/libgateway/gateway.thrift
@@ -90,12 +90,40 @@
   // Set if the upstream has said to this host that it leaves and its record
   // does not show that: the start of the upstream that has said so.
   14: optional i64 leavingIncarnation,
+  // Requests that the upstream has refused or failed since the last status
+  // message. They are among the samples of field 9.
+  15: optional i32 failures,
+}
+
+// Requests of one priority that are queued at the host. The priority of a
+// request combines its team's and its route's.
+struct QueuedPriority {
+  1: i32 priority,
+  2: i32 waiting,
+  // Sum of their expected service times.
+  3: i32 workMillis,
 }
 
 // Requests of one service that are queued at the host.
 struct QueueLength {
   1: i32 serviceHash,
   2: i32 waiting,
+  // The same by priority, the most urgent first. Missing from older hosts.
+  3: optional list<QueuedPriority> priorities,
+}
+
+// Requests of one team, which all hosts charge to the team's quota.
+struct TeamUse {
+  // Hash of the team's name.
+  1: i32 team,
+  // Requests that the host has admitted since its start, less those that no
+  // upstream has run.
+  2: i32 admitted,
+  // Requests a second of the team at the host, admitted or not.
+  3: i32 demand,
+  // What is left of the team's burst as the host sees it, in percent; only sent
+  // when it is not full. A host that has just started goes by it.
+  4: optional i32 leftPercent,
 }
 
 // Load of one host, sent to all others several times a second.
@@ -109,6 +137,8 @@
   5: optional bool storeLost,
   // True when the host has lost its paths to all upstreams.
   6: optional bool upstreamsLost,
+  // Teams whose requests the host has admitted or refused lately.
+  7: optional list<TeamUse> teams,
 }
 
 // Number of requests for one key.
--- a/src/libgateway/gen/gateway_types.cpp
+++ b/src/libgateway/gen/gateway_types.cpp
@@ -1054,6 +1054,11 @@
   this->leavingIncarnation = val;
 __isset.leavingIncarnation = true;
 }
+
+void UpstreamLoadEntry::__set_failures(const int32_t val) {
+  this->failures = val;
+__isset.failures = true;
+}
 std::ostream& operator<<(std::ostream& out, const UpstreamLoadEntry& obj)
 {
   obj.printTo(out);
@@ -1194,6 +1199,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->failures);
+          this->__isset.failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1279,6 +1292,11 @@
     xfer += oprot->writeI64(this->leavingIncarnation);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.failures) {
+    xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I32, 15);
+    xfer += oprot->writeI32(this->failures);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1300,6 +1318,7 @@
   swap(a.sent, b.sent);
   swap(a.answeredAgeMillis, b.answeredAgeMillis);
   swap(a.leavingIncarnation, b.leavingIncarnation);
+  swap(a.failures, b.failures);
   swap(a.__isset, b.__isset);
 }
 
@@ -1318,6 +1337,7 @@
   sent = other38.sent;
   answeredAgeMillis = other38.answeredAgeMillis;
   leavingIncarnation = other38.leavingIncarnation;
+  failures = other38.failures;
   __isset = other38.__isset;
 }
 UpstreamLoadEntry::UpstreamLoadEntry(UpstreamLoadEntry&& other39) noexcept {
@@ -1335,6 +1355,7 @@
   sent = other39.sent;
   answeredAgeMillis = other39.answeredAgeMillis;
   leavingIncarnation = other39.leavingIncarnation;
+  failures = other39.failures;
   __isset = other39.__isset;
 }
 UpstreamLoadEntry& UpstreamLoadEntry::operator=(const UpstreamLoadEntry& other40) noexcept {
@@ -1352,6 +1373,7 @@
   sent = other40.sent;
   answeredAgeMillis = other40.answeredAgeMillis;
   leavingIncarnation = other40.leavingIncarnation;
+  failures = other40.failures;
   __isset = other40.__isset;
   return *this;
 }
@@ -1370,6 +1392,7 @@
   sent = other41.sent;
   answeredAgeMillis = other41.answeredAgeMillis;
   leavingIncarnation = other41.leavingIncarnation;
+  failures = other41.failures;
   __isset = other41.__isset;
   return *this;
 }
@@ -1390,6 +1413,152 @@
   out << ", " << "sent="; (__isset.sent ? (out << to_string(sent)) : (out << "<null>"));
   out << ", " << "answeredAgeMillis="; (__isset.answeredAgeMillis ? (out << to_string(answeredAgeMillis)) : (out << "<null>"));
   out << ", " << "leavingIncarnation="; (__isset.leavingIncarnation ? (out << to_string(leavingIncarnation)) : (out << "<null>"));
+  out << ", " << "failures="; (__isset.failures ? (out << to_string(failures)) : (out << "<null>"));
+  out << ")";
+}
+
+
+QueuedPriority::~QueuedPriority() noexcept {
+}
+
+
+void QueuedPriority::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void QueuedPriority::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void QueuedPriority::__set_workMillis(const int32_t val) {
+  this->workMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const QueuedPriority& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QueuedPriority::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->workMillis);
+          this->__isset.workMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QueuedPriority::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QueuedPriority");
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("workMillis", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->workMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QueuedPriority &a, QueuedPriority &b) {
+  using ::std::swap;
+  swap(a.priority, b.priority);
+  swap(a.waiting, b.waiting);
+  swap(a.workMillis, b.workMillis);
+  swap(a.__isset, b.__isset);
+}
+
+QueuedPriority::QueuedPriority(const QueuedPriority& other42) noexcept {
+  priority = other42.priority;
+  waiting = other42.waiting;
+  workMillis = other42.workMillis;
+  __isset = other42.__isset;
+}
+QueuedPriority::QueuedPriority(QueuedPriority&& other43) noexcept {
+  priority = other43.priority;
+  waiting = other43.waiting;
+  workMillis = other43.workMillis;
+  __isset = other43.__isset;
+}
+QueuedPriority& QueuedPriority::operator=(const QueuedPriority& other44) noexcept {
+  priority = other44.priority;
+  waiting = other44.waiting;
+  workMillis = other44.workMillis;
+  __isset = other44.__isset;
+  return *this;
+}
+QueuedPriority& QueuedPriority::operator=(QueuedPriority&& other45) noexcept {
+  priority = other45.priority;
+  waiting = other45.waiting;
+  workMillis = other45.workMillis;
+  __isset = other45.__isset;
+  return *this;
+}
+void QueuedPriority::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QueuedPriority(";
+  out << "priority=" << to_string(priority);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "workMillis=" << to_string(workMillis);
   out << ")";
 }
 
@@ -1405,6 +1574,11 @@
 void QueueLength::__set_waiting(const int32_t val) {
   this->waiting = val;
 }
+
+void QueueLength::__set_priorities(const std::vector<QueuedPriority> & val) {
+  this->priorities = val;
+__isset.priorities = true;
+}
 std::ostream& operator<<(std::ostream& out, const QueueLength& obj)
 {
   obj.printTo(out);
@@ -1449,6 +1623,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->priorities.clear();
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->priorities.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
+            {
+              xfer += this->priorities[_i50].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.priorities = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1474,6 +1668,19 @@
   xfer += oprot->writeI32(this->waiting);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.priorities) {
+    xfer += oprot->writeFieldBegin("priorities", ::apache::thrift::protocol::T_LIST, 3);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->priorities.size()));
+      std::vector<QueuedPriority> ::const_iterator _iter51;
+      for (_iter51 = this->priorities.begin(); _iter51 != this->priorities.end(); ++_iter51)
+      {
+        xfer += (*_iter51).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1483,29 +1690,34 @@
   using ::std::swap;
   swap(a.serviceHash, b.serviceHash);
   swap(a.waiting, b.waiting);
+  swap(a.priorities, b.priorities);
   swap(a.__isset, b.__isset);
 }
 
-QueueLength::QueueLength(const QueueLength& other42) noexcept {
-  serviceHash = other42.serviceHash;
-  waiting = other42.waiting;
-  __isset = other42.__isset;
+QueueLength::QueueLength(const QueueLength& other52) {
+  serviceHash = other52.serviceHash;
+  waiting = other52.waiting;
+  priorities = other52.priorities;
+  __isset = other52.__isset;
 }
-QueueLength::QueueLength(QueueLength&& other43) noexcept {
-  serviceHash = other43.serviceHash;
-  waiting = other43.waiting;
-  __isset = other43.__isset;
+QueueLength::QueueLength(QueueLength&& other53) noexcept {
+  serviceHash = other53.serviceHash;
+  waiting = other53.waiting;
+  priorities = std::move(other53.priorities);
+  __isset = other53.__isset;
 }
-QueueLength& QueueLength::operator=(const QueueLength& other44) noexcept {
-  serviceHash = other44.serviceHash;
-  waiting = other44.waiting;
-  __isset = other44.__isset;
+QueueLength& QueueLength::operator=(const QueueLength& other54) {
+  serviceHash = other54.serviceHash;
+  waiting = other54.waiting;
+  priorities = other54.priorities;
+  __isset = other54.__isset;
   return *this;
 }
-QueueLength& QueueLength::operator=(QueueLength&& other45) noexcept {
-  serviceHash = other45.serviceHash;
-  waiting = other45.waiting;
-  __isset = other45.__isset;
+QueueLength& QueueLength::operator=(QueueLength&& other55) noexcept {
+  serviceHash = other55.serviceHash;
+  waiting = other55.waiting;
+  priorities = std::move(other55.priorities);
+  __isset = other55.__isset;
   return *this;
 }
 void QueueLength::printTo(std::ostream& out) const {
@@ -1513,6 +1725,176 @@
   out << "QueueLength(";
   out << "serviceHash=" << to_string(serviceHash);
   out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "priorities="; (__isset.priorities ? (out << to_string(priorities)) : (out << "<null>"));
+  out << ")";
+}
+
+
+TeamUse::~TeamUse() noexcept {
+}
+
+
+void TeamUse::__set_team(const int32_t val) {
+  this->team = val;
+}
+
+void TeamUse::__set_admitted(const int32_t val) {
+  this->admitted = val;
+}
+
+void TeamUse::__set_demand(const int32_t val) {
+  this->demand = val;
+}
+
+void TeamUse::__set_leftPercent(const int32_t val) {
+  this->leftPercent = val;
+__isset.leftPercent = true;
+}
+std::ostream& operator<<(std::ostream& out, const TeamUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TeamUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->admitted);
+          this->__isset.admitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->demand);
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->leftPercent);
+          this->__isset.leftPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TeamUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TeamUse");
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->admitted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->demand);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.leftPercent) {
+    xfer += oprot->writeFieldBegin("leftPercent", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->leftPercent);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TeamUse &a, TeamUse &b) {
+  using ::std::swap;
+  swap(a.team, b.team);
+  swap(a.admitted, b.admitted);
+  swap(a.demand, b.demand);
+  swap(a.leftPercent, b.leftPercent);
+  swap(a.__isset, b.__isset);
+}
+
+TeamUse::TeamUse(const TeamUse& other56) noexcept {
+  team = other56.team;
+  admitted = other56.admitted;
+  demand = other56.demand;
+  leftPercent = other56.leftPercent;
+  __isset = other56.__isset;
+}
+TeamUse::TeamUse(TeamUse&& other57) noexcept {
+  team = other57.team;
+  admitted = other57.admitted;
+  demand = other57.demand;
+  leftPercent = other57.leftPercent;
+  __isset = other57.__isset;
+}
+TeamUse& TeamUse::operator=(const TeamUse& other58) noexcept {
+  team = other58.team;
+  admitted = other58.admitted;
+  demand = other58.demand;
+  leftPercent = other58.leftPercent;
+  __isset = other58.__isset;
+  return *this;
+}
+TeamUse& TeamUse::operator=(TeamUse&& other59) noexcept {
+  team = other59.team;
+  admitted = other59.admitted;
+  demand = other59.demand;
+  leftPercent = other59.leftPercent;
+  __isset = other59.__isset;
+  return *this;
+}
+void TeamUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TeamUse(";
+  out << "team=" << to_string(team);
+  out << ", " << "admitted=" << to_string(admitted);
+  out << ", " << "demand=" << to_string(demand);
+  out << ", " << "leftPercent="; (__isset.leftPercent ? (out << to_string(leftPercent)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1546,6 +1928,11 @@
   this->upstreamsLost = val;
 __isset.upstreamsLost = true;
 }
+
+void HostStatus::__set_teams(const std::vector<TeamUse> & val) {
+  this->teams = val;
+__isset.teams = true;
+}
 std::ostream& operator<<(std::ostream& out, const HostStatus& obj)
 {
   obj.printTo(out);
@@ -1578,14 +1965,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->upstreams.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->upstreams.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->upstreams[_i50].read(iprot);
+              xfer += this->upstreams[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1598,14 +1985,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->queues.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->queues.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->queues.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
             {
-              xfer += this->queues[_i55].read(iprot);
+              xfer += this->queues[_i69].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1646,6 +2033,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->teams.clear();
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->teams.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
+            {
+              xfer += this->teams[_i74].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.teams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1666,10 +2073,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<UpstreamLoadEntry> ::const_iterator _iter56;
-    for (_iter56 = this->upstreams.begin(); _iter56 != this->upstreams.end(); ++_iter56)
+    std::vector<UpstreamLoadEntry> ::const_iterator _iter75;
+    for (_iter75 = this->upstreams.begin(); _iter75 != this->upstreams.end(); ++_iter75)
     {
-      xfer += (*_iter56).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1678,10 +2085,10 @@
   xfer += oprot->writeFieldBegin("queues", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->queues.size()));
-    std::vector<QueueLength> ::const_iterator _iter57;
-    for (_iter57 = this->queues.begin(); _iter57 != this->queues.end(); ++_iter57)
+    std::vector<QueueLength> ::const_iterator _iter76;
+    for (_iter76 = this->queues.begin(); _iter76 != this->queues.end(); ++_iter76)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1705,6 +2112,19 @@
     xfer += oprot->writeBool(this->upstreamsLost);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.teams) {
+    xfer += oprot->writeFieldBegin("teams", ::apache::thrift::protocol::T_LIST, 7);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->teams.size()));
+      std::vector<TeamUse> ::const_iterator _iter77;
+      for (_iter77 = this->teams.begin(); _iter77 != this->teams.end(); ++_iter77)
+      {
+        xfer += (*_iter77).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1718,45 +2138,50 @@
   swap(a.coordinatorEpoch, b.coordinatorEpoch);
   swap(a.storeLost, b.storeLost);
   swap(a.upstreamsLost, b.upstreamsLost);
+  swap(a.teams, b.teams);
   swap(a.__isset, b.__isset);
 }
 
-HostStatus::HostStatus(const HostStatus& other58) {
-  upstreams = other58.upstreams;
-  queues = other58.queues;
-  stopping = other58.stopping;
-  coordinatorEpoch = other58.coordinatorEpoch;
-  storeLost = other58.storeLost;
-  upstreamsLost = other58.upstreamsLost;
-  __isset = other58.__isset;
+HostStatus::HostStatus(const HostStatus& other78) {
+  upstreams = other78.upstreams;
+  queues = other78.queues;
+  stopping = other78.stopping;
+  coordinatorEpoch = other78.coordinatorEpoch;
+  storeLost = other78.storeLost;
+  upstreamsLost = other78.upstreamsLost;
+  teams = other78.teams;
+  __isset = other78.__isset;
 }
-HostStatus::HostStatus(HostStatus&& other59) noexcept {
-  upstreams = std::move(other59.upstreams);
-  queues = std::move(other59.queues);
-  stopping = other59.stopping;
-  coordinatorEpoch = other59.coordinatorEpoch;
-  storeLost = other59.storeLost;
-  upstreamsLost = other59.upstreamsLost;
-  __isset = other59.__isset;
+HostStatus::HostStatus(HostStatus&& other79) noexcept {
+  upstreams = std::move(other79.upstreams);
+  queues = std::move(other79.queues);
+  stopping = other79.stopping;
+  coordinatorEpoch = other79.coordinatorEpoch;
+  storeLost = other79.storeLost;
+  upstreamsLost = other79.upstreamsLost;
+  teams = std::move(other79.teams);
+  __isset = other79.__isset;
 }
-HostStatus& HostStatus::operator=(const HostStatus& other60) {
-  upstreams = other60.upstreams;
-  queues = other60.queues;
-  stopping = other60.stopping;
-  coordinatorEpoch = other60.coordinatorEpoch;
-  storeLost = other60.storeLost;
-  upstreamsLost = other60.upstreamsLost;
-  __isset = other60.__isset;
+HostStatus& HostStatus::operator=(const HostStatus& other80) {
+  upstreams = other80.upstreams;
+  queues = other80.queues;
+  stopping = other80.stopping;
+  coordinatorEpoch = other80.coordinatorEpoch;
+  storeLost = other80.storeLost;
+  upstreamsLost = other80.upstreamsLost;
+  teams = other80.teams;
+  __isset = other80.__isset;
   return *this;
 }
-HostStatus& HostStatus::operator=(HostStatus&& other61) noexcept {
-  upstreams = std::move(other61.upstreams);
-  queues = std::move(other61.queues);
-  stopping = other61.stopping;
-  coordinatorEpoch = other61.coordinatorEpoch;
-  storeLost = other61.storeLost;
-  upstreamsLost = other61.upstreamsLost;
-  __isset = other61.__isset;
+HostStatus& HostStatus::operator=(HostStatus&& other81) noexcept {
+  upstreams = std::move(other81.upstreams);
+  queues = std::move(other81.queues);
+  stopping = other81.stopping;
+  coordinatorEpoch = other81.coordinatorEpoch;
+  storeLost = other81.storeLost;
+  upstreamsLost = other81.upstreamsLost;
+  teams = std::move(other81.teams);
+  __isset = other81.__isset;
   return *this;
 }
 void HostStatus::printTo(std::ostream& out) const {
@@ -1768,6 +2193,7 @@
   out << ", " << "coordinatorEpoch=" << to_string(coordinatorEpoch);
   out << ", " << "storeLost="; (__isset.storeLost ? (out << to_string(storeLost)) : (out << "<null>"));
   out << ", " << "upstreamsLost="; (__isset.upstreamsLost ? (out << to_string(upstreamsLost)) : (out << "<null>"));
+  out << ", " << "teams="; (__isset.teams ? (out << to_string(teams)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1864,26 +2290,26 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyCount::KeyCount(const KeyCount& other62) noexcept {
-  key = other62.key;
-  count = other62.count;
-  __isset = other62.__isset;
+KeyCount::KeyCount(const KeyCount& other82) noexcept {
+  key = other82.key;
+  count = other82.count;
+  __isset = other82.__isset;
 }
-KeyCount::KeyCount(KeyCount&& other63) noexcept {
-  key = other63.key;
-  count = other63.count;
-  __isset = other63.__isset;
+KeyCount::KeyCount(KeyCount&& other83) noexcept {
+  key = other83.key;
+  count = other83.count;
+  __isset = other83.__isset;
 }
-KeyCount& KeyCount::operator=(const KeyCount& other64) noexcept {
-  key = other64.key;
-  count = other64.count;
-  __isset = other64.__isset;
+KeyCount& KeyCount::operator=(const KeyCount& other84) noexcept {
+  key = other84.key;
+  count = other84.count;
+  __isset = other84.__isset;
   return *this;
 }
-KeyCount& KeyCount::operator=(KeyCount&& other65) noexcept {
-  key = other65.key;
-  count = other65.count;
-  __isset = other65.__isset;
+KeyCount& KeyCount::operator=(KeyCount&& other85) noexcept {
+  key = other85.key;
+  count = other85.count;
+  __isset = other85.__isset;
   return *this;
 }
 void KeyCount::printTo(std::ostream& out) const {
@@ -1946,14 +2372,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->counts.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->counts.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += this->counts[_i70].read(iprot);
+              xfer += this->counts[_i90].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1986,10 +2412,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->counts.size()));
-    std::vector<KeyCount> ::const_iterator _iter71;
-    for (_iter71 = this->counts.begin(); _iter71 != this->counts.end(); ++_iter71)
+    std::vector<KeyCount> ::const_iterator _iter91;
+    for (_iter91 = this->counts.begin(); _iter91 != this->counts.end(); ++_iter91)
     {
-      xfer += (*_iter71).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2007,26 +2433,26 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyLoadReport::KeyLoadReport(const KeyLoadReport& other72) {
-  serviceName = other72.serviceName;
-  counts = other72.counts;
-  __isset = other72.__isset;
+KeyLoadReport::KeyLoadReport(const KeyLoadReport& other92) {
+  serviceName = other92.serviceName;
+  counts = other92.counts;
+  __isset = other92.__isset;
 }
-KeyLoadReport::KeyLoadReport(KeyLoadReport&& other73) noexcept {
-  serviceName = std::move(other73.serviceName);
-  counts = std::move(other73.counts);
-  __isset = other73.__isset;
+KeyLoadReport::KeyLoadReport(KeyLoadReport&& other93) noexcept {
+  serviceName = std::move(other93.serviceName);
+  counts = std::move(other93.counts);
+  __isset = other93.__isset;
 }
-KeyLoadReport& KeyLoadReport::operator=(const KeyLoadReport& other74) {
-  serviceName = other74.serviceName;
-  counts = other74.counts;
-  __isset = other74.__isset;
+KeyLoadReport& KeyLoadReport::operator=(const KeyLoadReport& other94) {
+  serviceName = other94.serviceName;
+  counts = other94.counts;
+  __isset = other94.__isset;
   return *this;
 }
-KeyLoadReport& KeyLoadReport::operator=(KeyLoadReport&& other75) noexcept {
-  serviceName = std::move(other75.serviceName);
-  counts = std::move(other75.counts);
-  __isset = other75.__isset;
+KeyLoadReport& KeyLoadReport::operator=(KeyLoadReport&& other95) noexcept {
+  serviceName = std::move(other95.serviceName);
+  counts = std::move(other95.counts);
+  __isset = other95.__isset;
   return *this;
 }
 void KeyLoadReport::printTo(std::ostream& out) const {
@@ -2130,26 +2556,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other76) {
-  fingerprint = other76.fingerprint;
-  upstream = other76.upstream;
-  __isset = other76.__isset;
+CrashReport::CrashReport(const CrashReport& other96) {
+  fingerprint = other96.fingerprint;
+  upstream = other96.upstream;
+  __isset = other96.__isset;
 }
-CrashReport::CrashReport(CrashReport&& other77) noexcept {
-  fingerprint = other77.fingerprint;
-  upstream = std::move(other77.upstream);
-  __isset = other77.__isset;
+CrashReport::CrashReport(CrashReport&& other97) noexcept {
+  fingerprint = other97.fingerprint;
+  upstream = std::move(other97.upstream);
+  __isset = other97.__isset;
 }
-CrashReport& CrashReport::operator=(const CrashReport& other78) {
-  fingerprint = other78.fingerprint;
-  upstream = other78.upstream;
-  __isset = other78.__isset;
+CrashReport& CrashReport::operator=(const CrashReport& other98) {
+  fingerprint = other98.fingerprint;
+  upstream = other98.upstream;
+  __isset = other98.__isset;
   return *this;
 }
-CrashReport& CrashReport::operator=(CrashReport&& other79) noexcept {
-  fingerprint = other79.fingerprint;
-  upstream = std::move(other79.upstream);
-  __isset = other79.__isset;
+CrashReport& CrashReport::operator=(CrashReport&& other99) noexcept {
+  fingerprint = other99.fingerprint;
+  upstream = std::move(other99.upstream);
+  __isset = other99.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
@@ -2306,38 +2732,38 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreChange::StoreChange(const StoreChange& other80) {
-  key = other80.key;
-  value = other80.value;
-  version = other80.version;
-  removed = other80.removed;
-  packed = other80.packed;
-  __isset = other80.__isset;
+StoreChange::StoreChange(const StoreChange& other100) {
+  key = other100.key;
+  value = other100.value;
+  version = other100.version;
+  removed = other100.removed;
+  packed = other100.packed;
+  __isset = other100.__isset;
 }
-StoreChange::StoreChange(StoreChange&& other81) noexcept {
-  key = std::move(other81.key);
-  value = std::move(other81.value);
-  version = other81.version;
-  removed = other81.removed;
-  packed = other81.packed;
-  __isset = other81.__isset;
+StoreChange::StoreChange(StoreChange&& other101) noexcept {
+  key = std::move(other101.key);
+  value = std::move(other101.value);
+  version = other101.version;
+  removed = other101.removed;
+  packed = other101.packed;
+  __isset = other101.__isset;
 }
-StoreChange& StoreChange::operator=(const StoreChange& other82) {
-  key = other82.key;
-  value = other82.value;
-  version = other82.version;
-  removed = other82.removed;
-  packed = other82.packed;
-  __isset = other82.__isset;
+StoreChange& StoreChange::operator=(const StoreChange& other102) {
+  key = other102.key;
+  value = other102.value;
+  version = other102.version;
+  removed = other102.removed;
+  packed = other102.packed;
+  __isset = other102.__isset;
   return *this;
 }
-StoreChange& StoreChange::operator=(StoreChange&& other83) noexcept {
-  key = std::move(other83.key);
-  value = std::move(other83.value);
-  version = other83.version;
-  removed = other83.removed;
-  packed = other83.packed;
-  __isset = other83.__isset;
+StoreChange& StoreChange::operator=(StoreChange&& other103) noexcept {
+  key = std::move(other103.key);
+  value = std::move(other103.value);
+  version = other103.version;
+  removed = other103.removed;
+  packed = other103.packed;
+  __isset = other103.__isset;
   return *this;
 }
 void StoreChange::printTo(std::ostream& out) const {
@@ -2425,14 +2851,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->events.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->events.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->events.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->events[_i88].read(iprot);
+              xfer += this->events[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2445,14 +2871,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->renewed.clear();
-            uint32_t _size89;
-            ::apache::thrift::protocol::TType _etype92;
-            xfer += iprot->readListBegin(_etype92, _size89);
-            this->renewed.resize(_size89);
-            uint32_t _i93;
-            for (_i93 = 0; _i93 < _size89; ++_i93)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->renewed.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += iprot->readI32(this->renewed[_i93]);
+              xfer += iprot->readI32(this->renewed[_i113]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2497,10 +2923,10 @@
   xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->events.size()));
-    std::vector<StoreChange> ::const_iterator _iter94;
-    for (_iter94 = this->events.begin(); _iter94 != this->events.end(); ++_iter94)
+    std::vector<StoreChange> ::const_iterator _iter114;
+    for (_iter114 = this->events.begin(); _iter114 != this->events.end(); ++_iter114)
     {
-      xfer += (*_iter94).write(oprot);
+      xfer += (*_iter114).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2510,10 +2936,10 @@
     xfer += oprot->writeFieldBegin("renewed", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->renewed.size()));
-      std::vector<int32_t> ::const_iterator _iter95;
-      for (_iter95 = this->renewed.begin(); _iter95 != this->renewed.end(); ++_iter95)
+      std::vector<int32_t> ::const_iterator _iter115;
+      for (_iter115 = this->renewed.begin(); _iter115 != this->renewed.end(); ++_iter115)
       {
-        xfer += oprot->writeI32((*_iter95));
+        xfer += oprot->writeI32((*_iter115));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2539,38 +2965,38 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreUpdate::StoreUpdate(const StoreUpdate& other96) {
-  after = other96.after;
-  version = other96.version;
-  events = other96.events;
-  renewed = other96.renewed;
-  era = other96.era;
-  __isset = other96.__isset;
-}
-StoreUpdate::StoreUpdate(StoreUpdate&& other97) noexcept {
-  after = other97.after;
-  version = other97.version;
-  events = std::move(other97.events);
-  renewed = std::move(other97.renewed);
-  era = other97.era;
-  __isset = other97.__isset;
-}
-StoreUpdate& StoreUpdate::operator=(const StoreUpdate& other98) {
-  after = other98.after;
-  version = other98.version;
-  events = other98.events;
-  renewed = other98.renewed;
-  era = other98.era;
-  __isset = other98.__isset;
+StoreUpdate::StoreUpdate(const StoreUpdate& other116) {
+  after = other116.after;
+  version = other116.version;
+  events = other116.events;
+  renewed = other116.renewed;
+  era = other116.era;
+  __isset = other116.__isset;
+}
+StoreUpdate::StoreUpdate(StoreUpdate&& other117) noexcept {
+  after = other117.after;
+  version = other117.version;
+  events = std::move(other117.events);
+  renewed = std::move(other117.renewed);
+  era = other117.era;
+  __isset = other117.__isset;
+}
+StoreUpdate& StoreUpdate::operator=(const StoreUpdate& other118) {
+  after = other118.after;
+  version = other118.version;
+  events = other118.events;
+  renewed = other118.renewed;
+  era = other118.era;
+  __isset = other118.__isset;
   return *this;
 }
-StoreUpdate& StoreUpdate::operator=(StoreUpdate&& other99) noexcept {
-  after = other99.after;
-  version = other99.version;
-  events = std::move(other99.events);
-  renewed = std::move(other99.renewed);
-  era = other99.era;
-  __isset = other99.__isset;
+StoreUpdate& StoreUpdate::operator=(StoreUpdate&& other119) noexcept {
+  after = other119.after;
+  version = other119.version;
+  events = std::move(other119.events);
+  renewed = std::move(other119.renewed);
+  era = other119.era;
+  __isset = other119.__isset;
   return *this;
 }
 void StoreUpdate::printTo(std::ostream& out) const {
@@ -2679,26 +3105,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreUpdateRequest::StoreUpdateRequest(const StoreUpdateRequest& other100) noexcept {
-  after = other100.after;
-  era = other100.era;
-  __isset = other100.__isset;
+StoreUpdateRequest::StoreUpdateRequest(const StoreUpdateRequest& other120) noexcept {
+  after = other120.after;
+  era = other120.era;
+  __isset = other120.__isset;
 }
-StoreUpdateRequest::StoreUpdateRequest(StoreUpdateRequest&& other101) noexcept {
-  after = other101.after;
-  era = other101.era;
-  __isset = other101.__isset;
+StoreUpdateRequest::StoreUpdateRequest(StoreUpdateRequest&& other121) noexcept {
+  after = other121.after;
+  era = other121.era;
+  __isset = other121.__isset;
 }
-StoreUpdateRequest& StoreUpdateRequest::operator=(const StoreUpdateRequest& other102) noexcept {
-  after = other102.after;
-  era = other102.era;
-  __isset = other102.__isset;
+StoreUpdateRequest& StoreUpdateRequest::operator=(const StoreUpdateRequest& other122) noexcept {
+  after = other122.after;
+  era = other122.era;
+  __isset = other122.__isset;
   return *this;
 }
-StoreUpdateRequest& StoreUpdateRequest::operator=(StoreUpdateRequest&& other103) noexcept {
-  after = other103.after;
-  era = other103.era;
-  __isset = other103.__isset;
+StoreUpdateRequest& StoreUpdateRequest::operator=(StoreUpdateRequest&& other123) noexcept {
+  after = other123.after;
+  era = other123.era;
+  __isset = other123.__isset;
   return *this;
 }
 void StoreUpdateRequest::printTo(std::ostream& out) const {
@@ -2935,54 +3361,54 @@
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other104) {
-  host = other104.host;
-  sequence = other104.sequence;
-  hostStatus = other104.hostStatus;
-  keyLoad = other104.keyLoad;
-  crash = other104.crash;
-  storeUpdate = other104.storeUpdate;
-  ownersUpdate = other104.ownersUpdate;
-  ownersRequest = other104.ownersRequest;
-  storeUpdateRequest = other104.storeUpdateRequest;
-  __isset = other104.__isset;
-}
-Datagram::Datagram(Datagram&& other105) noexcept {
-  host = std::move(other105.host);
-  sequence = other105.sequence;
-  hostStatus = std::move(other105.hostStatus);
-  keyLoad = std::move(other105.keyLoad);
-  crash = std::move(other105.crash);
-  storeUpdate = std::move(other105.storeUpdate);
-  ownersUpdate = std::move(other105.ownersUpdate);
-  ownersRequest = std::move(other105.ownersRequest);
-  storeUpdateRequest = std::move(other105.storeUpdateRequest);
-  __isset = other105.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other106) {
-  host = other106.host;
-  sequence = other106.sequence;
-  hostStatus = other106.hostStatus;
-  keyLoad = other106.keyLoad;
-  crash = other106.crash;
-  storeUpdate = other106.storeUpdate;
-  ownersUpdate = other106.ownersUpdate;
-  ownersRequest = other106.ownersRequest;
-  storeUpdateRequest = other106.storeUpdateRequest;
-  __isset = other106.__isset;
+Datagram::Datagram(const Datagram& other124) {
+  host = other124.host;
+  sequence = other124.sequence;
+  hostStatus = other124.hostStatus;
+  keyLoad = other124.keyLoad;
+  crash = other124.crash;
+  storeUpdate = other124.storeUpdate;
+  ownersUpdate = other124.ownersUpdate;
+  ownersRequest = other124.ownersRequest;
+  storeUpdateRequest = other124.storeUpdateRequest;
+  __isset = other124.__isset;
+}
+Datagram::Datagram(Datagram&& other125) noexcept {
+  host = std::move(other125.host);
+  sequence = other125.sequence;
+  hostStatus = std::move(other125.hostStatus);
+  keyLoad = std::move(other125.keyLoad);
+  crash = std::move(other125.crash);
+  storeUpdate = std::move(other125.storeUpdate);
+  ownersUpdate = std::move(other125.ownersUpdate);
+  ownersRequest = std::move(other125.ownersRequest);
+  storeUpdateRequest = std::move(other125.storeUpdateRequest);
+  __isset = other125.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other126) {
+  host = other126.host;
+  sequence = other126.sequence;
+  hostStatus = other126.hostStatus;
+  keyLoad = other126.keyLoad;
+  crash = other126.crash;
+  storeUpdate = other126.storeUpdate;
+  ownersUpdate = other126.ownersUpdate;
+  ownersRequest = other126.ownersRequest;
+  storeUpdateRequest = other126.storeUpdateRequest;
+  __isset = other126.__isset;
   return *this;
 }
-Datagram& Datagram::operator=(Datagram&& other107) noexcept {
-  host = std::move(other107.host);
-  sequence = other107.sequence;
-  hostStatus = std::move(other107.hostStatus);
-  keyLoad = std::move(other107.keyLoad);
-  crash = std::move(other107.crash);
-  storeUpdate = std::move(other107.storeUpdate);
-  ownersUpdate = std::move(other107.ownersUpdate);
-  ownersRequest = std::move(other107.ownersRequest);
-  storeUpdateRequest = std::move(other107.storeUpdateRequest);
-  __isset = other107.__isset;
+Datagram& Datagram::operator=(Datagram&& other127) noexcept {
+  host = std::move(other127.host);
+  sequence = other127.sequence;
+  hostStatus = std::move(other127.hostStatus);
+  keyLoad = std::move(other127.keyLoad);
+  crash = std::move(other127.crash);
+  storeUpdate = std::move(other127.storeUpdate);
+  ownersUpdate = std::move(other127.ownersUpdate);
+  ownersRequest = std::move(other127.ownersRequest);
+  storeUpdateRequest = std::move(other127.storeUpdateRequest);
+  __isset = other127.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
--- a/src/libgateway/gen/gateway_types.h
+++ b/src/libgateway/gen/gateway_types.h
@@ -33,8 +33,12 @@
 
 class UpstreamLoadEntry;
 
+class QueuedPriority;
+
 class QueueLength;
 
+class TeamUse;
+
 class HostStatus;
 
 class KeyCount;
@@ -408,7 +412,7 @@
 std::ostream& operator<<(std::ostream& out, const OwnersRequest& obj);
 
 typedef struct _UpstreamLoadEntry__isset {
-  _UpstreamLoadEntry__isset() : upstream(false), outstanding(false), running(false), waiting(false), slownessPercent(false), reportAgeMillis(false), hostWaiting(false), serviceTimePercent(false), serviceTimeSamples(false), requestLimit(false), requestLimitAgeMillis(false), sent(false), answeredAgeMillis(false), leavingIncarnation(false) {}
+  _UpstreamLoadEntry__isset() : upstream(false), outstanding(false), running(false), waiting(false), slownessPercent(false), reportAgeMillis(false), hostWaiting(false), serviceTimePercent(false), serviceTimeSamples(false), requestLimit(false), requestLimitAgeMillis(false), sent(false), answeredAgeMillis(false), leavingIncarnation(false), failures(false) {}
   bool upstream :1;
   bool outstanding :1;
   bool running :1;
@@ -423,6 +427,7 @@
   bool sent :1;
   bool answeredAgeMillis :1;
   bool leavingIncarnation :1;
+  bool failures :1;
 } _UpstreamLoadEntry__isset;
 
 class UpstreamLoadEntry : public virtual ::apache::thrift::TBase {
@@ -446,7 +451,8 @@
                       requestLimitAgeMillis(0),
                       sent(0),
                       answeredAgeMillis(0),
-                      leavingIncarnation(0) {
+                      leavingIncarnation(0),
+                      failures(0) {
   }
 
   virtual ~UpstreamLoadEntry() noexcept;
@@ -464,6 +470,7 @@
   int32_t sent;
   int32_t answeredAgeMillis;
   int64_t leavingIncarnation;
+  int32_t failures;
 
   _UpstreamLoadEntry__isset __isset;
 
@@ -495,6 +502,8 @@
 
   void __set_leavingIncarnation(const int64_t val);
 
+  void __set_failures(const int32_t val);
+
   bool operator == (const UpstreamLoadEntry & rhs) const
   {
     if (!(upstream == rhs.upstream))
@@ -549,6 +558,10 @@
       return false;
     else if (__isset.leavingIncarnation && !(leavingIncarnation == rhs.leavingIncarnation))
       return false;
+    if (__isset.failures != rhs.__isset.failures)
+      return false;
+    else if (__isset.failures && !(failures == rhs.failures))
+      return false;
     return true;
   }
   bool operator != (const UpstreamLoadEntry &rhs) const {
@@ -567,18 +580,78 @@
 
 std::ostream& operator<<(std::ostream& out, const UpstreamLoadEntry& obj);
 
+typedef struct _QueuedPriority__isset {
+  _QueuedPriority__isset() : priority(false), waiting(false), workMillis(false) {}
+  bool priority :1;
+  bool waiting :1;
+  bool workMillis :1;
+} _QueuedPriority__isset;
+
+class QueuedPriority : public virtual ::apache::thrift::TBase {
+ public:
+
+  QueuedPriority(const QueuedPriority&) noexcept;
+  QueuedPriority(QueuedPriority&&) noexcept;
+  QueuedPriority& operator=(const QueuedPriority&) noexcept;
+  QueuedPriority& operator=(QueuedPriority&&) noexcept;
+  QueuedPriority() noexcept
+                 : priority(0),
+                   waiting(0),
+                   workMillis(0) {
+  }
+
+  virtual ~QueuedPriority() noexcept;
+  int32_t priority;
+  int32_t waiting;
+  int32_t workMillis;
+
+  _QueuedPriority__isset __isset;
+
+  void __set_priority(const int32_t val);
+
+  void __set_waiting(const int32_t val);
+
+  void __set_workMillis(const int32_t val);
+
+  bool operator == (const QueuedPriority & rhs) const
+  {
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(workMillis == rhs.workMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const QueuedPriority &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QueuedPriority & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QueuedPriority &a, QueuedPriority &b);
+
+std::ostream& operator<<(std::ostream& out, const QueuedPriority& obj);
+
 typedef struct _QueueLength__isset {
-  _QueueLength__isset() : serviceHash(false), waiting(false) {}
+  _QueueLength__isset() : serviceHash(false), waiting(false), priorities(false) {}
   bool serviceHash :1;
   bool waiting :1;
+  bool priorities :1;
 } _QueueLength__isset;
 
 class QueueLength : public virtual ::apache::thrift::TBase {
  public:
 
-  QueueLength(const QueueLength&) noexcept;
+  QueueLength(const QueueLength&);
   QueueLength(QueueLength&&) noexcept;
-  QueueLength& operator=(const QueueLength&) noexcept;
+  QueueLength& operator=(const QueueLength&);
   QueueLength& operator=(QueueLength&&) noexcept;
   QueueLength() noexcept
               : serviceHash(0),
@@ -588,6 +661,7 @@
   virtual ~QueueLength() noexcept;
   int32_t serviceHash;
   int32_t waiting;
+  std::vector<QueuedPriority>  priorities;
 
   _QueueLength__isset __isset;
 
@@ -595,12 +669,18 @@
 
   void __set_waiting(const int32_t val);
 
+  void __set_priorities(const std::vector<QueuedPriority> & val);
+
   bool operator == (const QueueLength & rhs) const
   {
     if (!(serviceHash == rhs.serviceHash))
       return false;
     if (!(waiting == rhs.waiting))
       return false;
+    if (__isset.priorities != rhs.__isset.priorities)
+      return false;
+    else if (__isset.priorities && !(priorities == rhs.priorities))
+      return false;
     return true;
   }
   bool operator != (const QueueLength &rhs) const {
@@ -619,14 +699,83 @@
 
 std::ostream& operator<<(std::ostream& out, const QueueLength& obj);
 
+typedef struct _TeamUse__isset {
+  _TeamUse__isset() : team(false), admitted(false), demand(false), leftPercent(false) {}
+  bool team :1;
+  bool admitted :1;
+  bool demand :1;
+  bool leftPercent :1;
+} _TeamUse__isset;
+
+class TeamUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  TeamUse(const TeamUse&) noexcept;
+  TeamUse(TeamUse&&) noexcept;
+  TeamUse& operator=(const TeamUse&) noexcept;
+  TeamUse& operator=(TeamUse&&) noexcept;
+  TeamUse() noexcept
+          : team(0),
+            admitted(0),
+            demand(0),
+            leftPercent(0) {
+  }
+
+  virtual ~TeamUse() noexcept;
+  int32_t team;
+  int32_t admitted;
+  int32_t demand;
+  int32_t leftPercent;
+
+  _TeamUse__isset __isset;
+
+  void __set_team(const int32_t val);
+
+  void __set_admitted(const int32_t val);
+
+  void __set_demand(const int32_t val);
+
+  void __set_leftPercent(const int32_t val);
+
+  bool operator == (const TeamUse & rhs) const
+  {
+    if (!(team == rhs.team))
+      return false;
+    if (!(admitted == rhs.admitted))
+      return false;
+    if (!(demand == rhs.demand))
+      return false;
+    if (__isset.leftPercent != rhs.__isset.leftPercent)
+      return false;
+    else if (__isset.leftPercent && !(leftPercent == rhs.leftPercent))
+      return false;
+    return true;
+  }
+  bool operator != (const TeamUse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TeamUse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TeamUse &a, TeamUse &b);
+
+std::ostream& operator<<(std::ostream& out, const TeamUse& obj);
+
 typedef struct _HostStatus__isset {
-  _HostStatus__isset() : upstreams(false), queues(false), stopping(false), coordinatorEpoch(false), storeLost(false), upstreamsLost(false) {}
+  _HostStatus__isset() : upstreams(false), queues(false), stopping(false), coordinatorEpoch(false), storeLost(false), upstreamsLost(false), teams(false) {}
   bool upstreams :1;
   bool queues :1;
   bool stopping :1;
   bool coordinatorEpoch :1;
   bool storeLost :1;
   bool upstreamsLost :1;
+  bool teams :1;
 } _HostStatus__isset;
 
 class HostStatus : public virtual ::apache::thrift::TBase {
@@ -650,6 +799,7 @@
   int64_t coordinatorEpoch;
   bool storeLost;
   bool upstreamsLost;
+  std::vector<TeamUse>  teams;
 
   _HostStatus__isset __isset;
 
@@ -665,6 +815,8 @@
 
   void __set_upstreamsLost(const bool val);
 
+  void __set_teams(const std::vector<TeamUse> & val);
+
   bool operator == (const HostStatus & rhs) const
   {
     if (!(upstreams == rhs.upstreams))
@@ -683,6 +835,10 @@
       return false;
     else if (__isset.upstreamsLost && !(upstreamsLost == rhs.upstreamsLost))
       return false;
+    if (__isset.teams != rhs.__isset.teams)
+      return false;
+    else if (__isset.teams && !(teams == rhs.teams))
+      return false;
     return true;
   }
   bool operator != (const HostStatus &rhs) const {
