request limiter: split off the bucket that hosts share

Quotas of teams need the same bucket: refilled at the whole rate, charged with what others report, drawn from in proportion to demand. No behaviour changes.

--- a/src/libgateway/request_limiter.cpp
+++ b/src/libgateway/request_limiter.cpp
@@ -17,8 +17,6 @@
 constexpr double SavedSeconds = 1;
 /// Time for which requests beyond the rate reduce what may be sent later.
 constexpr double OwedSeconds = 2;
-/// Time constant with which the counts of recent requests decay.
-constexpr double RecentSeconds = 1;
 
 } // namespace
 
@@ -48,52 +46,20 @@
   return std::max(*Upstream.m_requestLimit.m_rate, MinRequestsPerSecond);
 }
 
-void RequestLimiter::refill(const UpstreamState &Upstream, double Rate,
-                            Instant Now) {
-  if (!m_started) {
-    m_started = true;
-    m_refilledAt = Now;
-    m_peerSent = Upstream.m_peerSent;
-  }
-  double Seconds = std::chrono::duration<double>(Now - m_refilledAt).count();
-  // The count starts anew when the upstream does.
-  double PeersSent =
-      Upstream.m_peerSent - std::min(m_peerSent, Upstream.m_peerSent);
-  m_tokens += Rate * Seconds - PeersSent;
-  m_tokens = std::clamp(m_tokens, -Rate * OwedSeconds,
-                        std::max(1.0, Rate * SavedSeconds));
-  double Remaining = std::exp(-Seconds / RecentSeconds);
-  m_recentlySent *= Remaining;
-  m_recentlySentByPeers = m_recentlySentByPeers * Remaining + PeersSent;
-  m_refilledAt = Now;
-  m_peerSent = Upstream.m_peerSent;
-}
-
 bool RequestLimiter::available(const UpstreamState &Upstream,
                                const LimitSharers &Sharers,
                                std::mt19937_64 &Random, Instant Now) {
-  auto Reporting = static_cast<double>(Sharers.m_reporting);
-  auto Registered =
-      static_cast<double>(std::max(Sharers.m_registered, Sharers.m_reporting));
-  refill(Upstream, requestRate(Upstream) * Reporting / Registered, Now);
-  if (Now < m_nextDrawAt)
-    return m_drawn > 0;
-  m_nextDrawAt = Now + Sharers.m_reportInterval;
-  double Demand = Upstream.m_waiting + m_recentlySent;
-  double PeerDemand = Upstream.m_peerWaiting + m_recentlySentByPeers;
-  double Share = (1 + Demand) / (Reporting + Demand + PeerDemand);
-  std::uniform_real_distribution<double> RandomFraction(0, 1);
-  m_drawn = static_cast<std::uint32_t>(std::max(0.0, m_tokens) * Share +
-                                       RandomFraction(Random));
-  if (m_tokens <= 0)
-    m_drawn = 0;
-  return m_drawn > 0;
-}
-
-void RequestLimiter::take() {
-  m_tokens -= 1;
-  m_recentlySent += 1;
-  m_drawn -= m_drawn > 0 ? 1 : 0;
+  double Rate = requestRate(Upstream) * Sharers.reportingShare();
+  // The count starts anew when the upstream does.
+  std::uint32_t PeerSentBefore =
+      std::min(m_peerSent.value_or(Upstream.m_peerSent), Upstream.m_peerSent);
+  m_peerSent = Upstream.m_peerSent;
+  m_bucket.refill(
+      {Rate, std::max(1.0, Rate * SavedSeconds), Rate * OwedSeconds},
+      Upstream.m_peerSent - PeerSentBefore, Now);
+  return m_bucket.draw(Sharers, Upstream.m_waiting + m_bucket.recentlySent(),
+                       Upstream.m_peerWaiting + m_bucket.recentlySentByPeers(),
+                       Random, Now);
 }
 
 } // namespace burdockpulley
