gateway: quotas of teams over all hosts

Each host charges what all hosts report to a bucket for each team, and refuses with 429 what exceeds it. Requests that no upstream has run are taken back.

--- a/src/include/burdockpulley/gateway_settings.h
+++ b/src/include/burdockpulley/gateway_settings.h
@@ -1,6 +1,7 @@
 #ifndef BURDOCKPULLEY_GATEWAY_SETTINGS_H
 #define BURDOCKPULLEY_GATEWAY_SETTINGS_H
 
+#include "burdockpulley/team_quota.h"
 #include "burdockpulley/types.h"
 
 #include <string>
@@ -41,6 +42,7 @@
   double m_retryRatio = 0.2;
   Duration m_retryWindow = std::chrono::seconds(10);
   double m_retryAllowance = 60;
+  TeamQuota::Settings m_teamQuota;
 
   /// True if the link has bandwidth for work that this host does for others:
   /// coordinating, and watching the store for its failure domain.
--- a/src/include/burdockpulley/shared_token_bucket.h
+++ b/src/include/burdockpulley/shared_token_bucket.h
@@ -44,16 +44,19 @@
 
   /// True if this host holds a token that it has drawn, or draws one now.
   /// \p Demand and \p PeerDemand: requests that wait, or are expected, here and
-  /// at the other hosts.
+  /// at the other hosts. \p BaseDemand: added for each host, so that those
+  /// without demand get a share, too. \p Interval: time between two draws, at
+  /// most the report interval.
   bool draw(const LimitSharers &Sharers, double Demand, double PeerDemand,
-            std::mt19937_64 &Random, Instant Now);
+            double BaseDemand, Duration Interval, std::mt19937_64 &Random,
+            Instant Now);
 
   /// Charges one request of this host.
   void take();
   /// Takes one charge back.
   void refund() { m_tokens += 1; }
-  /// Never holds more than \p Tokens from now on, until refilled.
-  void lowerTo(double Tokens);
+  /// Holds at least \p Tokens now.
+  void raiseTo(double Tokens);
 
   double tokens() const { return m_tokens; } ///< Below zero if tokens are owed.
   /// Requests sent lately, by this host and by the others; older ones count for
--- a/src/libgateway/gateway.thrift
+++ b/src/libgateway/gateway.thrift
@@ -116,14 +116,15 @@
 struct TeamUse {
   // Hash of the team's name.
   1: i32 team,
-  // Requests that the host has admitted since its start, less those that no
-  // upstream has run.
+  // Requests that the host has admitted since its start.
   2: i32 admitted,
-  // Requests a second of the team at the host, admitted or not.
-  3: i32 demand,
+  // Requests a second of the team at the host, admitted or not, in hundredths.
+  3: i32 demandHundredths,
   // What is left of the team's burst as the host sees it, in percent; only sent
   // when it is not full. A host that has just started goes by it.
   4: optional i32 leftPercent,
+  // Admitted requests that no upstream has run, since the host's start.
+  5: optional i32 refunded,
 }
 
 // Load of one host, sent to all others several times a second.
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -334,6 +334,7 @@
       for (const DomainId &Domain : std::exchange(m_heldDomainReturns, {}))
         onChange(DomainChanged{Domain, false}, Now);
     m_state.m_peerLoads.expire(Now);
+    m_state.m_teamQuota.sweep(Now);
     for (auto &[Id, Upstream] : m_state.m_registry.upstreams())
       decayServiceTimeRatio(Upstream, SweepInterval, Now);
     m_relay.sweep(Now);
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -44,6 +44,12 @@
       cxxopts::value<Text>());
   Add("retry-allowance", "retries per window beside the ratio, over all hosts",
       cxxopts::value<Text>());
+  Add("quota-window", "time over which a team's requests are counted",
+      cxxopts::value<Text>());
+  Add("quota-overage", "share by which a team may exceed its quota",
+      cxxopts::value<Text>());
+  Add("quota-slack", "requests per window by which a team may exceed it",
+      cxxopts::value<Text>());
   Add("port-file", "file to which the bound ports are written",
       cxxopts::value<Text>());
   Add("print-settings", "print the settings and exit");
@@ -70,6 +76,9 @@
   Reader.number("retry-ratio", Settings.m_retryRatio);
   Reader.duration("retry-window", Settings.m_retryWindow);
   Reader.number("retry-allowance", Settings.m_retryAllowance);
+  Reader.duration("quota-window", Settings.m_teamQuota.m_window);
+  Reader.number("quota-overage", Settings.m_teamQuota.m_overage);
+  Reader.number("quota-slack", Settings.m_teamQuota.m_slack);
 }
 
 std::string milliseconds(Duration Time) {
@@ -119,7 +128,9 @@
          "\nretry-ratio=" + std::to_string(Settings.m_retryRatio) +
          "\nretry-window=" + milliseconds(Settings.m_retryWindow) +
          "\nretry-allowance=" + std::to_string(Settings.m_retryAllowance) +
-         "\n";
+         "\nquota-window=" + milliseconds(Settings.m_teamQuota.m_window) +
+         "\nquota-overage=" + std::to_string(Settings.m_teamQuota.m_overage) +
+         "\nquota-slack=" + std::to_string(Settings.m_teamQuota.m_slack) + "\n";
 }
 
 } // namespace burdockpulley
--- a/src/libgateway/gateway_state.h
+++ b/src/libgateway/gateway_state.h
@@ -8,6 +8,7 @@
 #include "burdockpulley/platform_codec.h"
 #include "burdockpulley/response_memory.h"
 #include "burdockpulley/route_table.h"
+#include "burdockpulley/team_quota.h"
 #include "burdockpulley/upstream_reachability.h"
 #include "burdockpulley/upstream_registry.h"
 #include "gateway_metrics.h"
@@ -23,7 +24,7 @@
   GatewayState(event_base *Base, GatewaySettings Settings, PlatformCodec &Codec)
       : m_base(Base), m_settings(std::move(Settings)), m_codec(Codec),
         m_responseMemory(m_settings.maxResponseMemory()),
-        m_peerLoads(m_registry) {}
+        m_peerLoads(m_registry), m_teamQuota(m_settings.m_teamQuota) {}
 
   event_base *m_base;
   GatewaySettings m_settings;
@@ -35,6 +36,7 @@
   RouteTable m_routes;
   KeyOwners m_owners;
   PeerLoads m_peerLoads;
+  TeamQuota m_teamQuota;
   GatewayMetrics m_metrics;
   bool m_stopping = false;
   /// Expected service time of a request, by service, at an upstream of average
@@ -57,6 +59,16 @@
     return Settings;
   }
 
+  /// The hosts that share limits which each of them has to keep.
+  LimitSharers limitSharers() const {
+    LimitSharers Sharers;
+    Sharers.m_reporting = hosts();
+    Sharers.m_registered = m_registeredHosts;
+    Sharers.m_reportInterval = statusInterval(m_peerLoads.hosts()) *
+                               static_cast<int>(RemoteStatusPeriod);
+    return Sharers;
+  }
+
   /// Number of hosts that share retry budgets, including this one.
   std::size_t hosts() const { return m_peerLoads.hosts() + 1; }
 };
--- a/src/libgateway/gen/gateway_types.cpp
+++ b/src/libgateway/gen/gateway_types.cpp
@@ -1742,14 +1742,19 @@
   this->admitted = val;
 }
 
-void TeamUse::__set_demand(const int32_t val) {
-  this->demand = val;
+void TeamUse::__set_demandHundredths(const int32_t val) {
+  this->demandHundredths = val;
 }
 
 void TeamUse::__set_leftPercent(const int32_t val) {
   this->leftPercent = val;
 __isset.leftPercent = true;
 }
+
+void TeamUse::__set_refunded(const int32_t val) {
+  this->refunded = val;
+__isset.refunded = true;
+}
 std::ostream& operator<<(std::ostream& out, const TeamUse& obj)
 {
   obj.printTo(out);
@@ -1796,8 +1801,8 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->demand);
-          this->__isset.demand = true;
+          xfer += iprot->readI32(this->demandHundredths);
+          this->__isset.demandHundredths = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1810,6 +1815,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->refunded);
+          this->__isset.refunded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1835,8 +1848,8 @@
   xfer += oprot->writeI32(this->admitted);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->demand);
+  xfer += oprot->writeFieldBegin("demandHundredths", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->demandHundredths);
   xfer += oprot->writeFieldEnd();
 
   if (this->__isset.leftPercent) {
@@ -1844,6 +1857,11 @@
     xfer += oprot->writeI32(this->leftPercent);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.refunded) {
+    xfer += oprot->writeFieldBegin("refunded", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->refunded);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1853,38 +1871,43 @@
   using ::std::swap;
   swap(a.team, b.team);
   swap(a.admitted, b.admitted);
-  swap(a.demand, b.demand);
+  swap(a.demandHundredths, b.demandHundredths);
   swap(a.leftPercent, b.leftPercent);
+  swap(a.refunded, b.refunded);
   swap(a.__isset, b.__isset);
 }
 
 TeamUse::TeamUse(const TeamUse& other56) noexcept {
   team = other56.team;
   admitted = other56.admitted;
-  demand = other56.demand;
+  demandHundredths = other56.demandHundredths;
   leftPercent = other56.leftPercent;
+  refunded = other56.refunded;
   __isset = other56.__isset;
 }
 TeamUse::TeamUse(TeamUse&& other57) noexcept {
   team = other57.team;
   admitted = other57.admitted;
-  demand = other57.demand;
+  demandHundredths = other57.demandHundredths;
   leftPercent = other57.leftPercent;
+  refunded = other57.refunded;
   __isset = other57.__isset;
 }
 TeamUse& TeamUse::operator=(const TeamUse& other58) noexcept {
   team = other58.team;
   admitted = other58.admitted;
-  demand = other58.demand;
+  demandHundredths = other58.demandHundredths;
   leftPercent = other58.leftPercent;
+  refunded = other58.refunded;
   __isset = other58.__isset;
   return *this;
 }
 TeamUse& TeamUse::operator=(TeamUse&& other59) noexcept {
   team = other59.team;
   admitted = other59.admitted;
-  demand = other59.demand;
+  demandHundredths = other59.demandHundredths;
   leftPercent = other59.leftPercent;
+  refunded = other59.refunded;
   __isset = other59.__isset;
   return *this;
 }
@@ -1893,8 +1916,9 @@
   out << "TeamUse(";
   out << "team=" << to_string(team);
   out << ", " << "admitted=" << to_string(admitted);
-  out << ", " << "demand=" << to_string(demand);
+  out << ", " << "demandHundredths=" << to_string(demandHundredths);
   out << ", " << "leftPercent="; (__isset.leftPercent ? (out << to_string(leftPercent)) : (out << "<null>"));
+  out << ", " << "refunded="; (__isset.refunded ? (out << to_string(refunded)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libgateway/gen/gateway_types.h
+++ b/src/libgateway/gen/gateway_types.h
@@ -700,11 +700,12 @@
 std::ostream& operator<<(std::ostream& out, const QueueLength& obj);
 
 typedef struct _TeamUse__isset {
-  _TeamUse__isset() : team(false), admitted(false), demand(false), leftPercent(false) {}
+  _TeamUse__isset() : team(false), admitted(false), demandHundredths(false), leftPercent(false), refunded(false) {}
   bool team :1;
   bool admitted :1;
-  bool demand :1;
+  bool demandHundredths :1;
   bool leftPercent :1;
+  bool refunded :1;
 } _TeamUse__isset;
 
 class TeamUse : public virtual ::apache::thrift::TBase {
@@ -717,15 +718,17 @@
   TeamUse() noexcept
           : team(0),
             admitted(0),
-            demand(0),
-            leftPercent(0) {
+            demandHundredths(0),
+            leftPercent(0),
+            refunded(0) {
   }
 
   virtual ~TeamUse() noexcept;
   int32_t team;
   int32_t admitted;
-  int32_t demand;
+  int32_t demandHundredths;
   int32_t leftPercent;
+  int32_t refunded;
 
   _TeamUse__isset __isset;
 
@@ -733,22 +736,28 @@
 
   void __set_admitted(const int32_t val);
 
-  void __set_demand(const int32_t val);
+  void __set_demandHundredths(const int32_t val);
 
   void __set_leftPercent(const int32_t val);
 
+  void __set_refunded(const int32_t val);
+
   bool operator == (const TeamUse & rhs) const
   {
     if (!(team == rhs.team))
       return false;
     if (!(admitted == rhs.admitted))
       return false;
-    if (!(demand == rhs.demand))
+    if (!(demandHundredths == rhs.demandHundredths))
       return false;
     if (__isset.leftPercent != rhs.__isset.leftPercent)
       return false;
     else if (__isset.leftPercent && !(leftPercent == rhs.leftPercent))
       return false;
+    if (__isset.refunded != rhs.__isset.refunded)
+      return false;
+    else if (__isset.refunded && !(refunded == rhs.refunded))
+      return false;
     return true;
   }
   bool operator != (const TeamUse &rhs) const {
--- a/src/libgateway/peer_state_exchange.cpp
+++ b/src/libgateway/peer_state_exchange.cpp
@@ -89,6 +89,31 @@
   return Load;
 }
 
+wire::TeamUse toWire(const TeamUse &Use) {
+  wire::TeamUse Entry;
+  Entry.team = Use.m_team.value();
+  Entry.admitted = static_cast<std::int32_t>(Use.m_admitted);
+  Entry.demandHundredths =
+      static_cast<std::int32_t>(std::lround(Use.m_demand * Percent));
+  if (Use.m_left)
+    Entry.__set_leftPercent(static_cast<std::int32_t>(*Use.m_left * Percent));
+  if (Use.m_refunded > 0)
+    Entry.__set_refunded(static_cast<std::int32_t>(Use.m_refunded));
+  return Entry;
+}
+
+TeamUse fromWire(const wire::TeamUse &Entry) {
+  TeamUse Use;
+  Use.m_team = NameHash(Entry.team);
+  Use.m_admitted = fromCount(Entry.admitted);
+  Use.m_demand = fromCount(Entry.demandHundredths) / Percent;
+  if (Entry.__isset.leftPercent)
+    Use.m_left = std::clamp(Entry.leftPercent / Percent, 0.0, 1.0);
+  if (Entry.__isset.refunded)
+    Use.m_refunded = std::min(fromCount(Entry.refunded), Use.m_admitted);
+  return Use;
+}
+
 wire::StoreUpdate toWire(StoreVersion After, const StoreEvents &Changes) {
   wire::StoreUpdate Update;
   Update.after = numberInEra(After);
@@ -309,6 +334,11 @@
     Queue.waiting = static_cast<std::int32_t>(Waiting);
     Status.queues.push_back(Queue);
   }
+  std::vector<wire::TeamUse> Teams;
+  for (const TeamUse &Use : m_state.m_teamQuota.report(Now))
+    Teams.push_back(toWire(Use));
+  if (!Teams.empty())
+    Status.__set_teams(std::move(Teams));
   Message.__set_hostStatus(std::move(Status));
   // Other failure domains receive fewer status messages: bandwidth between
   // domains is expensive, and most requests stay inside their domain.
@@ -522,6 +552,10 @@
   for (const wire::QueueLength &Queue : Status.queues)
     Load.m_waiting[NameHash(Queue.serviceHash)] = fromCount(Queue.waiting);
   m_state.m_peerLoads.onLoad(Sender, std::move(Load), Now);
+  std::vector<TeamUse> Uses;
+  for (const wire::TeamUse &Entry : Status.teams)
+    Uses.push_back(fromWire(Entry));
+  m_state.m_teamQuota.onPeerReport(Sender, Uses, Now);
   if (m_relay.waiting() > 0)
     m_onChange();
 }
--- a/src/libgateway/pending_request.h
+++ b/src/libgateway/pending_request.h
@@ -31,6 +31,7 @@
   std::string m_requestId; ///< As sent by the caller.
   /// Null if the configuration has no teams, or the route needs no key.
   const TeamPolicy *m_team = nullptr;
+  bool m_chargedToQuota = false; ///< Of the team, by this host.
   std::optional<ShardKey> m_key;
   Fingerprint m_fingerprint;
   Instant m_arrived;
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -30,7 +30,8 @@
     : m_state(State), m_connections(State.m_base, State.requestPoolSettings()),
       m_forwarder(State), m_results(State),
       m_intake(State, m_results.serviceTimes()),
-      m_assignment(State, m_forwarder), m_waiting(State.m_registry) {}
+      m_assignment(State, m_forwarder), m_waiting(State.m_registry),
+      m_random(std::random_device()()) {}
 
 void RequestRelay::onRequest(std::shared_ptr<Exchange> CallerExchange,
                              Instant Now) {
@@ -64,10 +65,30 @@
       [this, Number = Pending.m_number] { onCallerGone(Number); });
   if (m_results.suspects().blocked(Pending.m_fingerprint, Now))
     return refuse(Pending, "crashes-upstreams", {}, Now);
+  if (!chargeQuota(Pending, Now))
+    return finish(Pending,
+                  localResponse(LocalStatus::TooManyRequests,
+                                m_state.m_teamQuota.retryAfter(
+                                    *Pending.m_team, m_state.limitSharers())),
+                  "not-run", "team-quota", Now);
   if (!tryDispatch(Pending, Now))
     enqueue(Pending, Now);
 }
 
+bool RequestRelay::chargeQuota(PendingRequest &Pending, Instant Now) {
+  // The host that forwards a request has charged it.
+  if (!Pending.m_team || Pending.m_forwarded)
+    return true;
+  Pending.m_chargedToQuota = m_state.m_teamQuota.admit(
+      *Pending.m_team, m_state.limitSharers(), m_random, Now);
+  return Pending.m_chargedToQuota;
+}
+
+void RequestRelay::refundQuota(PendingRequest &Pending) {
+  if (std::exchange(Pending.m_chargedToQuota, false))
+    m_state.m_teamQuota.refund(*Pending.m_team);
+}
+
 SharedRetryBudget &RequestRelay::retryBudget(const ServiceId &Service) {
   auto It = m_retryBudgets.find(Service);
   if (It == m_retryBudgets.end()) {
@@ -370,6 +391,9 @@
             {"upstream", Pending.m_upstream.value()},
             {"sent", Pending.m_attemptInFlight},
             {"spent_ms", millis(Now - Pending.m_arrived)}});
+  if (!Pending.m_attemptInFlight && !Pending.m_forwardedTo &&
+      !Pending.m_mayHaveRun)
+    refundQuota(Pending);
   m_state.m_metrics.onRequestEnded(Pending.m_route->m_name, "caller-left",
                                    Now - Pending.m_arrived);
   m_pending.erase(It);
@@ -408,12 +432,15 @@
                           const char *Outcome, const char *Reason,
                           Instant Now) {
   m_waiting.remove(Pending);
+  if (std::string_view(Outcome) == "not-run")
+    refundQuota(Pending);
   Duration Spent = Now - Pending.m_arrived;
   bool Succeeded = Response.m_status < 400;
   logEvent(Succeeded ? Severity::Info : Severity::Warning, "request_ended",
            {{"request", Pending.m_requestId},
             {"route", Pending.m_route->m_name},
             {"service", Pending.m_service->m_name.value()},
+            {"team", Pending.m_team ? Pending.m_team->m_name.value() : ""},
             {"outcome", Outcome},
             {"reason", Reason},
             {"status", Response.m_status},
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -83,6 +83,10 @@
   }
 
 private:
+  /// Charges the quota of the request's team. Returns false if it is used up.
+  bool chargeQuota(PendingRequest &Pending, Instant Now);
+  /// Takes back the charge of a request that no upstream has run.
+  void refundQuota(PendingRequest &Pending);
   /// Sends a new request, or queues it.
   void accept(std::unique_ptr<PendingRequest> NewRequest, Instant Now);
   /// Sends a request to an upstream, or ends it if no upstream may run it or
@@ -127,6 +131,7 @@
   std::map<ServiceId, SharedRetryBudget> m_retryBudgets;
   std::map<RequestNumber, std::unique_ptr<PendingRequest>> m_pending;
   KeyRequestCounts m_keyRequestCounts;
+  std::mt19937_64 m_random;
 };
 
 } // namespace burdockpulley
--- a/src/libgateway/shared_token_bucket.cpp
+++ b/src/libgateway/shared_token_bucket.cpp
@@ -33,13 +33,20 @@
 }
 
 bool SharedTokenBucket::draw(const LimitSharers &Sharers, double Demand,
-                             double PeerDemand, std::mt19937_64 &Random,
+                             double PeerDemand, double BaseDemand,
+                             Duration Interval, std::mt19937_64 &Random,
                              Instant Now) {
   if (Now < m_nextDrawAt)
     return m_drawn > 0;
-  m_nextDrawAt = Now + Sharers.m_reportInterval;
-  double Share = (1 + Demand) / (static_cast<double>(Sharers.m_reporting) +
-                                 Demand + PeerDemand);
+  m_nextDrawAt = Now + Interval;
+  double Share = (BaseDemand + Demand) /
+                 (BaseDemand * static_cast<double>(Sharers.m_reporting) +
+                  Demand + PeerDemand);
+  // What the others draw is unknown for a report interval. This host knows of
+  // its own draws at once.
+  if (Interval < Sharers.m_reportInterval)
+    Share *= Share + (1 - Share) * static_cast<double>(Interval.count()) /
+                         static_cast<double>(Sharers.m_reportInterval.count());
   std::uniform_real_distribution<double> RandomFraction(0, 1);
   m_drawn = static_cast<std::uint32_t>(std::max(0.0, m_tokens) * Share +
                                        RandomFraction(Random));
@@ -54,8 +61,8 @@
   m_drawn -= m_drawn > 0 ? 1 : 0;
 }
 
-void SharedTokenBucket::lowerTo(double Tokens) {
-  m_tokens = std::min(m_tokens, Tokens);
+void SharedTokenBucket::raiseTo(double Tokens) {
+  m_tokens = std::max(m_tokens, Tokens);
 }
 
 } // namespace burdockpulley
--- a/src/libgateway/upstream_assignment.cpp
+++ b/src/libgateway/upstream_assignment.cpp
@@ -40,13 +40,8 @@
                                                Instant Now) {
   if (!Upstream.m_requestLimit.m_rate)
     return true;
-  LimitSharers Sharers;
-  Sharers.m_reporting = m_state.hosts();
-  Sharers.m_registered = m_state.m_registeredHosts;
-  Sharers.m_reportInterval = statusInterval(m_state.m_peerLoads.hosts()) *
-                             static_cast<int>(RemoteStatusPeriod);
-  return m_requestLimiters[Upstream.m_record.m_id].available(Upstream, Sharers,
-                                                             m_random, Now);
+  return m_requestLimiters[Upstream.m_record.m_id].available(
+      Upstream, m_state.limitSharers(), m_random, Now);
 }
 
 UpstreamAssignment::OwnerLookup
