gateway: hosts learn of new hosts by their status messages

A host that registered just before or after the store had turned others away stayed unknown to these: they dropped its messages, which carry the changes of the store, and answered 404 on new routes until the store served them again. Status messages now carry the sender's record now and then; an authenticated one of an unknown host makes it a peer for as long as it is heard. The new test gets no message from an unknown host without this.

--- a/src/libgateway/gateway.thrift
+++ b/src/libgateway/gateway.thrift
@@ -140,6 +140,9 @@
   6: optional bool upstreamsLost,
   // Teams whose requests the host has admitted or refused lately.
   7: optional list<TeamUse> teams,
+  // The host's record as in the store, now and then: hosts that the store turns
+  // away cannot read that of a new host.
+  8: optional string record,
 }
 
 // Number of requests for one key.
--- a/src/libgateway/gateway_state.h
+++ b/src/libgateway/gateway_state.h
@@ -59,6 +59,17 @@
     return Settings;
   }
 
+  /// What this host registers about itself.
+  HostRecord hostRecord() const {
+    HostRecord Record;
+    Record.m_peerEndpoint = m_settings.m_peerListen;
+    Record.m_domain = m_settings.m_domain;
+    Record.m_highBandwidth = m_settings.highBandwidth();
+    Record.m_forwardEndpoint = m_settings.m_forwardListen;
+    Record.m_relays = Record.m_teams = true;
+    return Record;
+  }
+
   /// The hosts that share limits which each of them has to keep.
   LimitSharers limitSharers() const {
     LimitSharers Sharers;
--- a/src/libgateway/gen/gateway_types.cpp
+++ b/src/libgateway/gen/gateway_types.cpp
@@ -1957,6 +1957,11 @@
   this->teams = val;
 __isset.teams = true;
 }
+
+void HostStatus::__set_record(const std::string& val) {
+  this->record = val;
+__isset.record = true;
+}
 std::ostream& operator<<(std::ostream& out, const HostStatus& obj)
 {
   obj.printTo(out);
@@ -2077,6 +2082,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->record);
+          this->__isset.record = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2149,6 +2162,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.record) {
+    xfer += oprot->writeFieldBegin("record", ::apache::thrift::protocol::T_STRING, 8);
+    xfer += oprot->writeString(this->record);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2163,6 +2181,7 @@
   swap(a.storeLost, b.storeLost);
   swap(a.upstreamsLost, b.upstreamsLost);
   swap(a.teams, b.teams);
+  swap(a.record, b.record);
   swap(a.__isset, b.__isset);
 }
 
@@ -2174,6 +2193,7 @@
   storeLost = other78.storeLost;
   upstreamsLost = other78.upstreamsLost;
   teams = other78.teams;
+  record = other78.record;
   __isset = other78.__isset;
 }
 HostStatus::HostStatus(HostStatus&& other79) noexcept {
@@ -2184,6 +2204,7 @@
   storeLost = other79.storeLost;
   upstreamsLost = other79.upstreamsLost;
   teams = std::move(other79.teams);
+  record = std::move(other79.record);
   __isset = other79.__isset;
 }
 HostStatus& HostStatus::operator=(const HostStatus& other80) {
@@ -2194,6 +2215,7 @@
   storeLost = other80.storeLost;
   upstreamsLost = other80.upstreamsLost;
   teams = other80.teams;
+  record = other80.record;
   __isset = other80.__isset;
   return *this;
 }
@@ -2205,6 +2227,7 @@
   storeLost = other81.storeLost;
   upstreamsLost = other81.upstreamsLost;
   teams = std::move(other81.teams);
+  record = std::move(other81.record);
   __isset = other81.__isset;
   return *this;
 }
@@ -2218,6 +2241,7 @@
   out << ", " << "storeLost="; (__isset.storeLost ? (out << to_string(storeLost)) : (out << "<null>"));
   out << ", " << "upstreamsLost="; (__isset.upstreamsLost ? (out << to_string(upstreamsLost)) : (out << "<null>"));
   out << ", " << "teams="; (__isset.teams ? (out << to_string(teams)) : (out << "<null>"));
+  out << ", " << "record="; (__isset.record ? (out << to_string(record)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libgateway/gen/gateway_types.h
+++ b/src/libgateway/gen/gateway_types.h
@@ -777,7 +777,7 @@
 std::ostream& operator<<(std::ostream& out, const TeamUse& obj);
 
 typedef struct _HostStatus__isset {
-  _HostStatus__isset() : upstreams(false), queues(false), stopping(false), coordinatorEpoch(false), storeLost(false), upstreamsLost(false), teams(false) {}
+  _HostStatus__isset() : upstreams(false), queues(false), stopping(false), coordinatorEpoch(false), storeLost(false), upstreamsLost(false), teams(false), record(false) {}
   bool upstreams :1;
   bool queues :1;
   bool stopping :1;
@@ -785,6 +785,7 @@
   bool storeLost :1;
   bool upstreamsLost :1;
   bool teams :1;
+  bool record :1;
 } _HostStatus__isset;
 
 class HostStatus : public virtual ::apache::thrift::TBase {
@@ -798,7 +799,8 @@
              : stopping(0),
                coordinatorEpoch(0),
                storeLost(0),
-               upstreamsLost(0) {
+               upstreamsLost(0),
+               record() {
   }
 
   virtual ~HostStatus() noexcept;
@@ -809,6 +811,7 @@
   bool storeLost;
   bool upstreamsLost;
   std::vector<TeamUse>  teams;
+  std::string record;
 
   _HostStatus__isset __isset;
 
@@ -826,6 +829,8 @@
 
   void __set_teams(const std::vector<TeamUse> & val);
 
+  void __set_record(const std::string& val);
+
   bool operator == (const HostStatus & rhs) const
   {
     if (!(upstreams == rhs.upstreams))
@@ -848,6 +853,10 @@
       return false;
     else if (__isset.teams && !(teams == rhs.teams))
       return false;
+    if (__isset.record != rhs.__isset.record)
+      return false;
+    else if (__isset.record && !(record == rhs.record))
+      return false;
     return true;
   }
   bool operator != (const HostStatus &rhs) const {
--- a/src/libgateway/host_registration.cpp
+++ b/src/libgateway/host_registration.cpp
@@ -94,11 +94,7 @@
   StoreTransaction Registration;
   Registration.m_writes.push_back(
       {store_keys::Hosts + m_state.m_settings.m_host.value(),
-       encodeHostRecord({m_state.m_settings.m_peerListen,
-                         m_state.m_settings.m_domain,
-                         m_state.m_settings.highBandwidth(),
-                         m_state.m_settings.m_forwardListen, true, true}),
-       false, m_lease});
+       encodeHostRecord(m_state.hostRecord()), false, m_lease});
   m_store.commit(Registration, [this](const StoreReply<StoreCommit> &Reply) {
     m_callInFlight = false;
     if (const auto *Error = std::get_if<StoreError>(&Reply)) {
--- a/src/libgateway/peer_state_exchange.cpp
+++ b/src/libgateway/peer_state_exchange.cpp
@@ -39,6 +39,9 @@
 /// messages are not sent.
 constexpr Duration MinReportAge{200'000};
 constexpr double Percent = 100;
+/// One status message out of this many carries the host's record. A multiple of
+/// RemoteStatusPeriod, so that other failure domains get it too.
+constexpr std::uint64_t StatusesPerRecord = 6;
 /// How long hosts are told that an upstream no longer limits its requests.
 constexpr Duration LimitEndAnnouncementTime{2'000'000};
 /// Value of UpstreamLoadEntry.requestLimit for an upstream without a limit.
@@ -339,6 +342,8 @@
     Teams.push_back(toWire(Use));
   if (!Teams.empty())
     Status.__set_teams(std::move(Teams));
+  if (m_statusesSent % StatusesPerRecord == 0)
+    Status.__set_record(encodeHostRecord(m_state.hostRecord()));
   Message.__set_hostStatus(std::move(Status));
   // Other failure domains receive fewer status messages: bandwidth between
   // domains is expensive, and most requests stay inside their domain.
--- a/src/libgateway/peer_transport.cpp
+++ b/src/libgateway/peer_transport.cpp
@@ -138,6 +138,17 @@
   Known.m_listed = true;
 }
 
+void PeerTransport::addUnlistedPeer(const HostId &Host,
+                                    const HostRecord &Record, Instant Now) {
+  if (Host == m_self || m_peers.count(Host))
+    return;
+  Peer &Known = m_peers[Host];
+  Known.m_record = Record;
+  Known.m_listed = false;
+  Known.m_lastReceived = Now;
+  logEvent(Severity::Info, "peer_known_by_message", {{"host", Host.value()}});
+}
+
 void PeerTransport::markUnlisted(const HostId &Host) {
   auto PeerIt = m_peers.find(Host);
   if (PeerIt != m_peers.end())
@@ -310,6 +321,10 @@
     ++m_rejected;
     return;
   }
+  // The store may have turned this host away before the sender registered.
+  if (Message.__isset.hostStatus && Message.hostStatus.__isset.record)
+    if (auto Record = decodeHostRecord(Message.hostStatus.record))
+      addUnlistedPeer(HostId(Message.host), *Record, bootClockNow());
   auto PeerIt = m_peers.find(HostId(Message.host));
   if (PeerIt == m_peers.end() ||
       Message.sequence <= PeerIt->second.m_lastSequence)
--- a/src/libgateway/peer_transport.h
+++ b/src/libgateway/peer_transport.h
@@ -79,6 +79,10 @@
   /// Adds a host that is listed in the store, or updates its record. Ignored
   /// for this host itself.
   void addPeer(const HostId &Host, const HostRecord &Record);
+  /// Adds a host of which only a datagram is known. It remains a peer for as
+  /// long as datagrams arrive from it. Ignored for hosts that are known.
+  void addUnlistedPeer(const HostId &Host, const HostRecord &Record,
+                       Instant Now);
   /// The host's record was removed from the store. The host remains a peer for
   /// as long as datagrams arrive from it, because an outage of the store also
   /// removes records.
--- a/src/libgateway/peer_transport_test.cpp
+++ b/src/libgateway/peer_transport_test.cpp
@@ -1,6 +1,9 @@
 #include "peer_transport.h"
 
+#include "burdockpulley/clock.h"
+
 #include <boost/test/unit_test.hpp>
+#include <event2/event.h>
 
 using namespace burdockpulley;
 
@@ -66,4 +69,38 @@
   BOOST_TEST(Transport.domainAfter(DomainId("c"))->value() == "a");
 }
 
+// A host that registered after the store had turned others away remained
+// unknown to them: they dropped its messages, and with them all changes of the
+// store.
+BOOST_AUTO_TEST_CASE(a_host_is_known_by_its_messages) {
+  std::unique_ptr<event_base, decltype(&event_base_free)> Base(event_base_new(),
+                                                               event_base_free);
+  const Endpoint Any{"127.0.0.1", 0};
+  std::vector<std::string> Senders;
+  PeerTransport Receiver(Base.get(), HostId("a1"), DomainId("a"),
+                         [&](const HostId &Sender, const auto &) {
+                           Senders.push_back(Sender.value());
+                         });
+  PeerTransport Sender(Base.get(), HostId("b1"), DomainId("b"),
+                       [](const auto &, const auto &) {});
+  Receiver.setKey("key");
+  Sender.setKey("key");
+  Endpoint ReceiverAddress{"127.0.0.1", Receiver.listen(Any)};
+  Endpoint SenderAddress{"127.0.0.1", Sender.listen(Any)};
+  Sender.addPeer(HostId("a1"), {ReceiverAddress, DomainId("a"), true});
+  wire::Datagram Message;
+  Message.__set_hostStatus(wire::HostStatus());
+  Sender.send(HostId("a1"), Message);
+  Message.hostStatus.__set_record(
+      encodeHostRecord({SenderAddress, DomainId("b"), true}));
+  Sender.send(HostId("a1"), Message);
+  while (Senders.empty())
+    event_base_loop(Base.get(), EVLOOP_ONCE);
+  BOOST_TEST(Senders == std::vector<std::string>{"b1"});
+  BOOST_TEST(Receiver.domainAfter(DomainId("a"))->value() == "b");
+  // The store does not list it: it is forgotten when it is silent.
+  Receiver.sweep(bootClockNow() + std::chrono::minutes(1));
+  BOOST_TEST(Receiver.peers() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
