--- a/src/libgateway/peer_state_exchange.cpp
+++ b/src/libgateway/peer_state_exchange.cpp
@@ -337,13 +337,7 @@
     Queue.waiting = static_cast<std::int32_t>(Waiting);
     Status.queues.push_back(Queue);
   }
-  std::vector<wire::TeamUse> Teams;
-  for (const TeamUse &Use : m_state.m_teamQuota.report(Now))
-    Teams.push_back(toWire(Use));
-  if (!Teams.empty())
-    Status.__set_teams(std::move(Teams));
-  if (m_statusesSent % StatusesPerRecord == 0)
-    Status.__set_record(encodeHostRecord(m_state.hostRecord()));
+  addHostState(Status, Now);
   Message.__set_hostStatus(std::move(Status));
   // Other failure domains receive fewer status messages: bandwidth between
   // domains is expensive, and most requests stay inside their domain.
@@ -353,6 +347,16 @@
     m_transport.sendToDomain(Message, LocalDomain, false);
 }
 
+void PeerStateExchange::addHostState(wire::HostStatus &Status, Instant Now) {
+  std::vector<wire::TeamUse> Teams;
+  for (const TeamUse &Use : m_state.m_teamQuota.report(Now))
+    Teams.push_back(toWire(Use));
+  if (!Teams.empty())
+    Status.__set_teams(std::move(Teams));
+  if (m_statusesSent % StatusesPerRecord == 0)
+    Status.__set_record(encodeHostRecord(m_state.hostRecord()));
+}
+
 void PeerStateExchange::sendKeyLoad() {
   auto KeyRequestCounts = m_relay.takeKeyRequestCounts();
   for (const auto &[Service, Counts] : KeyRequestCounts.m_counts) {
