http: one memory budget for callers, requests and responses

Callers that sent many unfinished bodies, very many short header fields or pipelined requests without reading took a host of 160 MB to 456 MiB, and 197 MB stayed resident afterwards. Only responses of upstreams were limited.

As it fills, large bodies are no longer read, the ones that progress least are given up, and requests with bodies get 503. Bodies and readers have a least rate, requests a longest time and 128 header fields, and a connection is not read while its response is unread. Ready and metrics connections have limits of their own.

--- a/src/include/burdockpulley/caller_listener.h
+++ b/src/include/burdockpulley/caller_listener.h
@@ -2,8 +2,10 @@
 #define BURDOCKPULLEY_CALLER_LISTENER_H
 
 #include "burdockpulley/http.h"
+#include "burdockpulley/memory_budget.h"
 #include "burdockpulley/types.h"
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <unordered_set>
@@ -27,16 +29,51 @@
   /// Longest time between requests, between parts of a request's body, and for
   /// writing a response.
   Duration m_idleTimeout = std::chrono::seconds(15);
+  std::size_t m_headerFields = 128;
+  /// Least rates, averaged over a whole transfer, at which a caller sends a
+  /// body and reads responses. 300 uploads that share a link of 10 Mbit/s have
+  /// 4 KB/s each.
+  std::size_t m_minBytesPerSecond = 1024;
+  /// Time at the begin of a transfer that the rates leave out; of a body, at
+  /// least the idle timeout.
+  Duration m_rateGrace = std::chrono::seconds(5);
+  /// Time without a request after which a connection may be closed for a new
+  /// one if there are too many.
+  Duration m_crowdedAge = std::chrono::seconds(1);
+  /// Longest time for receiving a request.
+  Duration m_requestTime = std::chrono::seconds(180);
 };
 
+/// Why a request was refused before it was passed on, or a connection closed.
+enum class CallerLimit {
+  Malformed,
+  HeaderTooLarge,
+  BodyTooLarge,
+  HeaderTimeout,
+  IdleTimeout,
+  RequestTimeout,
+  SlowBody,
+  SlowReader,
+  MemoryRefused, ///< A new request was refused for lack of memory.
+  MemoryBody,    ///< A body in progress was given up for lack of memory.
+  MemoryUnread,  ///< A response that was read slowest was given up.
+  Crowded,       ///< Closed in favour of a new connection.
+};
+
+constexpr std::size_t CallerLimitCount = 12;
+
+/// Returns the name of a reason for logs and metrics. Thread safety: safe.
+const char *toString(CallerLimit Reason);
+
 /// One request of a caller, and the means to respond to it.
 ///
 /// An exchange that is destroyed without a response closes its connection.
 /// Thread safety: none; use it on the event loop's thread only.
 class Exchange {
 public:
+  /// \p Charge: for the request; held until the object goes.
   Exchange(detail::CallerConnection *Connection, HttpRequest &&Request,
-           Instant Arrived);
+           Instant Arrived, MemoryCharge &&Charge = {});
   ~Exchange();
   Exchange(const Exchange &) = delete;
   Exchange &operator=(const Exchange &) = delete;
@@ -50,7 +87,7 @@
 
   /// Sends the response. Does nothing if the caller has disconnected.
   /// Precondition: not called before.
-  void answer(const HttpResponse &Response);
+  void answer(HttpResponse Response);
 
   /// Sets the function that is called once if the caller closes its connection
   /// before the response is sent.
@@ -65,6 +102,7 @@
   detail::CallerConnection *m_connection;
   HttpRequest m_request;
   Instant m_arrived;
+  MemoryCharge m_charge;
   std::function<void()> m_onCallerGone;
 };
 
@@ -77,7 +115,9 @@
 public:
   using Handler = std::function<void(std::shared_ptr<Exchange>)>;
 
-  /// Accepting pauses while \p MaxConnections connections are open.
+  /// While \p MaxConnections connections are open, accepting pauses, and those
+  /// that have had no request for the longest time are closed; see
+  /// CallerLimits::m_crowdedAge.
   /// Precondition: \p Base outlives the listener.
   CallerListener(event_base *Base, std::size_t MaxConnections,
                  Handler RequestHandler);
@@ -89,6 +129,17 @@
   /// 0 if the address cannot be bound.
   std::uint16_t listen(const Endpoint &BindAddress);
 
+  /// Charges the memory of the connections and requests to a budget, and
+  /// refuses or gives up what it does not allow. Without one, only the limits
+  /// apply. Precondition: \p Budget outlives the listener; called before
+  /// listen().
+  void setMemoryBudget(MemoryBudget &Budget) { m_budget = &Budget; }
+
+  /// How often each limit has ended a request or a connection so far.
+  const std::array<std::uint64_t, CallerLimitCount> &limitCounts() const {
+    return m_limitCounts;
+  }
+
   /// Sets the limits. The time limits apply at once; the size limits apply to
   /// new connections, and to open connections after their next request.
   void setLimits(const CallerLimits &Limits);
@@ -106,6 +157,10 @@
   /// receive or to send.
   std::size_t closeIdle(Instant Now);
 
+  /// Closes connections without requests if there are too many. sweep() does
+  /// so as well. Call it more often where new callers must not wait.
+  void admitWaiting(Instant Now);
+
   /// Closes connections that have exceeded their time limits. Call it a few
   /// times a second.
   void sweep(Instant Now);
@@ -118,6 +173,11 @@
 private:
   friend class detail::CallerConnection;
   void accept(int Descriptor, const std::string &CallerAddress);
+  void giveUpBodies(bool Stalled, Instant Now);
+  void giveUpUnread(Instant Now);
+  void count(CallerLimit Reason, const std::string &CallerAddress);
+  void logLimits(Instant Now);
+  std::size_t maxBodyBytes() const;
   void remove(detail::CallerConnection *Connection);
 
   event_base *m_base;
@@ -125,6 +185,12 @@
   Handler m_handler;
   evconnlistener *m_listener = nullptr;
   CallerLimits m_limits;
+  MemoryBudget *m_budget = nullptr;
+  std::array<std::uint64_t, CallerLimitCount> m_limitCounts{};
+  /// Counts at the last log line, and the address of the latest case.
+  std::array<std::uint64_t, CallerLimitCount> m_loggedCounts{};
+  std::array<std::string, CallerLimitCount> m_limitedCallers;
+  Instant m_limitsLogged;
   bool m_closeAfterResponses = false;
   std::unordered_set<detail::CallerConnection *> m_connections;
 };
--- a/src/include/burdockpulley/channel_pool.h
+++ b/src/include/burdockpulley/channel_pool.h
@@ -67,6 +67,9 @@
   /// Limits the memory of the responses of several pools together; null for no
   /// limit. Must outlive the pool.
   ResponseMemory *m_responseMemory = nullptr;
+  /// Charged with the requests that the kernel has not taken yet; null for
+  /// none. Must outlive the pool.
+  MemoryBudget *m_memoryBudget = nullptr;
   /// Response header in which the server repeats the id of the request; empty
   /// if the server does not do so.
   std::string m_echoHeader;
--- a/src/include/burdockpulley/gateway_settings.h
+++ b/src/include/burdockpulley/gateway_settings.h
@@ -49,6 +49,14 @@
   /// Thread safety: safe.
   bool highBandwidth() const { return m_linkMegabits >= HighBandwidthMegabits; }
 
+  /// Limit for the memory that callers, requests and responses take, in bytes:
+  /// half of the memory. The program and its state take about 20 MiB, and
+  /// copies and the allocator's overhead the rest. Thread safety: safe.
+  std::size_t maxChargedMemory() const {
+    constexpr std::size_t Divisor = 2;
+    return (m_memoryMegabytes << 20) / Divisor;
+  }
+
   /// Limit for all responses that are being received, in bytes: an eighth of
   /// the memory. A response that grows is copied, and so takes up to three
   /// times its size for a moment. Thread safety: safe.
--- a/src/include/burdockpulley/response_memory.h
+++ b/src/include/burdockpulley/response_memory.h
@@ -1,6 +1,8 @@
 #ifndef BURDOCKPULLEY_RESPONSE_MEMORY_H
 #define BURDOCKPULLEY_RESPONSE_MEMORY_H
 
+#include "burdockpulley/memory_budget.h"
+
 #include <cstddef>
 #include <map>
 
@@ -21,17 +23,20 @@
     virtual void onMemoryLimit() = 0;
   };
 
-  /// \p MaxBytes: limit for all responses together.
-  explicit ResponseMemory(std::size_t MaxBytes) : m_maxBytes(MaxBytes) {}
+  /// \p MaxBytes: limit for all responses together. They are charged to
+  /// \p Budget, which may be null. Precondition: the budget outlives the
+  /// object.
+  explicit ResponseMemory(std::size_t MaxBytes, MemoryBudget *Budget = nullptr)
+      : m_maxBytes(MaxBytes), m_charge(Budget, MemoryKind::Responses) {}
 
   /// A response takes \p Bytes now; 0 when it has ended.
   void update(Response &Changed, std::size_t Bytes);
 
-  std::size_t totalBytes() const { return m_totalBytes; }
+  std::size_t totalBytes() const { return m_charge.bytes(); }
 
 private:
   std::size_t m_maxBytes;
-  std::size_t m_totalBytes = 0;
+  MemoryCharge m_charge; ///< Of all responses.
   std::map<Response *, std::size_t> m_bytes;
 };
 
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -38,10 +38,20 @@
 /// store.
 constexpr std::size_t ReservedDescriptors = 1200;
 constexpr std::size_t MinCallerConnections = 256;
+/// Connections for readiness checks and for metrics. They are far fewer, and
+/// when there are more, the oldest without a request are closed.
+constexpr std::size_t CheckConnections = 128;
+/// Limits of readiness checks and metrics, which have no bodies.
+constexpr std::size_t CheckHeaderBytes = 4096;
+constexpr Duration CheckHeaderTimeout{1'000'000};
+/// A check on a new connection is read at once, so its connection is not
+/// replaced before that.
+constexpr Duration CheckCrowdedAge{20'000};
 /// Connections from other hosts over which they forward requests.
 constexpr std::size_t ForwardConnections = 512;
 /// Size of the headers that hosts add to a request that they forward.
 constexpr std::size_t ForwardHeaderBytes = 1024;
+constexpr std::size_t ForwardHeaderFields = 16;
 /// The load balancer takes a host out after two failed readiness checks, one
 /// second apart.
 constexpr Duration BalancerRemovalTime{2'700'000};
@@ -84,7 +94,7 @@
                             m_relay.onForwardedRequest(std::move(Request),
                                                        Arrived);
                           }),
-        m_readyListener(Base, MinCallerConnections,
+        m_readyListener(Base, CheckConnections,
                         [this](const std::shared_ptr<Exchange> &Request) {
                           bool Ready = ready();
                           Request->answer(
@@ -92,11 +102,20 @@
                                     : localResponse(LocalStatus::Unavailable));
                         }),
         m_metricsListener(
-            Base, MinCallerConnections,
+            Base, CheckConnections,
             [this](const std::shared_ptr<Exchange> &Request) {
               Request->answer(HttpResponse{
                   200, {{"Content-Type", "text/plain"}}, metricsText()});
             }) {
+    m_callerListener.setMemoryBudget(m_state.m_memory);
+    m_forwardListener.setMemoryBudget(m_state.m_memory);
+    CallerLimits CheckLimits;
+    CheckLimits.m_headerBytes = CheckHeaderBytes;
+    CheckLimits.m_bodyBytes = 0;
+    CheckLimits.m_headerTimeout = CheckHeaderTimeout;
+    CheckLimits.m_crowdedAge = CheckCrowdedAge;
+    m_readyListener.setLimits(CheckLimits);
+    m_metricsListener.setLimits(CheckLimits);
     m_coordinator.m_onOwnersChanged = [this](const KeyTable &Table,
                                              std::uint32_t Step) {
       m_state.m_owners.apply(Table, {m_coordinator.epoch(), Step});
@@ -259,6 +278,13 @@
     m_state.m_metrics.setLeavingUpstreams(CountUpstreams(
         [](const UpstreamState &Upstream) { return Upstream.m_saidLeaving; }));
     m_state.m_metrics.setRejectedDatagrams(m_stateExchange.rejected());
+    m_state.m_metrics.setMemory(m_state.m_memory);
+    m_state.m_metrics.setCallerLimits("callers",
+                                      m_callerListener.limitCounts());
+    m_state.m_metrics.setCallerLimits("hosts", m_forwardListener.limitCounts());
+    m_state.m_metrics.setCallerLimits("ready", m_readyListener.limitCounts());
+    m_state.m_metrics.setCallerLimits("metrics",
+                                      m_metricsListener.limitCounts());
     return m_state.m_metrics.text();
   }
 
@@ -277,6 +303,7 @@
     m_registration.tick(m_watcher.loaded() && m_watcher.storeReachable(), Now);
     if (m_relay.waiting() > 0)
       m_relay.dispatchWaiting(Now);
+    m_readyListener.admitWaiting(Now);
     if (m_stateExchange.coordinatorSilent(Now))
       m_watcher.expectChangeOf(store_keys::Coordinator, Now + TickInterval * 2);
     if (m_state.m_stopping)
@@ -343,6 +370,8 @@
     m_readyListener.sweep(Now);
     m_metricsListener.sweep(Now);
     m_stateExchange.sweep(Now);
+    if (m_state.m_memory.trimDue(Now))
+      returnFreedMemory();
   }
 
   void checkStop(Instant Now) {
@@ -499,6 +528,7 @@
     CallerLimits Limits = Change.m_configuration->m_limits;
     m_callerListener.setLimits(Limits);
     Limits.m_headerBytes += ForwardHeaderBytes;
+    Limits.m_headerFields += ForwardHeaderFields;
     m_forwardListener.setLimits(Limits);
     m_state.m_metrics.setRevision(Revision);
     logEvent(Severity::Info, "configuration_in_force",
--- a/src/libgateway/gateway_metrics.cpp
+++ b/src/libgateway/gateway_metrics.cpp
@@ -41,6 +41,18 @@
                          .Register(m_registry)),
       m_keysFreed(counter(m_registry, "burdockpulley_gateway_keys_freed_total",
                           "Ranges of keys that lost their owner, by reason")),
+      m_chargedBytes(
+          prometheus::BuildGauge()
+              .Name("burdockpulley_gateway_memory_bytes")
+              .Help("Memory that callers and upstreams take, by kind")
+              .Register(m_registry)),
+      m_callersLimited(
+          counter(m_registry, "burdockpulley_gateway_callers_limited_total",
+                  "Requests refused before they were read, and connections "
+                  "closed, by listener and reason")),
+      m_maxChargedBytes(gauge(m_registry,
+                              "burdockpulley_gateway_memory_limit_bytes",
+                              "Limit of the memory of all kinds")),
       m_rejectedDatagrams(
           gauge(m_registry, "burdockpulley_gateway_rejected_datagrams",
                 "Datagrams dropped because no host has made them")),
@@ -102,6 +114,26 @@
       .Increment();
 }
 
+void GatewayMetrics::setMemory(const MemoryBudget &Budget) {
+  m_maxChargedBytes.Set(static_cast<double>(Budget.maxBytes()));
+  for (std::size_t Index = 0; Index < MemoryKindCount; ++Index) {
+    auto Kind = static_cast<MemoryKind>(Index);
+    m_chargedBytes.Add({{"kind", toString(Kind)}})
+        .Set(static_cast<double>(Budget.used(Kind)));
+  }
+}
+
+void GatewayMetrics::setCallerLimits(
+    const char *Listener,
+    const std::array<std::uint64_t, CallerLimitCount> &Counts) {
+  for (std::size_t Index = 0; Index < CallerLimitCount; ++Index) {
+    prometheus::Counter &Counter = m_callersLimited.Add(
+        {{"listener", Listener},
+         {"reason", toString(static_cast<CallerLimit>(Index))}});
+    Counter.Increment(static_cast<double>(Counts[Index]) - Counter.Value());
+  }
+}
+
 void GatewayMetrics::setRejectedDatagrams(std::uint64_t Count) {
   m_rejectedDatagrams.Set(static_cast<double>(Count));
 }
--- a/src/libgateway/gateway_metrics.h
+++ b/src/libgateway/gateway_metrics.h
@@ -1,6 +1,8 @@
 #ifndef BURDOCKPULLEY_LIBGATEWAY_GATEWAY_METRICS_H
 #define BURDOCKPULLEY_LIBGATEWAY_GATEWAY_METRICS_H
 
+#include "burdockpulley/caller_listener.h"
+#include "burdockpulley/memory_budget.h"
 #include "burdockpulley/types.h"
 
 #include <prometheus/counter.h>
@@ -42,6 +44,12 @@
   void setLimitedUpstreams(std::size_t Count);
   void setPausedUpstreams(std::size_t Count);
   void setLeavingUpstreams(std::size_t Count);
+  /// The charges of \p Budget by kind.
+  void setMemory(const MemoryBudget &Budget);
+  /// \p Counts of a listener; \p Listener comes from a fixed set.
+  void
+  setCallerLimits(const char *Listener,
+                  const std::array<std::uint64_t, CallerLimitCount> &Counts);
   void setCoordinating(bool IsCoordinator);
   /// Negative if the store has never responded.
   void setStoreContactAge(double Seconds);
@@ -58,6 +66,9 @@
   prometheus::Family<prometheus::Counter> &m_storeCalls;
   prometheus::Family<prometheus::Histogram> &m_grantSeconds;
   prometheus::Family<prometheus::Counter> &m_keysFreed;
+  prometheus::Family<prometheus::Gauge> &m_chargedBytes;
+  prometheus::Family<prometheus::Counter> &m_callersLimited;
+  prometheus::Gauge &m_maxChargedBytes;
   prometheus::Gauge &m_rejectedDatagrams;
   prometheus::Gauge &m_revision;
   prometheus::Gauge &m_waitingRequests;
--- a/src/libgateway/gateway_process.cpp
+++ b/src/libgateway/gateway_process.cpp
@@ -2,6 +2,7 @@
 
 #include "burdockpulley/event_log.h"
 #include "burdockpulley/gateway_host.h"
+#include "burdockpulley/memory_budget.h"
 
 #include <event2/event.h>
 
@@ -32,6 +33,7 @@
 int runGatewayProcess(const GatewaySettings &Settings,
                       const StoreFactory &MakeStore,
                       std::unique_ptr<PlatformCodec> Codec) {
+  configureAllocator();
   openEventLog(Settings.m_host.value());
   bufferEventLog();
   event_base *Base = newEventLoop();
--- a/src/libgateway/gateway_state.h
+++ b/src/libgateway/gateway_state.h
@@ -4,6 +4,7 @@
 #include "burdockpulley/channel_pool.h"
 #include "burdockpulley/gateway_settings.h"
 #include "burdockpulley/key_owners.h"
+#include "burdockpulley/memory_budget.h"
 #include "burdockpulley/peer_loads.h"
 #include "burdockpulley/platform_codec.h"
 #include "burdockpulley/response_memory.h"
@@ -23,12 +24,15 @@
 struct GatewayState {
   GatewayState(event_base *Base, GatewaySettings Settings, PlatformCodec &Codec)
       : m_base(Base), m_settings(std::move(Settings)), m_codec(Codec),
-        m_responseMemory(m_settings.maxResponseMemory()),
+        m_memory(m_settings.maxChargedMemory()),
+        m_responseMemory(m_settings.maxResponseMemory(), &m_memory),
         m_peerLoads(m_registry), m_teamQuota(m_settings.m_teamQuota) {}
 
   event_base *m_base;
   GatewaySettings m_settings;
   PlatformCodec &m_codec;
+  /// Charged by callers, requests and responses.
+  MemoryBudget m_memory;
   /// Shared by all connections to upstreams.
   ResponseMemory m_responseMemory;
   UpstreamRegistry m_registry;
@@ -56,6 +60,7 @@
     ChannelPoolSettings Settings;
     Settings.m_echoHeader = m_codec.headers().m_requestId;
     Settings.m_responseMemory = &m_responseMemory;
+    Settings.m_memoryBudget = &m_memory;
     return Settings;
   }
 
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -460,7 +460,7 @@
   if (Response.header(IdHeader).empty() && !RequestId.empty())
     Response.m_headers.push_back({IdHeader, std::string(RequestId)});
   m_pending.erase(Pending.m_number);
-  CallerExchange->answer(Response);
+  CallerExchange->answer(std::move(Response));
 }
 
 void RequestRelay::endAll(Instant Now) {
--- a/src/libhttp/caller_listener.cpp
+++ b/src/libhttp/caller_listener.cpp
@@ -1,6 +1,7 @@
 #include "burdockpulley/caller_listener.h"
 
 #include "burdockpulley/clock.h"
+#include "burdockpulley/event_log.h"
 #include "caller_connection.h"
 
 #include <event2/bufferevent.h>
@@ -12,11 +13,18 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <tuple>
+
 namespace burdockpulley {
 
 namespace {
 
 constexpr int AcceptBacklog = 1024;
+/// Interval of the log lines about limits that callers have met.
+constexpr Duration LimitLogInterval{5'000'000};
+/// Responses that callers have begun to read so recently are not given up.
+constexpr Duration UnreadGrace{1'000'000};
 
 sockaddr_in toSocketAddress(const Endpoint &Endpoint) {
   sockaddr_in Address{};
@@ -37,22 +45,30 @@
 
 } // namespace
 
+const char *toString(CallerLimit Reason) {
+  constexpr std::array<const char *, CallerLimitCount> Names = {
+      "malformed",      "header-too-large", "body-too-large", "header-timeout",
+      "idle-timeout",   "request-timeout",  "slow-body",      "slow-reader",
+      "memory-refused", "memory-body",      "memory-unread",  "crowded"};
+  return Names[static_cast<std::size_t>(Reason)];
+}
+
 Exchange::Exchange(detail::CallerConnection *Connection, HttpRequest &&Request,
-                   Instant Arrived)
+                   Instant Arrived, MemoryCharge &&Charge)
     : m_connection(Connection), m_request(std::move(Request)),
-      m_arrived(Arrived) {}
+      m_arrived(Arrived), m_charge(std::move(Charge)) {}
 
 Exchange::~Exchange() {
   if (m_connection)
     m_connection->abandon();
 }
 
-void Exchange::answer(const HttpResponse &Response) {
+void Exchange::answer(HttpResponse Response) {
   detail::CallerConnection *Connection = m_connection;
   m_connection = nullptr;
   m_onCallerGone = nullptr;
   if (Connection)
-    Connection->sendResponse(Response);
+    Connection->sendResponse(std::move(Response));
 }
 
 Duration Exchange::receivedAgo() const {
@@ -144,12 +160,116 @@
     evutil_closesocket(Descriptor);
     return;
   }
-  m_connections.insert(new detail::CallerConnection(
-      *this, Stream, CallerAddress, bootClockNow()));
-  if (m_connections.size() >= m_maxConnections)
+  Instant Now = bootClockNow();
+  m_connections.insert(
+      new detail::CallerConnection(*this, Stream, CallerAddress, Now));
+  admitWaiting(Now);
+  if (m_listener && m_connections.size() >= m_maxConnections)
     evconnlistener_disable(m_listener);
 }
 
+void CallerListener::admitWaiting(Instant Now) {
+  if (!m_listener || m_connections.size() < m_maxConnections)
+    return;
+  std::vector<detail::CallerConnection *> Replaceable;
+  for (detail::CallerConnection *Connection : m_connections)
+    if (Connection->replaceable(Now))
+      Replaceable.push_back(Connection);
+  std::sort(Replaceable.begin(), Replaceable.end(),
+            [](const auto *Left, const auto *Right) {
+              return Left->since() < Right->since();
+            });
+  // A quarter is made free at once, so that this is rarely done.
+  Replaceable.resize(std::min(Replaceable.size(), m_maxConnections / 4 + 1));
+  for (detail::CallerConnection *Connection : Replaceable) {
+    count(CallerLimit::Crowded, Connection->callerAddress());
+    remove(Connection);
+  }
+}
+
+std::size_t CallerListener::maxBodyBytes() const {
+  return m_budget ? std::min(m_limits.m_bodyBytes, m_budget->maxBodyBytes())
+                  : m_limits.m_bodyBytes;
+}
+
+void CallerListener::count(CallerLimit Reason,
+                           const std::string &CallerAddress) {
+  auto Index = static_cast<std::size_t>(Reason);
+  ++m_limitCounts[Index];
+  m_limitedCallers[Index] = CallerAddress;
+}
+
+void CallerListener::logLimits(Instant Now) {
+  if (Now - m_limitsLogged < LimitLogInterval ||
+      m_limitCounts == m_loggedCounts)
+    return;
+  m_limitsLogged = Now;
+  const auto *Largest = m_budget ? m_budget->largest() : nullptr;
+  for (std::size_t Index = 0; Index < CallerLimitCount; ++Index)
+    if (m_limitCounts[Index] != m_loggedCounts[Index])
+      logEvent(Severity::Warning, "callers_limited",
+               {{"reason", toString(static_cast<CallerLimit>(Index))},
+                {"count", m_limitCounts[Index] - m_loggedCounts[Index]},
+                {"latest_caller", m_limitedCallers[Index]},
+                {"connections", m_connections.size()},
+                {"charged_bytes", m_budget ? m_budget->total() : 0},
+                {"largest_caller", Largest ? Largest->address() : ""},
+                {"largest_bytes", Largest ? Largest->bytes() : 0}});
+  m_loggedCounts = m_limitCounts;
+}
+
+void CallerListener::giveUpBodies(bool Stalled, Instant Now) {
+  std::size_t Excess = m_budget->bodiesToGiveUp(Stalled, Now);
+  if (Excess == 0)
+    return;
+  struct Candidate {
+    detail::CallerConnection *m_connection;
+    bool m_withinShare;
+    std::size_t m_progress;
+    std::size_t m_bytes;
+  };
+  std::vector<Candidate> Candidates;
+  for (detail::CallerConnection *Connection : m_connections)
+    if (Connection->receivingBody() &&
+        (!Stalled || Connection->bodyStalled(Now)))
+      Candidates.push_back(
+          {Connection, !m_budget->overShare(Connection->account()),
+           Connection->recentBytes(Now), Connection->chargedBytes()});
+  std::sort(
+      Candidates.begin(), Candidates.end(),
+      [](const Candidate &Left, const Candidate &Right) {
+        return std::tuple(Left.m_withinShare, Left.m_progress, Right.m_bytes) <
+               std::tuple(Right.m_withinShare, Right.m_progress, Left.m_bytes);
+      });
+  std::size_t Released = 0;
+  for (const Candidate &Each : Candidates) {
+    if (Released >= Excess)
+      break;
+    Released += Each.m_bytes;
+    Each.m_connection->giveUpBody();
+  }
+}
+
+void CallerListener::giveUpUnread(Instant Now) {
+  std::size_t Excess = m_budget->unreadToGiveUp();
+  if (Excess == 0)
+    return;
+  std::vector<std::pair<double, detail::CallerConnection *>> Candidates;
+  for (detail::CallerConnection *Connection : m_connections)
+    if (Connection->unreadBytes() > 0 &&
+        Connection->writingFor(Now) > UnreadGrace)
+      Candidates.emplace_back(Connection->readRate(Now), Connection);
+  std::sort(Candidates.begin(), Candidates.end());
+  std::size_t Released = 0;
+  for (const auto &[Rate, Connection] : Candidates) {
+    if (Released >= Excess)
+      break;
+    Released += Connection->unreadBytes();
+    count(CallerLimit::MemoryUnread, Connection->callerAddress());
+    remove(Connection);
+  }
+}
+
 void CallerListener::remove(detail::CallerConnection *Connection) {
   if (m_connections.erase(Connection) == 0)
     return;
@@ -163,6 +283,13 @@
                                                       m_connections.end());
   for (detail::CallerConnection *Connection : Connections)
     Connection->sweep(Now);
+  if (m_budget) {
+    giveUpBodies(true, Now);
+    giveUpBodies(false, Now);
+    giveUpUnread(Now);
+  }
+  admitWaiting(Now);
+  logLimits(Now);
 }
 
 std::size_t CallerListener::busy() const {
--- a/src/libhttp/channel.cpp
+++ b/src/libhttp/channel.cpp
@@ -2,6 +2,7 @@
 
 #include "burdockpulley/clock.h"
 #include "burdockpulley/hashing.h"
+#include "owned_block.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -16,6 +17,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace burdockpulley::detail {
 
@@ -110,6 +112,7 @@
     setsockopt(bufferevent_getfd(m_stream), SOL_SOCKET, SO_LINGER, &Reset,
                sizeof(Reset));
   }
+  discardOutput(m_stream);
   bufferevent_free(m_stream);
   m_stream = nullptr;
 }
@@ -129,6 +132,9 @@
   if (!m_stream)
     connect();
   m_unsent = encode(Request);
+  m_unsentCharge =
+      MemoryCharge(m_pool.m_settings.m_memoryBudget, MemoryKind::SendCopies);
+  m_unsentCharge.resize(residentBytes(m_unsent));
   if (m_connected)
     sendRequest();
   Duration FirstTimeout =
@@ -169,8 +175,12 @@
 }
 
 void Channel::sendRequest() {
-  bufferevent_write(m_stream, m_unsent.data(), m_unsent.size());
-  m_unsent.clear();
+  writeOwned(m_stream, std::exchange(m_unsent, {}), std::move(m_unsentCharge));
+}
+
+void Channel::discardRequest() {
+  std::string().swap(m_unsent);
+  m_unsentCharge = {};
 }
 
 void Channel::onConnected() {
@@ -237,7 +247,7 @@
     evbuffer_drain(Input, ConsumedBytes);
     if (m_parser.state() == MessageParser::State::Failed)
       return failCall(ChannelError::BadAnswer, toString(m_parser.fault()));
-    updateMemory(m_parser.m_body.capacity());
+    updateMemory(m_parser.bodyMemory() + m_parser.headerMemory());
     if (m_parser.state() != MessageParser::State::Complete)
       continue;
     onResponse();
@@ -336,6 +346,7 @@
   m_done = nullptr;
   evtimer_del(m_timer);
   updateMemory(0);
+  discardRequest();
   m_closed = true;
   closeStream();
 }
@@ -350,6 +361,8 @@
   Result.m_spent = bootClockNow() - m_started;
   evtimer_del(m_timer);
   updateMemory(0);
+  discardRequest();
+  m_parser.discard();
   m_parser.reset();
   m_closed = true;
   m_resetOnClose = true;
--- a/src/libhttp/channel.h
+++ b/src/libhttp/channel.h
@@ -45,6 +45,7 @@
   void connect();
   void onConnected();
   void sendRequest();
+  void discardRequest();
   void onReadable();
   void onDisconnected(short Events);
   void onTimer();
@@ -67,6 +68,7 @@
   MessageParser m_parser;
   ChannelCallId m_call;
   std::string m_unsent; ///< The request, until there is a connection.
+  MemoryCharge m_unsentCharge;
   std::string m_echoId;
   ChannelPool::Callback m_done; ///< Empty while no call is in progress.
   Instant m_started;
--- a/src/libhttp/message_parser.cpp
+++ b/src/libhttp/message_parser.cpp
@@ -14,6 +14,9 @@
 constexpr int SkipBody = 1;
 /// Limits the memory that a Content-Length alone can reserve.
 constexpr std::size_t MaxReservedBodyBytes = 1 << 16;
+/// Ratio by which the space for a body of a known length grows. Large blocks
+/// are mapped, so the part that is not written yet is not resident.
+constexpr std::size_t BodyGrowth = 16;
 /// Bytes of a header field besides its name and value: separator and line end.
 constexpr std::size_t HeaderOverheadBytes = 4;
 /// Least size of a 1xx response.
@@ -74,6 +77,7 @@
   m_state = State::Reading;
   m_fault = Fault::None;
   m_headerBytesRead = 0;
+  m_announcedBytes = 0;
   m_valueBegun = true;
   m_begun = m_headersComplete = m_keepAlive = m_expectsContinue = false;
   m_method.clear();
@@ -119,6 +123,8 @@
   if (m_headersComplete)
     return 0; // Trailers are dropped.
   if (m_valueBegun) {
+    if (m_headers.size() >= m_limits.m_headerFields)
+      return fail(Fault::HeaderTooLarge);
     m_headers.emplace_back();
     m_valueBegun = false;
     countHeaderBytes(HeaderOverheadBytes);
@@ -155,8 +161,8 @@
   if (m_parser.content_length != UnknownLength) {
     if (m_parser.content_length > m_limits.m_bodyBytes)
       return fail(Fault::BodyTooLarge);
-    m_body.reserve(
-        std::min<std::uint64_t>(m_parser.content_length, MaxReservedBodyBytes));
+    m_announcedBytes = m_parser.content_length;
+    m_body.reserve(std::min(m_announcedBytes, MaxReservedBodyBytes));
   }
   return 0;
 }
@@ -164,10 +170,26 @@
 int MessageParser::onBody(const char *Bytes, std::size_t Size) {
   if (m_body.size() + Size > m_limits.m_bodyBytes)
     return fail(Fault::BodyTooLarge);
+  reserveBody(Size);
   m_body.append(Bytes, Size);
   return 0;
 }
 
+void MessageParser::reserveBody(std::size_t Size) {
+  std::size_t Needed = m_body.size() + Size;
+  if (Needed > m_body.capacity() && Needed <= m_announcedBytes)
+    m_body.reserve(std::min(m_announcedBytes, Needed * BodyGrowth));
+}
+
+void MessageParser::discard() {
+  // Assigning an empty string would keep the allocation.
+  std::string().swap(m_method);
+  std::string().swap(m_target);
+  std::string().swap(m_body);
+  std::vector<HttpHeader>().swap(m_headers);
+  m_headerBytesRead = 0;
+}
+
 int MessageParser::onComplete() {
   m_keepAlive = http_should_keep_alive(&m_parser) != 0;
   if (m_kind == Kind::Response && isInterim(m_status)) {
--- a/src/libhttp/message_parser.h
+++ b/src/libhttp/message_parser.h
@@ -2,6 +2,7 @@
 #define BURDOCKPULLEY_LIBHTTP_MESSAGE_PARSER_H
 
 #include "burdockpulley/http.h"
+#include "burdockpulley/memory_budget.h"
 
 #include <http_parser.h>
 
@@ -22,6 +23,7 @@
   struct Limits {
     std::size_t m_headerBytes;
     std::size_t m_bodyBytes;
+    std::size_t m_headerFields = 512;
   };
 
   MessageParser(Kind MessageKind, Limits SizeLimits);
@@ -44,6 +46,16 @@
 
   void setLimits(Limits SizeLimits) { m_limits = SizeLimits; }
 
+  /// Releases what is kept of a message that is given up. The state does not
+  /// change.
+  void discard();
+
+  /// Returns the bytes that the header section and the body take.
+  std::size_t headerMemory() const {
+    return m_headerBytesRead + m_headers.capacity() * sizeof(HttpHeader);
+  }
+  std::size_t bodyMemory() const { return residentBytes(m_body); }
+
   State state() const { return m_state; }
   Fault fault() const { return m_fault; }
   /// Returns true from the first byte of a message until reset().
@@ -71,8 +83,12 @@
   bool countHeaderBytes(std::size_t Size);
   int fail(Fault Reason);
 
+  /// Makes room for \p Size more bytes of a body whose length is known.
+  void reserveBody(std::size_t Size);
+
   Kind m_kind;
   Limits m_limits;
+  std::size_t m_announcedBytes = 0; ///< Of the body; 0 if not known.
   http_parser m_parser;
   State m_state = State::Reading;
   Fault m_fault = Fault::None;
