gateway: pace upstreams that start or come back

An upstream that had started or returned got its full share at once, and one that was cold at most 0.8 of cold_per_s in equal parts, of which most stayed unused with many hosts. The hosts did not look at how it answered.

--- a/src/include/burdockpulley/gateway_settings.h
+++ b/src/include/burdockpulley/gateway_settings.h
@@ -3,6 +3,7 @@
 
 #include "burdockpulley/team_quota.h"
 #include "burdockpulley/types.h"
+#include "burdockpulley/upstream_pace.h"
 
 #include <string>
 #include <vector>
@@ -43,6 +44,7 @@
   Duration m_retryWindow = std::chrono::seconds(10);
   double m_retryAllowance = 60;
   TeamQuota::Settings m_teamQuota;
+  ColdBound m_coldBound;
 
   /// True if the link has bandwidth for work that this host does for others:
   /// coordinating, and watching the store for its failure domain.
--- a/src/include/burdockpulley/peer_loads.h
+++ b/src/include/burdockpulley/peer_loads.h
@@ -22,8 +22,9 @@
   std::uint32_t m_waiting = 0;     ///< Requests waiting for it at the host.
   double m_serviceTimeRatio = 1;   ///< Mean of the new samples.
   std::uint32_t m_serviceTimeSamples = 0;
-  bool m_hasReport = false; ///< True when the members below are set.
-  LoadReport m_report;      ///< Newest report that the host has received.
+  std::uint32_t m_failures = 0; ///< Samples that were refusals or failures.
+  bool m_hasReport = false;     ///< True when the members below are set.
+  LoadReport m_report;          ///< Newest report that the host has received.
   Duration m_reportAge{};
   /// Time since the upstream's last response to the host, if it is recent.
   std::optional<Duration> m_answeredAge;
@@ -31,7 +32,7 @@
   std::optional<double> m_requestLimit; ///< See RequestLimit::m_rate.
   Duration m_requestLimitAge{};
   /// Requests that the host has sent to the upstream since the host's start;
-  /// only reported while the upstream limits them.
+  /// only reported while the upstream limits them, is cold or is paced.
   std::optional<std::uint32_t> m_sent;
   /// The start of the upstream that has said to the host that it leaves.
   std::optional<UpstreamIncarnation> m_leavingIncarnation;
--- a/src/include/burdockpulley/upstream_registry.h
+++ b/src/include/burdockpulley/upstream_registry.h
@@ -51,6 +51,14 @@
 /// Error of the times at which other hosts say that they received a response.
 constexpr Duration PeerTimeError{100'000};
 
+/// Responses of an upstream to all hosts, as far as this host knows of them and
+/// UpstreamPace has not judged them yet.
+struct PaceObservations {
+  double m_ratioSum = 0; ///< Of the service time ratios of all samples.
+  std::uint32_t m_samples = 0;
+  std::uint32_t m_failures = 0; ///< Samples that were refusals or failures.
+};
+
 /// One upstream as this host sees it.
 struct UpstreamState {
   UpstreamRecord m_record;
@@ -93,6 +101,14 @@
   std::uint32_t m_peerSent = 0;
   double m_localRatioSum = 0; ///< Sum of this host's samples not sent to peers.
   std::uint32_t m_localRatioCount = 0; ///< Number of these samples.
+  std::uint32_t m_localFailures = 0;   ///< Those that were failures.
+  PaceObservations m_unjudged;
+  /// Requests in flight from all hosts to which UpstreamPace limits it.
+  std::optional<double> m_paceLimit;
+  /// UpstreamPace has found nothing to follow at its last update.
+  bool m_paceSettled = false;
+  /// It was registered while this host already knew the others.
+  bool m_joinedLate = false;
 
   /// True when it has certainly responded to some host after \p When.
   bool respondedSince(Instant When) const {
--- a/src/include/burdockpulley/upstream_selection.h
+++ b/src/include/burdockpulley/upstream_selection.h
@@ -65,9 +65,13 @@
 /// becomes free is not idle until the hosts are informed of it.
 constexpr std::uint32_t MaxQueuedBeyondSlots = 1;
 
-/// True when an upstream has a free slot, or queues fewer requests than
-/// MaxQueuedBeyondSlots. More requests would wait in the upstream's own queue,
-/// which ignores priorities. Thread safety: safe.
+/// Requests from all hosts that an upstream may have at a time: its slots and
+/// MaxQueuedBeyondSlots, or the limit of its pace. Thread safety: safe.
+std::uint32_t maxInFlight(const UpstreamState &Upstream);
+
+/// True when an upstream has fewer requests than maxInFlight(). More requests
+/// would wait in the upstream's own queue, which ignores priorities. Thread
+/// safety: safe.
 bool hasCapacity(const UpstreamState &Upstream);
 
 /// Selects the usable upstream with capacity that has the least expected finish
@@ -104,10 +108,15 @@
 void decayServiceTimeRatio(UpstreamState &Upstream, Duration Elapsed,
                            Instant Now);
 
+/// Sample of the service time ratio for a failed request.
+constexpr double FailureSample = 6;
+
 /// Merges the mean of several samples, of this host or another one, into the
-/// service time ratio. Thread safety: none.
+/// service time ratio. \p Failures of them are failed requests.
+/// Thread safety: none.
 void mergeServiceTimeRatio(UpstreamState &Upstream, double Mean,
-                           std::uint32_t Samples, Instant Now);
+                           std::uint32_t Samples, std::uint32_t Failures,
+                           Instant Now);
 
 } // namespace burdockpulley
 
--- a/src/libgateway/attempt_results.cpp
+++ b/src/libgateway/attempt_results.cpp
@@ -61,7 +61,8 @@
     m_state.m_workTimes[Pending.m_service->m_name] =
         m_serviceTimes.expected(Pending.m_route->m_name, Pending.m_workTime);
   } else if (Outcome == AttemptOutcome::ServerError ||
-             Outcome == AttemptOutcome::NotRun) {
+             Outcome == AttemptOutcome::NotRun ||
+             (Upstream->m_paceLimit && Outcome == AttemptOutcome::TimedOut)) {
     observeFailure(*Upstream, Now);
   }
   if (Result.m_error == ChannelError::None ||
--- a/src/libgateway/gateway.thrift
+++ b/src/libgateway/gateway.thrift
@@ -82,7 +82,7 @@
   // Time since that response.
   11: optional i32 requestLimitAgeMillis,
   // Requests that the host has sent there since its start, while the upstream
-  // limits them.
+  // limits them, is cold or is paced.
   12: optional i32 sent,
   // Time since the upstream's last response to the host, if it is recent and
   // fields 3 to 6 are not set.
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -277,6 +277,10 @@
         }));
     m_state.m_metrics.setLeavingUpstreams(CountUpstreams(
         [](const UpstreamState &Upstream) { return Upstream.m_saidLeaving; }));
+    m_state.m_metrics.setPacedUpstreams(
+        CountUpstreams([](const UpstreamState &Upstream) {
+          return Upstream.m_paceLimit.has_value();
+        }));
     m_state.m_metrics.setRejectedDatagrams(m_stateExchange.rejected());
     m_state.m_metrics.setMemory(m_state.m_memory);
     m_state.m_metrics.setCallerLimits("callers",
@@ -496,6 +500,8 @@
 
   EntryEffect onUpstream(const UpstreamRecord &Record, Instant Now) {
     auto Result = m_state.m_registry.onRecord(Record, Now);
+    if (Result == UpstreamRegistry::Change::Joined && m_watcher.loaded())
+      m_state.m_registry.find(Record.m_id)->m_joinedLate = true;
     if (Result == UpstreamRegistry::Change::Restarted)
       m_relay.onUpstreamDown(Record.m_id, Now);
     if (Result == UpstreamRegistry::Change::None)
--- a/src/libgateway/gateway_metrics.cpp
+++ b/src/libgateway/gateway_metrics.cpp
@@ -70,6 +70,10 @@
                               "burdockpulley_gateway_paused_upstreams",
                               "Upstreams that want no requests from this "
                               "host for a while")),
+      m_pacedUpstreams(gauge(m_registry,
+                             "burdockpulley_gateway_paced_upstreams",
+                             "Upstreams that have started or come back, and "
+                             "do not get their full share yet")),
       m_leavingUpstreams(gauge(m_registry,
                                "burdockpulley_gateway_leaving_upstreams",
                                "Upstreams that have said in a response that "
@@ -156,6 +160,10 @@
   m_pausedUpstreams.Set(static_cast<double>(Count));
 }
 
+void GatewayMetrics::setPacedUpstreams(std::size_t Count) {
+  m_pacedUpstreams.Set(static_cast<double>(Count));
+}
+
 void GatewayMetrics::setLeavingUpstreams(std::size_t Count) {
   m_leavingUpstreams.Set(static_cast<double>(Count));
 }
--- a/src/libgateway/gateway_metrics.h
+++ b/src/libgateway/gateway_metrics.h
@@ -43,6 +43,7 @@
   void setPathsLost(bool Lost);
   void setLimitedUpstreams(std::size_t Count);
   void setPausedUpstreams(std::size_t Count);
+  void setPacedUpstreams(std::size_t Count);
   void setLeavingUpstreams(std::size_t Count);
   /// The charges of \p Budget by kind.
   void setMemory(const MemoryBudget &Budget);
@@ -75,6 +76,7 @@
   prometheus::Gauge &m_pathsLost;
   prometheus::Gauge &m_limitedUpstreams;
   prometheus::Gauge &m_pausedUpstreams;
+  prometheus::Gauge &m_pacedUpstreams;
   prometheus::Gauge &m_leavingUpstreams;
   prometheus::Gauge &m_coordinating;
   prometheus::Gauge &m_storeContactAge;
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -50,6 +50,11 @@
       cxxopts::value<Text>());
   Add("quota-slack", "requests per window by which a team may exceed it",
       cxxopts::value<Text>());
+  Add("cold-overage",
+      "factor by which a cold upstream may get more than its rate",
+      cxxopts::value<Text>());
+  Add("cold-slack", "requests per second that it may get beyond that",
+      cxxopts::value<Text>());
   Add("port-file", "file to which the bound ports are written",
       cxxopts::value<Text>());
   Add("print-settings", "print the settings and exit");
@@ -79,6 +84,8 @@
   Reader.duration("quota-window", Settings.m_teamQuota.m_window);
   Reader.number("quota-overage", Settings.m_teamQuota.m_overage);
   Reader.number("quota-slack", Settings.m_teamQuota.m_slack);
+  Reader.number("cold-overage", Settings.m_coldBound.m_overage);
+  Reader.number("cold-slack", Settings.m_coldBound.m_slack);
 }
 
 std::string milliseconds(Duration Time) {
@@ -130,7 +137,9 @@
          "\nretry-allowance=" + std::to_string(Settings.m_retryAllowance) +
          "\nquota-window=" + milliseconds(Settings.m_teamQuota.m_window) +
          "\nquota-overage=" + std::to_string(Settings.m_teamQuota.m_overage) +
-         "\nquota-slack=" + std::to_string(Settings.m_teamQuota.m_slack) + "\n";
+         "\nquota-slack=" + std::to_string(Settings.m_teamQuota.m_slack) +
+         "\ncold-overage=" + std::to_string(Settings.m_coldBound.m_overage) +
+         "\ncold-slack=" + std::to_string(Settings.m_coldBound.m_slack) + "\n";
 }
 
 } // namespace burdockpulley
--- a/src/libgateway/owner_throttle.cpp
+++ b/src/libgateway/owner_throttle.cpp
@@ -16,14 +16,16 @@
   if (Now < m_nextShareAt)
     return m_remaining > 0;
   m_nextShareAt = Now + StatusInterval;
-  double Slots = std::max(1U, Owner.m_record.m_slots);
+  double MaxInFlight = maxInFlight(Owner);
+  double Slots =
+      std::min<double>(MaxInFlight, std::max(1U, Owner.m_record.m_slots));
   double Work = std::max(1.0, static_cast<double>(WorkTime.count()) *
                                   slownessFactor(Owner, Now));
   // Requests that end before the next status message free slots too.
   double Ending = std::min(
       Slots, Slots * static_cast<double>(StatusInterval.count()) / Work);
-  double FreeSlots = Slots + MaxQueuedBeyondSlots + Ending -
-                     (Owner.m_outstanding + Owner.m_peerOutstanding);
+  double FreeSlots =
+      MaxInFlight + Ending - (Owner.m_outstanding + Owner.m_peerOutstanding);
   double LocalWaiting = std::max(1U, Owner.m_waiting);
   double Share = std::max(0.0, FreeSlots) * LocalWaiting /
                  (LocalWaiting + Owner.m_peerWaiting);
--- a/src/libgateway/peer_loads.cpp
+++ b/src/libgateway/peer_loads.cpp
@@ -76,7 +76,8 @@
   if (!Upstream)
     return;
   mergeServiceTimeRatio(*Upstream, Reported.m_serviceTimeRatio,
-                        Reported.m_serviceTimeSamples, Now);
+                        Reported.m_serviceTimeSamples, Reported.m_failures,
+                        Now);
   if (Reported.m_hasReport &&
       Now - Reported.m_reportAge > Upstream->m_reportAt) {
     Upstream->m_report = Reported.m_report;
@@ -105,9 +106,15 @@
                    [&Reported](const PeerUpstreamLoad &Each) {
                      return Each.m_upstream == Reported.m_upstream;
                    });
+  if (Before == Previous.m_upstreams.end() || !Before->m_sent) {
+    // What was sent before the first count is unknown, except for what is still
+    // in flight.
+    if (!Upstream.m_requestLimit.m_rate)
+      Upstream.m_peerSent += Reported.m_outstanding;
+    return;
+  }
   // A count that went back is that of a restarted host.
-  if (Before != Previous.m_upstreams.end() && Before->m_sent &&
-      *Reported.m_sent > *Before->m_sent)
+  if (*Reported.m_sent > *Before->m_sent)
     Upstream.m_peerSent += *Reported.m_sent - *Before->m_sent;
 }
 
--- a/src/libgateway/peer_state_exchange.cpp
+++ b/src/libgateway/peer_state_exchange.cpp
@@ -67,6 +67,7 @@
   Load.m_waiting = fromCount(Entry.hostWaiting);
   Load.m_serviceTimeRatio = Entry.serviceTimePercent / Percent;
   Load.m_serviceTimeSamples = fromCount(Entry.serviceTimeSamples);
+  Load.m_failures = fromCount(Entry.failures);
   if (Entry.__isset.sent)
     Load.m_sent = static_cast<std::uint32_t>(Entry.sent);
   Load.m_hasRequestLimit =
@@ -92,6 +93,21 @@
   return Load;
 }
 
+/// Moves the samples that were not reported yet to \p Entry.
+void takeSamples(UpstreamState &Upstream, wire::UpstreamLoadEntry &Entry) {
+  if (Upstream.m_localRatioCount == 0)
+    return;
+  Entry.__set_serviceTimePercent(static_cast<std::int32_t>(
+      Upstream.m_localRatioSum / Upstream.m_localRatioCount * Percent));
+  Entry.__set_serviceTimeSamples(
+      static_cast<std::int32_t>(Upstream.m_localRatioCount));
+  if (Upstream.m_localFailures > 0)
+    Entry.__set_failures(static_cast<std::int32_t>(Upstream.m_localFailures));
+  Upstream.m_localRatioSum = 0;
+  Upstream.m_localRatioCount = 0;
+  Upstream.m_localFailures = 0;
+}
+
 wire::TeamUse toWire(const TeamUse &Use) {
   wire::TeamUse Entry;
   Entry.team = Use.m_team.value();
@@ -290,21 +306,17 @@
     bool SendLimit =
         Limit.m_isLocal &&
         (Limit.m_rate || Now - Limit.m_changedAt < LimitEndAnnouncementTime);
+    // Always sent while it is needed: what another host has sent before its
+    // first count is not known.
+    bool SendCount = Limit.m_rate || Upstream.cold(Now) || Upstream.m_paceLimit;
     if (Upstream.m_outstanding == 0 && Upstream.m_waiting == 0 && !SendReport &&
-        Upstream.m_localRatioCount == 0 && !Limit.m_rate && !SendLimit &&
+        Upstream.m_localRatioCount == 0 && !SendCount && !SendLimit &&
         !AnsweredLately && !announcesLeaving(Upstream))
       continue;
     wire::UpstreamLoadEntry Entry;
     Entry.upstream = nameHash(Id.value()).value();
     Entry.outstanding = static_cast<std::int32_t>(Upstream.m_outstanding);
-    if (Upstream.m_localRatioCount > 0) {
-      Entry.__set_serviceTimePercent(static_cast<std::int32_t>(
-          Upstream.m_localRatioSum / Upstream.m_localRatioCount * Percent));
-      Entry.__set_serviceTimeSamples(
-          static_cast<std::int32_t>(Upstream.m_localRatioCount));
-      Upstream.m_localRatioSum = 0;
-      Upstream.m_localRatioCount = 0;
-    }
+    takeSamples(Upstream, Entry);
     if (Upstream.m_waiting > 0)
       Entry.__set_hostWaiting(static_cast<std::int32_t>(Upstream.m_waiting));
     if (SendReport) {
@@ -327,7 +339,7 @@
     }
     if (announcesLeaving(Upstream))
       Entry.__set_leavingIncarnation(Upstream.m_record.m_incarnation.value());
-    if (Limit.m_rate)
+    if (SendCount)
       Entry.__set_sent(static_cast<std::int32_t>(Upstream.m_sent));
     Status.upstreams.push_back(std::move(Entry));
   }
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -492,7 +492,7 @@
       Now);
   m_forwarder.sweep(Now);
   m_results.sweep(Now);
-  m_assignment.sweep();
+  m_assignment.sweep(Now);
   m_waiting.sweep(Now);
 }
 
--- a/src/libgateway/upstream_assignment.cpp
+++ b/src/libgateway/upstream_assignment.cpp
@@ -1,5 +1,7 @@
 #include "upstream_assignment.h"
 
+#include "burdockpulley/event_log.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -13,9 +15,17 @@
 constexpr Duration MaxOwnerWait{500'000};
 /// An owner that is leaving serves its keys for this share of the drain time.
 constexpr double OwnerDrainShare = 0.3;
+/// Assumed service time until responses have shown it.
+constexpr Duration DefaultWorkTime{100'000};
 /// Hosts to which a request may be forwarded, one after the other.
 constexpr std::size_t MaxForwards = 2;
 
+/// Slots that may be used while the upstream is paced.
+double usableSlots(const UpstreamState &Upstream) {
+  double Slots = Upstream.m_record.m_slots;
+  return std::min(Slots, Upstream.m_paceLimit.value_or(Slots));
+}
+
 } // namespace
 
 UpstreamAssignment::UpstreamAssignment(GatewayState &State,
@@ -23,17 +33,69 @@
     : m_state(State), m_forwarder(Forwarder), m_random(std::random_device()()) {
 }
 
-bool UpstreamAssignment::allowedByColdStartLimit(const UpstreamState &Upstream,
-                                                 const PendingRequest &Pending,
-                                                 Instant Now) {
-  if (!Upstream.cold(Now) || Pending.m_service->m_coldRate <= 0)
+UpstreamPace::Terms
+UpstreamAssignment::paceTerms(const ServiceId &Service) const {
+  UpstreamPace::Terms Terms;
+  Terms.m_sharers = m_state.limitSharers();
+  Terms.m_bound = m_state.m_settings.m_coldBound;
+  auto WorkTime = m_state.m_workTimes.find(Service);
+  Terms.m_workTime = WorkTime == m_state.m_workTimes.end() ? DefaultWorkTime
+                                                           : WorkTime->second;
+  return Terms;
+}
+
+UpstreamPresence
+UpstreamAssignment::presenceOf(const UpstreamState &Upstream) const {
+  if (Upstream.leaving() ||
+      m_state.m_registry.domainOut(Upstream.m_record.m_domain))
+    return UpstreamPresence::Unusable;
+  if (m_state.m_registry.pathsLost())
+    return UpstreamPresence::Unknown;
+  if (!Upstream.m_unreachable)
+    return UpstreamPresence::Serving;
+  return Upstream.respondedSince(Upstream.m_unreachableSince)
+             ? UpstreamPresence::Unknown
+             : UpstreamPresence::Unusable;
+}
+
+void UpstreamAssignment::updatePace(UpstreamPace &Pace, UpstreamState &Upstream,
+                                    const UpstreamPace::Terms &Terms,
+                                    Instant Now) {
+  switch (Pace.update(Upstream, presenceOf(Upstream), Terms, Now)) {
+  case UpstreamPace::Change::None:
+    return;
+  case UpstreamPace::Change::Began:
+    return logEvent(Severity::Info, "upstream_pace_began",
+                    {{"upstream", Upstream.m_record.m_id.value()},
+                     {"reason", Pace.reason()},
+                     {"limit", Upstream.m_paceLimit.value_or(0)},
+                     {"slots", Upstream.m_record.m_slots},
+                     {"cold", Upstream.cold(Now)}});
+  case UpstreamPace::Change::Ended:
+    return logEvent(Severity::Info, "upstream_pace_ended",
+                    {{"upstream", Upstream.m_record.m_id.value()},
+                     {"reason", Pace.reason()},
+                     {"took_ms", (Now - Pace.beganAt()).count() / 1000}});
+  }
+}
+
+UpstreamPace::Terms
+UpstreamAssignment::paceTerms(const PendingRequest &Pending) const {
+  UpstreamPace::Terms Terms = paceTerms(Pending.m_service->m_name);
+  Terms.m_coldRate = Pending.m_service->m_coldRate;
+  Terms.m_byOwnerThrottle = Pending.m_key.has_value();
+  return Terms;
+}
+
+bool UpstreamAssignment::allowedByPace(UpstreamState &Upstream,
+                                       const PendingRequest &Pending,
+                                       Instant Now) {
+  if (Upstream.m_paceSettled && !Upstream.cold(Now))
     return true;
-  std::uniform_real_distribution<double> Phase(0, 1);
-  auto Limiter =
-      m_coldStartLimiters.try_emplace(Upstream.m_record.m_id, Phase(m_random))
-          .first;
-  return Limiter->second.available(Pending.m_service->m_coldRate,
-                                   m_state.hosts(), Now);
+  UpstreamPace &Pace = m_paces[Upstream.m_record.m_id];
+  UpstreamPace::Terms Terms = paceTerms(Pending);
+  updatePace(Pace, Upstream, Terms, Now);
+  return Pace.available(Upstream, Terms, m_random, Now);
 }
 
 bool UpstreamAssignment::allowedByRequestLimit(const UpstreamState &Upstream,
@@ -106,15 +168,23 @@
   bool WithinOwnerWait = Now - Pending.m_arrived <= MaxOwnerWait;
   CanWait = KeyOwner.m_upstream || (!KeyOwner.m_unreachable && WithinOwnerWait);
   UpstreamState *Upstream = KeyOwner.m_upstream;
-  bool HasShare =
-      Upstream && !Upstream->paused(Now) &&
-      m_ownerThrottles[Upstream->m_record.m_id].available(
-          *Upstream, Pending.m_workTime,
-          statusInterval(m_state.m_peerLoads.hosts()), m_random, Now);
-  return HasShare && allowedByColdStartLimit(*Upstream, Pending, Now) &&
-                 allowedByRequestLimit(*Upstream, Now)
-             ? Upstream
-             : nullptr;
+  bool HasShare = Upstream && !Upstream->paused(Now) &&
+                  ownerAvailable(*Upstream, Pending, Now);
+  return HasShare && allowedByRequestLimit(*Upstream, Now) ? Upstream : nullptr;
+}
+
+bool UpstreamAssignment::ownerAvailable(UpstreamState &Owner,
+                                        const PendingRequest &Pending,
+                                        Instant Now) {
+  if (!allowedByPace(Owner, Pending, Now))
+    return false;
+  bool Paced = Owner.m_paceLimit || Owner.cold(Now);
+  if (Paced &&
+      m_paces[Owner.m_record.m_id].divides(Owner, paceTerms(Pending), Now))
+    return hasCapacity(Owner);
+  return m_ownerThrottles[Owner.m_record.m_id].available(
+      Owner, Pending.m_workTime, statusInterval(m_state.m_peerLoads.hosts()),
+      m_random, Now);
 }
 
 UpstreamState *UpstreamAssignment::chooseUpstream(const PendingRequest &Pending,
@@ -124,10 +194,9 @@
   std::vector<UpstreamState *> Upstreams =
       m_state.m_registry.ofService(Pending.m_service->m_name);
   bool AwaitsLimit = false;
-  std::erase_if(Upstreams, [&](const UpstreamState *Upstream) {
-    if (!allowedByColdStartLimit(*Upstream, Pending, Now))
-      return true;
-    if (!Upstream->paused(Now) && allowedByRequestLimit(*Upstream, Now))
+  std::erase_if(Upstreams, [&](UpstreamState *Upstream) {
+    if (!Upstream->paused(Now) && allowedByPace(*Upstream, Pending, Now) &&
+        allowedByRequestLimit(*Upstream, Now))
       return false;
     AwaitsLimit |= m_state.m_registry.usable(*Upstream) &&
                    !Pending.m_triedUpstreams.count(Upstream->m_record.m_id);
@@ -155,7 +224,7 @@
     const UpstreamState *Upstream = findOwner(Pending, Now).m_upstream;
     // While the owner is unknown, admission does not limit waiting for it.
     Capacity.m_slots =
-        Upstream ? Upstream->m_record.m_slots / slownessFactor(*Upstream, Now)
+        Upstream ? usableSlots(*Upstream) / slownessFactor(*Upstream, Now)
                  : std::numeric_limits<double>::max();
     // Requests in progress at the owner are half done on average.
     if (Upstream) {
@@ -182,7 +251,7 @@
     double Rate = requestRate(*Upstream);
     Capacity.m_requestRate += Rate;
     Capacity.m_slots +=
-        std::min(Upstream->m_record.m_slots / slownessFactor(*Upstream, Now),
+        std::min(usableSlots(*Upstream) / slownessFactor(*Upstream, Now),
                  Rate * WorkSeconds);
   }
   if (ShortestPause > Duration() && ShortestPause != Duration::max()) {
@@ -196,8 +265,8 @@
 
 void UpstreamAssignment::onSend(const PendingRequest &Pending,
                                 UpstreamState &Upstream, Instant Now) {
-  if (Upstream.cold(Now) && Pending.m_service->m_coldRate > 0)
-    m_coldStartLimiters[Upstream.m_record.m_id].take();
+  if (Upstream.m_paceLimit || Upstream.cold(Now))
+    m_paces[Upstream.m_record.m_id].take();
   if (Pending.m_key)
     m_ownerThrottles[Upstream.m_record.m_id].take();
   if (Upstream.m_requestLimit.m_rate)
@@ -205,11 +274,14 @@
   ++Upstream.m_sent;
 }
 
-void UpstreamAssignment::sweep() {
+void UpstreamAssignment::sweep(Instant Now) {
+  for (auto &[Id, Upstream] : m_state.m_registry.upstreams())
+    updatePace(m_paces[Id], Upstream, paceTerms(Upstream.m_record.m_service),
+               Now);
   auto IsUnregistered = [this](const auto &Entry) {
     return !m_state.m_registry.find(Entry.first);
   };
-  std::erase_if(m_coldStartLimiters, IsUnregistered);
+  std::erase_if(m_paces, IsUnregistered);
   std::erase_if(m_requestLimiters, [this](const auto &Entry) {
     const UpstreamState *Upstream = m_state.m_registry.find(Entry.first);
     return !Upstream || !Upstream->m_requestLimit.m_rate;
--- a/src/libgateway/upstream_assignment.h
+++ b/src/libgateway/upstream_assignment.h
@@ -4,6 +4,7 @@
 #include "burdockpulley/owner_throttle.h"
 #include "burdockpulley/request_limiter.h"
 #include "burdockpulley/shared_limits.h"
+#include "burdockpulley/upstream_pace.h"
 #include "burdockpulley/upstream_selection.h"
 #include "gateway_state.h"
 #include "pending_request.h"
@@ -36,9 +37,9 @@
   void onSend(const PendingRequest &Pending, UpstreamState &Upstream,
               Instant Now);
 
-  /// Discards the state of upstreams that are gone. Call it a few times a
-  /// second.
-  void sweep();
+  /// Follows the paces of all upstreams, and discards the state of upstreams
+  /// that are gone. Call it a few times a second.
+  void sweep(Instant Now);
 
 private:
   struct OwnerLookup {
@@ -49,17 +50,27 @@
   OwnerLookup findOwner(const PendingRequest &Pending, Instant Now) const;
   UpstreamState *chooseOwner(const PendingRequest &Pending, bool &CanWait,
                              Instant Now);
-  /// True if the upstream is not cold, or if this host may send it one more
-  /// request within its share of the cold start rate.
-  bool allowedByColdStartLimit(const UpstreamState &Upstream,
-                               const PendingRequest &Pending, Instant Now);
+  /// True if this host may send one more request to the owner of its key.
+  bool ownerAvailable(UpstreamState &Owner, const PendingRequest &Pending,
+                      Instant Now);
+  /// True if the upstream is neither cold nor paced, or if this host may send
+  /// it one more request within its share.
+  bool allowedByPace(UpstreamState &Upstream, const PendingRequest &Pending,
+                     Instant Now);
+  /// The terms apart from those of a request.
+  UpstreamPace::Terms paceTerms(const ServiceId &Service) const;
+  UpstreamPace::Terms paceTerms(const PendingRequest &Pending) const;
+  UpstreamPresence presenceOf(const UpstreamState &Upstream) const;
+  /// Updates the pace of an upstream, and logs its begin and end.
+  void updatePace(UpstreamPace &Pace, UpstreamState &Upstream,
+                  const UpstreamPace::Terms &Terms, Instant Now);
   /// True if the upstream does not limit its requests, or if this host may send
   /// it one more.
   bool allowedByRequestLimit(const UpstreamState &Upstream, Instant Now);
 
   GatewayState &m_state;
   const RequestForwarder &m_forwarder;
-  std::map<UpstreamId, ColdStartLimiter> m_coldStartLimiters;
+  std::map<UpstreamId, UpstreamPace> m_paces;
   std::map<UpstreamId, OwnerThrottle> m_ownerThrottles;
   std::map<UpstreamId, RequestLimiter> m_requestLimiters;
   std::mt19937_64 m_random;
--- a/src/libgateway/upstream_selection.cpp
+++ b/src/libgateway/upstream_selection.cpp
@@ -17,8 +17,6 @@
 constexpr double MaxRatio = 20;
 /// A sample counts as at most this multiple of the current ratio.
 constexpr double MaxSampleFactor = 6;
-/// Sample for a failed request.
-constexpr double FailureSample = 6;
 /// A ratio without samples for RatioLifetime decays with RatioHalfLife.
 constexpr Duration RatioLifetime{2'000'000};
 constexpr Duration RatioHalfLife{4'000'000};
@@ -82,9 +80,17 @@
   return Duration(static_cast<std::int64_t>(Work * (1 + QueuedPerSlot)));
 }
 
+std::uint32_t maxInFlight(const UpstreamState &Upstream) {
+  std::uint32_t Slots = std::max(1U, Upstream.m_record.m_slots);
+  if (!Upstream.m_paceLimit)
+    return Slots + MaxQueuedBeyondSlots;
+  return std::clamp(static_cast<std::uint32_t>(*Upstream.m_paceLimit), 1U,
+                    Slots);
+}
+
 bool hasCapacity(const UpstreamState &Upstream) {
   return Upstream.m_outstanding + Upstream.m_peerOutstanding <
-         std::max(1U, Upstream.m_record.m_slots) + MaxQueuedBeyondSlots;
+         maxInFlight(Upstream);
 }
 
 double jitterFor(Duration StatusInterval, Duration WorkTime) {
@@ -142,10 +148,12 @@
 
 namespace {
 
-void addLocalSample(UpstreamState &Upstream, double Sample, Instant Now) {
+void addLocalSample(UpstreamState &Upstream, double Sample,
+                    std::uint32_t Failures, Instant Now) {
   Upstream.m_localRatioSum += Sample;
   ++Upstream.m_localRatioCount;
-  mergeServiceTimeRatio(Upstream, Sample, 1, Now);
+  Upstream.m_localFailures += Failures;
+  mergeServiceTimeRatio(Upstream, Sample, 1, Failures, Now);
 }
 
 } // namespace
@@ -161,11 +169,11 @@
                   (static_cast<double>(Expected.count()) * TemporarySlowness);
   Sample = std::clamp(Sample, MinRatio,
                       Upstream.m_serviceTimeRatio * MaxSampleFactor);
-  addLocalSample(Upstream, Sample, Now);
+  addLocalSample(Upstream, Sample, 0, Now);
 }
 
 void observeFailure(UpstreamState &Upstream, Instant Now) {
-  addLocalSample(Upstream, FailureSample, Now);
+  addLocalSample(Upstream, FailureSample, 1, Now);
 }
 
 void decayServiceTimeRatio(UpstreamState &Upstream, Duration Elapsed,
@@ -179,9 +187,13 @@
 }
 
 void mergeServiceTimeRatio(UpstreamState &Upstream, double Mean,
-                           std::uint32_t Samples, Instant Now) {
+                           std::uint32_t Samples, std::uint32_t Failures,
+                           Instant Now) {
   if (Samples == 0)
     return;
+  Upstream.m_unjudged.m_ratioSum += Mean * Samples;
+  Upstream.m_unjudged.m_samples += Samples;
+  Upstream.m_unjudged.m_failures += std::min(Failures, Samples);
   Upstream.m_serviceTimeObservedAt = Now;
   Upstream.m_serviceTimeSamples += Samples;
   double Weight = std::max(
