admission: priorities of the requests that wait at other hosts

Urgent requests that came to one host waited there, and were refused, while other hosts sent less urgent ones: hosts told each other only how many requests of a service wait, and each such request counted against all others with their own service times. Status messages now carry QueueLength.priorities (at most 8 of each service), PeerLoads adds them up, estimates count only requests that are equally or more urgent, with their service times, and a request is not sent while more requests that are more urgent wait elsewhere than places are free. Hosts that send no priorities count as equally urgent. The priority of a request is that of its team before that of its route; requests without a team rank behind all teams.

--- a/src/include/burdockpulley/peer_loads.h
+++ b/src/include/burdockpulley/peer_loads.h
@@ -2,6 +2,7 @@
 #define BURDOCKPULLEY_PEER_LOADS_H
 
 #include "burdockpulley/upstream_registry.h"
+#include "burdockpulley/wait_queue.h"
 
 #include <unordered_map>
 #include <vector>
@@ -42,6 +43,23 @@
 struct PeerLoad {
   std::vector<PeerUpstreamLoad> m_upstreams;
   std::map<NameHash, std::uint32_t> m_waiting; ///< Requests by service.
+  /// The same by priority; missing for services of older hosts.
+  std::map<NameHash, std::vector<PriorityLoad>> m_priorities;
+};
+
+/// Requests of one service that wait at other hosts.
+struct PeerQueues {
+  std::uint32_t m_unknownPriority = 0; ///< At older hosts.
+  std::map<std::uint32_t, QueuedWork> m_byPriority;
+
+  /// Number of all, and of those more urgent than \p Priority. Those of unknown
+  /// priority count as equally urgent.
+  double total() const;
+  double moreUrgent(std::uint32_t Priority) const;
+  /// Adds \p Waiting of them to what a request waits for. Hosts report the
+  /// priorities of a service's requests, but not those for each owner of keys:
+  /// these are taken to be in proportion.
+  void addTo(ServiceCapacity &Capacity, double Waiting) const;
 };
 
 /// Hosts of other failure domains receive one load report out of this many.
@@ -74,8 +92,8 @@
   /// The upstream with this name hash; null when the registry has none.
   UpstreamState *find(NameHash Hash);
 
-  /// Number of requests of a service that wait at other hosts.
-  std::uint32_t waiting(const ServiceId &Service) const;
+  /// Requests of a service that wait at other hosts.
+  const PeerQueues &queues(const ServiceId &Service) const;
 
   /// Number of other hosts that are reporting.
   std::size_t hosts() const { return m_hosts.size(); }
@@ -93,11 +111,15 @@
   /// Adds the requests that a host has sent since its previous report.
   static void addSent(UpstreamState &Upstream, const PeerUpstreamLoad &Reported,
                       const PeerLoad &Previous);
+  /// Adds the requests that wait at a host to the totals, or subtracts them if
+  /// \p Sign is negative.
+  void addQueues(const PeerLoad &Load, int Sign);
   /// Adds a host's load to the totals, or subtracts it if \p Sign is negative.
   void addToTotals(const PeerLoad &Load, int Sign);
 
   UpstreamRegistry &m_registry;
   std::map<HostId, HostLoad> m_hosts;
+  std::map<NameHash, PeerQueues> m_queues; ///< By service.
   std::unordered_map<NameHash, UpstreamId> m_idsByHash;
   /// UpstreamRegistry::membership() from which m_idsByHash was built.
   std::uint64_t m_indexedMembership = 0;
--- a/src/libgateway/decisions_test.cpp
+++ b/src/libgateway/decisions_test.cpp
@@ -398,7 +398,7 @@
   UpstreamState *Upstream = Registry.find(UpstreamId("u"));
   BOOST_TEST(Upstream->m_peerOutstanding == 6u);
   BOOST_TEST(Upstream->m_peerWaiting == 4u);
-  BOOST_TEST(Peers.waiting(ServiceId("fee")) == 14u);
+  BOOST_TEST(Peers.queues(ServiceId("fee")).total() == 14);
   Peers.expire(at(2.8));
   BOOST_TEST(Upstream->m_peerOutstanding == 3u);
   Peers.onLoad(HostId("h2"), PeerLoad(), at(2.9));
--- a/src/libgateway/peer_loads.cpp
+++ b/src/libgateway/peer_loads.cpp
@@ -6,6 +6,8 @@
 #include "upstream_notice.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace burdockpulley {
 
@@ -58,6 +60,7 @@
 }
 
 void PeerLoads::addToTotals(const PeerLoad &Load, int Sign) {
+  addQueues(Load, Sign);
   for (const PeerUpstreamLoad &Reported : Load.m_upstreams) {
     if (Reported.m_outstanding == 0 && Reported.m_waiting == 0)
       continue;
@@ -141,14 +144,60 @@
   }
 }
 
-std::uint32_t PeerLoads::waiting(const ServiceId &Service) const {
-  NameHash Hash = nameHash(Service.value());
-  std::uint32_t Sum = 0;
-  for (const auto &[Id, Host] : m_hosts) {
-    auto It = Host.m_load.m_waiting.find(Hash);
-    if (It != Host.m_load.m_waiting.end())
-      Sum += It->second;
+void PeerLoads::addQueues(const PeerLoad &Load, int Sign) {
+  for (const auto &[Service, Waiting] : Load.m_waiting) {
+    PeerQueues &Queues = m_queues[Service];
+    auto Priorities = Load.m_priorities.find(Service);
+    if (Priorities == Load.m_priorities.end()) {
+      addSigned(Queues.m_unknownPriority, Waiting, Sign);
+    } else {
+      for (const PriorityLoad &Each : Priorities->second) {
+        QueuedWork &Sum = Queues.m_byPriority[Each.m_priority];
+        Sum.m_requests += Sign * Each.m_queued.m_requests;
+        Sum.m_work += Sign * Each.m_queued.m_work;
+      }
+      std::erase_if(Queues.m_byPriority, [](const auto &Entry) {
+        return Entry.second.m_requests < 1;
+      });
+    }
+    if (Queues.m_unknownPriority == 0 && Queues.m_byPriority.empty())
+      m_queues.erase(Service);
   }
+}
+
+const PeerQueues &PeerLoads::queues(const ServiceId &Service) const {
+  static const PeerQueues None;
+  auto It = m_queues.find(nameHash(Service.value()));
+  return It == m_queues.end() ? None : It->second;
+}
+
+double PeerQueues::total() const {
+  return m_unknownPriority +
+         moreUrgent(std::numeric_limits<std::uint32_t>::max());
+}
+
+void PeerQueues::addTo(ServiceCapacity &Capacity, double Waiting) const {
+  double Total = total();
+  if (Total < 1) { // The reports of the owner and of the service differ.
+    Capacity.m_waiting += static_cast<std::size_t>(Waiting);
+    return;
+  }
+  double Share = Waiting / Total;
+  Capacity.m_waiting +=
+      static_cast<std::size_t>(std::lround(m_unknownPriority * Share));
+  for (const auto &[Priority, Queued] : m_byPriority)
+    Capacity.m_elsewhere.push_back(
+        {Priority,
+         {Queued.m_requests * Share,
+          Duration(static_cast<std::int64_t>(
+              static_cast<double>(Queued.m_work.count()) * Share))}});
+}
+
+double PeerQueues::moreUrgent(std::uint32_t Priority) const {
+  double Sum = 0;
+  for (auto It = m_byPriority.begin();
+       It != m_byPriority.end() && It->first < Priority; ++It)
+    Sum += It->second.m_requests;
   return Sum;
 }
 
--- a/src/libgateway/peer_state_exchange.cpp
+++ b/src/libgateway/peer_state_exchange.cpp
@@ -44,6 +44,9 @@
 constexpr std::uint64_t StatusesPerRecord = 6;
 /// How long hosts are told that an upstream no longer limits its requests.
 constexpr Duration LimitEndAnnouncementTime{2'000'000};
+/// Priorities that a status message tells apart in each service. The least
+/// urgent ones count together, as the last of them.
+constexpr std::size_t MaxQueuedPriorities = 8;
 /// Value of UpstreamLoadEntry.requestLimit for an upstream without a limit.
 constexpr double NoRequestLimit = -1;
 
@@ -133,6 +136,35 @@
   return Use;
 }
 
+wire::QueueLength toWire(NameHash Service,
+                         const std::map<std::uint32_t, QueuedWork> &Queued) {
+  wire::QueueLength Queue;
+  Queue.serviceHash = Service.value();
+  std::vector<wire::QueuedPriority> Priorities;
+  for (const auto &[Priority, Sum] : Queued) {
+    if (Priorities.size() < MaxQueuedPriorities)
+      Priorities.emplace_back();
+    wire::QueuedPriority &Entry = Priorities.back();
+    Entry.priority = static_cast<std::int32_t>(Priority);
+    Entry.waiting += static_cast<std::int32_t>(Sum.m_requests);
+    Entry.workMillis += static_cast<std::int32_t>(Sum.m_work.count() / 1000);
+    Queue.waiting += static_cast<std::int32_t>(Sum.m_requests);
+  }
+  Queue.__set_priorities(std::move(Priorities));
+  return Queue;
+}
+
+std::vector<PriorityLoad>
+fromWire(const std::vector<wire::QueuedPriority> &Entries) {
+  std::vector<PriorityLoad> Priorities;
+  for (const wire::QueuedPriority &Entry : Entries)
+    if (Priorities.size() < MaxQueuedPriorities)
+      Priorities.push_back({fromCount(Entry.priority),
+                            {static_cast<double>(std::max(Entry.waiting, 0)),
+                             fromMillis(Entry.workMillis)}});
+  return Priorities;
+}
+
 wire::StoreUpdate toWire(StoreVersion After, const StoreEvents &Changes) {
   wire::StoreUpdate Update;
   Update.after = numberInEra(After);
@@ -343,12 +375,8 @@
       Entry.__set_sent(static_cast<std::int32_t>(Upstream.m_sent));
     Status.upstreams.push_back(std::move(Entry));
   }
-  for (const auto &[Service, Waiting] : m_relay.waitingByService()) {
-    wire::QueueLength Queue;
-    Queue.serviceHash = nameHash(Service.value()).value();
-    Queue.waiting = static_cast<std::int32_t>(Waiting);
-    Status.queues.push_back(Queue);
-  }
+  for (const auto &[Service, Priorities] : m_relay.waitingByService())
+    Status.queues.push_back(toWire(nameHash(Service.value()), Priorities));
   addHostState(Status, Now);
   Message.__set_hostStatus(std::move(Status));
   // Other failure domains receive fewer status messages: bandwidth between
@@ -570,8 +598,12 @@
                             Now - *Reported.m_answeredAge);
   m_transport.setServesOthers(Sender, !Status.upstreamsLost && !Status.stopping,
                               AnsweredAt);
-  for (const wire::QueueLength &Queue : Status.queues)
-    Load.m_waiting[NameHash(Queue.serviceHash)] = fromCount(Queue.waiting);
+  for (const wire::QueueLength &Queue : Status.queues) {
+    NameHash Service(Queue.serviceHash);
+    Load.m_waiting[Service] = fromCount(Queue.waiting);
+    if (Queue.__isset.priorities)
+      Load.m_priorities[Service] = fromWire(Queue.priorities);
+  }
   m_state.m_peerLoads.onLoad(Sender, std::move(Load), Now);
   std::vector<TeamUse> Uses;
   for (const wire::TeamUse &Entry : Status.teams)
--- a/src/libgateway/pending_request.cpp
+++ b/src/libgateway/pending_request.cpp
@@ -8,6 +8,10 @@
 
 /// Attempts per request, including those that an upstream refused to run.
 constexpr std::uint32_t MaxAttempts = 4;
+/// Less urgent priorities are not told apart.
+constexpr std::uint32_t LeastTeamPriority = (1U << 14) - 1;
+constexpr std::uint32_t RoutePriorityBits = 16;
+constexpr std::uint32_t LeastRoutePriority = (1U << RoutePriorityBits) - 1;
 
 } // namespace
 
@@ -18,4 +22,14 @@
              : Most;
 }
 
+std::uint32_t priorityOf(const PendingRequest &Pending) {
+  std::uint32_t Team = 0;
+  if (Pending.m_team)
+    Team = std::min(Pending.m_team->m_priority, LeastTeamPriority - 1);
+  else if (!Pending.m_configuration->m_teams.empty())
+    Team = LeastTeamPriority;
+  return Team << RoutePriorityBits |
+         std::min(Pending.m_route->m_priority, LeastRoutePriority);
+}
+
 } // namespace burdockpulley
--- a/src/libgateway/pending_request.h
+++ b/src/libgateway/pending_request.h
@@ -60,6 +60,12 @@
 /// Upstreams that the request may be sent to, at most. Thread safety: safe.
 std::uint32_t maxAttempts(const PendingRequest &Pending);
 
+/// The priority of the request's team before that of its route, as one number
+/// that fits into QueuedPriority.priority. Without teams it is that of the
+/// route. Requests of no team rank behind those of all teams. Thread safety:
+/// safe.
+std::uint32_t priorityOf(const PendingRequest &Pending);
+
 } // namespace burdockpulley
 
 #endif
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -125,6 +125,8 @@
   }
   if (!Upstream && !Peer)
     return false;
+  if (Upstream && m_assignment.yieldsToPeers(Pending, Now))
+    return false;
   if (Pending.m_usesRetryBudget &&
       !retryBudget(Pending.m_service->m_name).take(m_state.hosts(), Now)) {
     if (Pending.m_mayHaveRun)
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -60,9 +60,11 @@
   std::size_t inFlight() const { return m_pending.size(); }
   /// Requests that wait for a free slot at an upstream.
   std::size_t waiting() const { return m_waiting.size(); }
-  /// waiting() of each service; services without waiting requests are left out.
-  std::map<ServiceId, std::uint32_t> waitingByService() const {
-    return m_waiting.countByService();
+  /// Waiting requests of each service by priority; services without any are
+  /// left out.
+  std::map<ServiceId, std::map<std::uint32_t, QueuedWork>>
+  waitingByService() const {
+    return m_waiting.byService();
   }
 
   /// Requests received for each shard key, by service. The coordinator uses
--- a/src/libgateway/upstream_assignment.cpp
+++ b/src/libgateway/upstream_assignment.cpp
@@ -26,6 +26,13 @@
   return std::min(Slots, Upstream.m_paceLimit.value_or(Slots));
 }
 
+/// Requests that an upstream can take now.
+double freePlaces(const UpstreamState &Upstream) {
+  double Places = std::max(1.0, usableSlots(Upstream)) + MaxQueuedBeyondSlots;
+  return std::max(0.0,
+                  Places - Upstream.m_outstanding - Upstream.m_peerOutstanding);
+}
+
 } // namespace
 
 UpstreamAssignment::UpstreamAssignment(GatewayState &State,
@@ -160,6 +167,29 @@
   return nullptr;
 }
 
+bool UpstreamAssignment::yieldsToPeers(const PendingRequest &Pending,
+                                       Instant Now) const {
+  const PeerQueues &Queues =
+      m_state.m_peerLoads.queues(Pending.m_service->m_name);
+  double MoreUrgent = Queues.moreUrgent(priorityOf(Pending));
+  if (MoreUrgent < 1)
+    return false;
+  double Free = 0;
+  if (Pending.m_key) {
+    const UpstreamState *Owner = findOwner(Pending, Now).m_upstream;
+    if (!Owner)
+      return false;
+    MoreUrgent *= Owner->m_peerWaiting / Queues.total();
+    Free = freePlaces(*Owner);
+  } else {
+    for (const UpstreamState *Upstream :
+         m_state.m_registry.ofService(Pending.m_service->m_name))
+      if (m_state.m_registry.usable(*Upstream) && !Upstream->paused(Now))
+        Free += freePlaces(*Upstream);
+  }
+  return MoreUrgent > Free;
+}
+
 UpstreamState *UpstreamAssignment::chooseOwner(const PendingRequest &Pending,
                                                bool &CanWait, Instant Now) {
   OwnerLookup KeyOwner = findOwner(Pending, Now);
@@ -231,8 +261,9 @@
       Capacity.m_pause = std::max(Duration(), Upstream->m_pausedUntil - Now);
       Capacity.m_requestRate = requestRate(*Upstream);
       Capacity.m_waiting =
-          Upstream->m_peerWaiting +
           (Upstream->m_outstanding + Upstream->m_peerOutstanding) / 2;
+      m_state.m_peerLoads.queues(Pending.m_service->m_name)
+          .addTo(Capacity, Upstream->m_peerWaiting);
     }
     return Capacity;
   }
@@ -259,7 +290,9 @@
     Capacity.m_pause = ShortestPause;
     Capacity.m_requestRate = std::numeric_limits<double>::infinity();
   }
-  Capacity.m_waiting = m_state.m_peerLoads.waiting(Pending.m_service->m_name);
+  const PeerQueues &Queues =
+      m_state.m_peerLoads.queues(Pending.m_service->m_name);
+  Queues.addTo(Capacity, Queues.total());
   return Capacity;
 }
 
--- a/src/libgateway/upstream_assignment.h
+++ b/src/libgateway/upstream_assignment.h
@@ -26,6 +26,9 @@
   /// whether one may be able to later.
   UpstreamState *chooseUpstream(const PendingRequest &Pending, bool &CanWait,
                                 Instant Now);
+  /// True if more requests that are more urgent wait at other hosts for the
+  /// upstreams that the request may be sent to than these can take now.
+  bool yieldsToPeers(const PendingRequest &Pending, Instant Now) const;
   /// The host to which to forward a request for which this host has no usable
   /// upstream; null if there is none that reaches one.
   const ForwardingPeer *chooseForwardingPeer(const PendingRequest &Pending,
--- a/src/libgateway/waiting_requests.cpp
+++ b/src/libgateway/waiting_requests.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 WaitingRequest placeOf(const PendingRequest &Pending) {
-  return {Pending.m_number, Pending.m_route->m_priority, Pending.m_workTime,
+  return {Pending.m_number, priorityOf(Pending), Pending.m_workTime,
           Pending.m_goalTime, Pending.m_deadline};
 }
 
@@ -94,12 +94,13 @@
   return Count;
 }
 
-std::map<ServiceId, std::uint32_t> WaitingRequests::countByService() const {
-  std::map<ServiceId, std::uint32_t> Counts;
+std::map<ServiceId, std::map<std::uint32_t, QueuedWork>>
+WaitingRequests::byService() const {
+  std::map<ServiceId, std::map<std::uint32_t, QueuedWork>> Services;
   for (const auto &[Key, Queue] : m_queues)
     if (Queue.size() > 0)
-      Counts[Key.first] += static_cast<std::uint32_t>(Queue.size());
-  return Counts;
+      Queue.addTo(Services[Key.first]);
+  return Services;
 }
 
 } // namespace burdockpulley
--- a/src/libgateway/waiting_requests.h
+++ b/src/libgateway/waiting_requests.h
@@ -56,9 +56,9 @@
   void sweep(Instant Now);
 
   std::size_t size() const;
-  /// The numbers of waiting requests by service; services without any are left
-  /// out.
-  std::map<ServiceId, std::uint32_t> countByService() const;
+  /// The waiting requests of each service by priority; services without any are
+  /// left out.
+  std::map<ServiceId, std::map<std::uint32_t, QueuedWork>> byService() const;
 
 private:
   void updateWaitingCount(const QueueKey &Key);
