admission: plan the returns of refused requests, and serve them first

Refused callers were told a delay from one host's counts, came back at another host, and were mostly refused again, which costs them the whole request: nothing distinguished them from new requests, and all were told to come back. Refusals "no-room-in-time" and "deadline-near" use it, and a queue counts how expected late requests end for each priority. The log line of a request has "priority" and "returning"; burdockpulley_gateway_returns_total counts returning requests by outcome.

--- a/src/include/burdockpulley/wait_queue.h
+++ b/src/include/burdockpulley/wait_queue.h
@@ -40,6 +40,7 @@
 /// A refusal, with the delay after which a retry may succeed.
 struct Refusal {
   Duration m_retryAfter{};
+  Duration m_wait{}; ///< Expected as the request was refused.
 };
 
 /// Requests of one service that wait at this host because no upstream has
@@ -88,12 +89,18 @@
   bool discardable(Instant Now) const;
 
 private:
-  /// How some requests have ended lately; older ones count for less.
+  /// How the requests of one priority have ended lately that were expected, as
+  /// they arrived, to miss their goal; older ones count for less.
   struct Endings {
     double m_sent = 0;
     double m_givenUp = 0;
+    /// Requests of this priority have been refused since then, on arrival or
+    /// later, with short gaps.
+    Instant m_missesSince;
+    Instant m_lastMiss;
 
-    double givenUpShare() const;
+    void onMiss(Instant Now);
+    bool hopeless(Instant Now) const;
   };
 
   /// Applies the passing of time to the order.
@@ -101,8 +108,6 @@
   Duration expectedWait(const WaitingRequest &Request,
                         const ServiceCapacity &Capacity, Instant Now);
   void countEnding(const RankedRequests::Node &Ended, bool GivenUp);
-  /// A request was refused, on arrival or later.
-  void onMiss(Instant Now);
   bool erase(RequestNumber Number);
   void decayCounts(Instant Now);
 
@@ -114,11 +119,7 @@
   /// Requests queued and refused lately; older ones count for less.
   double m_recentlyQueued = 0;
   double m_recentlyRefused = 0;
-  /// Of those that were expected, as they arrived, to miss their goal.
-  Endings m_expectedLate;
-  /// Requests have been refused since then, with short gaps.
-  Instant m_missesSince;
-  Instant m_lastMiss;
+  std::map<std::uint32_t, Endings> m_endings; ///< By priority.
   Instant m_countsDecayedAt;
 };
 
--- a/src/libgateway/gateway_metrics.cpp
+++ b/src/libgateway/gateway_metrics.cpp
@@ -29,6 +29,9 @@
                            .Name("burdockpulley_gateway_request_seconds")
                            .Help("Time from a request's arrival to its answer")
                            .Register(m_registry)),
+      m_returns(counter(m_registry, "burdockpulley_gateway_returns_total",
+                        "Requests that were refused before and have come "
+                        "back, by route and outcome")),
       m_attempts(counter(m_registry, "burdockpulley_gateway_attempts_total",
                          "Attempts at upstreams by service and end")),
       m_storeCalls(counter(m_registry,
@@ -96,6 +99,12 @@
       .Observe(std::chrono::duration<double>(Time).count());
 }
 
+void GatewayMetrics::onReturnEnded(const std::string &Route,
+                                   std::string_view Outcome) {
+  m_returns.Add({{"route", Route}, {"outcome", std::string(Outcome)}})
+      .Increment();
+}
+
 void GatewayMetrics::onGrantEnded(std::string_view Outcome, Duration Time) {
   m_grantSeconds.Add({{"outcome", std::string(Outcome)}}, LatencyBuckets)
       .Observe(std::chrono::duration<double>(Time).count());
--- a/src/libgateway/gateway_metrics.h
+++ b/src/libgateway/gateway_metrics.h
@@ -26,6 +26,9 @@
   /// \p Outcome comes from a fixed set.
   void onRequestEnded(const std::string &Route, std::string_view Outcome,
                       Duration Time);
+  /// A request that was refused before has got its final response. \p Outcome
+  /// comes from a fixed set.
+  void onReturnEnded(const std::string &Route, std::string_view Outcome);
   /// An attempt at an upstream has ended. \p Outcome comes from a fixed set.
   void onAttempt(const ServiceId &Service, std::string_view Outcome);
   /// A call to the store has ended. \p Call and \p Result come from fixed sets.
@@ -63,6 +66,7 @@
   prometheus::Registry m_registry;
   prometheus::Family<prometheus::Counter> &m_requests;
   prometheus::Family<prometheus::Histogram> &m_requestSeconds;
+  prometheus::Family<prometheus::Counter> &m_returns;
   prometheus::Family<prometheus::Counter> &m_attempts;
   prometheus::Family<prometheus::Counter> &m_storeCalls;
   prometheus::Family<prometheus::Histogram> &m_grantSeconds;
--- a/src/libgateway/pending_request.cpp
+++ b/src/libgateway/pending_request.cpp
@@ -28,8 +28,10 @@
     Team = std::min(Pending.m_team->m_priority, LeastTeamPriority - 1);
   else if (!Pending.m_configuration->m_teams.empty())
     Team = LeastTeamPriority;
-  return Team << RoutePriorityBits |
-         std::min(Pending.m_route->m_priority, LeastRoutePriority);
+  std::uint32_t Route =
+      std::min(Pending.m_route->m_priority, LeastRoutePriority);
+  return (Team << RoutePriorityBits | Route) << 1 |
+         (Pending.m_returning ? 0U : 1U);
 }
 
 } // namespace burdockpulley
--- a/src/libgateway/pending_request.h
+++ b/src/libgateway/pending_request.h
@@ -37,6 +37,11 @@
   Instant m_arrived;
   Instant m_goalTime; ///< When the route's latency goal is over.
   Instant m_deadline;
+  /// Until when the caller waits, which may be after m_deadline; nothing if it
+  /// has not said so, or is another host.
+  std::optional<Instant> m_callerDeadline;
+  /// It was refused before, and has waited as it was told.
+  bool m_returning = false;
   Duration m_workTime{}; ///< Expected at an upstream of usual speed.
 
   /// Set if another host has forwarded the request to this one.
@@ -60,10 +65,10 @@
 /// Upstreams that the request may be sent to, at most. Thread safety: safe.
 std::uint32_t maxAttempts(const PendingRequest &Pending);
 
-/// The priority of the request's team before that of its route, as one number
-/// that fits into QueuedPriority.priority. Without teams it is that of the
-/// route. Requests of no team rank behind those of all teams. Thread safety:
-/// safe.
+/// The priority of the request's team before that of its route, then returning
+/// requests before new ones, as one number that fits into
+/// QueuedPriority.priority. Requests of no team rank behind those of all teams.
+/// Thread safety: safe.
 std::uint32_t priorityOf(const PendingRequest &Pending);
 
 } // namespace burdockpulley
--- a/src/libgateway/request_intake.cpp
+++ b/src/libgateway/request_intake.cpp
@@ -136,8 +136,10 @@
   if (!parseNumber(Text, RemainingMillis) || RemainingMillis < 0 ||
       RemainingMillis > MaxDeadlineMillis)
     return false;
-  Pending.m_deadline = std::min(
-      Pending.m_deadline, Now + std::chrono::milliseconds(RemainingMillis));
+  Instant Stated = Now + std::chrono::milliseconds(RemainingMillis);
+  if (!Pending.m_forwarded)
+    Pending.m_callerDeadline = Stated;
+  Pending.m_deadline = std::min(Pending.m_deadline, Stated);
   return true;
 }
 
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -65,6 +65,7 @@
       [this, Number = Pending.m_number] { onCallerGone(Number); });
   if (m_results.suspects().blocked(Pending.m_fingerprint, Now))
     return refuse(Pending, "crashes-upstreams", {}, Now);
+  detectReturn(Pending, Now);
   if (!chargeQuota(Pending, Now))
     return finish(Pending,
                   localResponse(LocalStatus::TooManyRequests,
@@ -81,6 +82,35 @@
   }
 }
 
+void RequestRelay::detectReturn(PendingRequest &Pending, Instant Now) {
+  if (!Pending.m_callerDeadline)
+    return;
+  const std::string &Team =
+      Pending.m_team ? Pending.m_team->m_name.value() : "";
+  ReturnPlanner::Arrival Arrival =
+      m_returns.onArrival(Pending.m_route->m_name + '\n' + Team,
+                          *Pending.m_callerDeadline - Now, Now);
+  Pending.m_returning = Arrival.m_returning;
+  Pending.m_goalTime -= Arrival.m_spent;
+}
+
+Duration RequestRelay::plannedRetryAfter(const PendingRequest &Pending,
+                                         const ServiceCapacity &Capacity,
+                                         Duration Wait, Instant Now) {
+  ReturnPlanner::Refused Refused;
+  Refused.m_wait = Wait;
+  Refused.m_left = Pending.m_callerDeadline.value_or(Pending.m_deadline) - Now;
+  Refused.m_workTime = Pending.m_workTime;
+  Refused.m_slots = Capacity.m_slots;
+  Refused.m_requestRate = Capacity.m_requestRate;
+  Refused.m_hosts = m_state.hosts();
+  QueueKey Key = queueOf(Pending);
+  return m_returns
+      .retryAfter(Key.first.value() + '\n' + Key.second.value(), Refused,
+                  m_random, Now)
+      .value_or(Duration());
+}
+
 bool RequestRelay::chargeQuota(PendingRequest &Pending, Instant Now) {
   // The host that forwards a request has charged it.
   if (!Pending.m_team || Pending.m_forwarded)
@@ -163,7 +193,7 @@
            Capacity.m_pause > Duration()           ? "upstream-pause"
            : std::isfinite(Capacity.m_requestRate) ? "upstream-limit"
                                                    : "no-room-in-time",
-           Refusal->m_retryAfter, Now);
+           plannedRetryAfter(Pending, Capacity, Refusal->m_wait, Now), Now);
 }
 
 void RequestRelay::dispatchWaiting(Instant Now) {
@@ -212,7 +242,10 @@
   if (Pending.m_mayHaveRun)
     reportUnknown(Pending, AttemptOutcome::TimedOut, Now);
   else
-    refuse(Pending, "deadline-near", refusalRetryAfter(Pending, Now), Now);
+    refuse(Pending, "deadline-near",
+           plannedRetryAfter(Pending, m_assignment.capacityFor(Pending, Now),
+                             Pending.m_workTime, Now),
+           Now);
 }
 
 void RequestRelay::send(PendingRequest &Pending, UpstreamState &Upstream,
@@ -470,12 +503,16 @@
             {"attempts", Pending.m_attempts},
             {"spent_ms", millis(Spent)},
             {"left_ms", millis(Pending.m_deadline - Now)},
+            {"priority", priorityOf(Pending)},
+            {"returning", Pending.m_returning},
             {"forwarded", Pending.m_forwarded.has_value()},
             {"revision", Pending.m_configuration->m_revision.value()}});
   if (Pending.m_forwarded)
     addOutcomeHeaders(Response, Outcome, Reason, Pending.m_upstream);
   else
     m_state.m_metrics.onRequestEnded(Pending.m_route->m_name, Outcome, Spent);
+  if (Pending.m_returning)
+    m_state.m_metrics.onReturnEnded(Pending.m_route->m_name, Outcome);
   std::shared_ptr<Exchange> CallerExchange = Pending.m_exchange;
   const std::string &IdHeader = m_state.m_codec.headers().m_requestId;
   std::string_view RequestId = CallerExchange->request().header(IdHeader);
@@ -516,6 +553,7 @@
   m_results.sweep(Now);
   m_assignment.sweep(Now);
   m_waiting.sweep(Now);
+  m_returns.sweep(Now);
 }
 
 } // namespace burdockpulley
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -2,6 +2,7 @@
 #define BURDOCKPULLEY_LIBGATEWAY_REQUEST_RELAY_H
 
 #include "attempt_results.h"
+#include "burdockpulley/return_planner.h"
 #include "burdockpulley/shared_limits.h"
 #include "connection_pools.h"
 #include "gateway_state.h"
@@ -89,6 +90,13 @@
   bool chargeQuota(PendingRequest &Pending, Instant Now);
   /// Takes back the charge of a request that no upstream has run.
   void refundQuota(PendingRequest &Pending);
+  /// Finds out whether a new request was refused before.
+  void detectReturn(PendingRequest &Pending, Instant Now);
+  /// Retry-After of a request for which there will be capacity after \p Wait;
+  /// zero if it would be refused again.
+  Duration plannedRetryAfter(const PendingRequest &Pending,
+                             const ServiceCapacity &Capacity, Duration Wait,
+                             Instant Now);
   /// Sends a new request, or queues it.
   void accept(std::unique_ptr<PendingRequest> NewRequest, Instant Now);
   /// Sends a request to an upstream, or ends it if no upstream may run it or
@@ -134,6 +142,7 @@
   RequestIntake m_intake;
   UpstreamAssignment m_assignment;
   WaitingRequests m_waiting;
+  ReturnPlanner m_returns;
   std::map<ServiceId, SharedRetryBudget> m_retryBudgets;
   std::map<RequestNumber, std::unique_ptr<PendingRequest>> m_pending;
   KeyRequestCounts m_keyRequestCounts;
--- a/src/libgateway/wait_queue.cpp
+++ b/src/libgateway/wait_queue.cpp
@@ -112,9 +112,9 @@
   bool ExpectedLate = Now + Wait >= lateAt(Request);
   // Late requests are overtaken by all that can still meet their goal. If these
   // take the whole capacity, none of the late ones is sent.
-  bool Hopeless = ExpectedLate && Now - m_lastMiss < OverloadGap &&
-                  Now - m_missesSince > OverloadTime &&
-                  m_expectedLate.givenUpShare() > MaxGivenUpShare;
+  auto Similar = m_endings.find(Request.m_priority);
+  bool Hopeless = ExpectedLate && Similar != m_endings.end() &&
+                  Similar->second.hopeless(Now);
   if (!Hopeless && Now + Wait < latestStart(Request)) {
     bool Late = Now >= lateAt(Request);
     m_waiting.insert(Request, Late, latestStart(Request)).m_expectedLate =
@@ -127,13 +127,13 @@
     m_recentlyQueued += 1;
     return std::nullopt;
   }
-  onMiss(Now);
+  m_endings[Request.m_priority].onMiss(Now);
   Duration BaseDelay = std::clamp(std::max(Wait / 2, Request.m_workTime / 2),
                                   MinRetryAfter, MaxRetryAfter);
   double Overload = 1 + m_recentlyRefused / std::max(m_recentlyQueued, 1.0);
   m_recentlyRefused += 1;
   Duration Delay = std::min(scaled(BaseDelay, Overload), MaxOverloadRetryAfter);
-  return Refusal{std::max(Delay, Capacity.m_pause)};
+  return Refusal{std::max(Delay, Capacity.m_pause), Wait};
 }
 
 void WaitQueue::decayCounts(Instant Now) {
@@ -144,16 +144,23 @@
   m_recentlyRefused *= Remaining;
   double RemainingEndings =
       std::exp(-Elapsed / static_cast<double>(EndingsDecayTime.count()));
-  m_expectedLate.m_sent *= RemainingEndings;
-  m_expectedLate.m_givenUp *= RemainingEndings;
+  for (auto It = m_endings.begin(); It != m_endings.end();) {
+    It->second.m_sent *= RemainingEndings;
+    It->second.m_givenUp *= RemainingEndings;
+    bool Forgotten = It->second.m_givenUp < NegligibleRefusals &&
+                     Now - It->second.m_lastMiss >= OverloadGap;
+    It = Forgotten ? m_endings.erase(It) : std::next(It);
+  }
   m_countsDecayedAt = Now;
 }
 
 bool WaitQueue::discardable(Instant Now) const {
   auto Elapsed = static_cast<double>((Now - m_countsDecayedAt).count());
-  double GivenUp =
-      m_expectedLate.m_givenUp *
-      std::exp(-Elapsed / static_cast<double>(EndingsDecayTime.count()));
+  double GivenUp = 0;
+  for (const auto &[Priority, Each] : m_endings)
+    GivenUp +=
+        Each.m_givenUp *
+        std::exp(-Elapsed / static_cast<double>(EndingsDecayTime.count()));
   double Refused =
       m_recentlyRefused *
       std::exp(-Elapsed / static_cast<double>(CountDecayTime.count()));
@@ -202,25 +209,29 @@
         return TooLate;
       });
   for (RequestNumber Number : Refused) {
-    onMiss(Now);
-    countEnding(*m_waiting.find(Number), true);
+    const RankedRequests::Node &Node = *m_waiting.find(Number);
+    m_endings[Node.m_request.m_priority].onMiss(Now);
+    countEnding(Node, true);
     erase(Number);
   }
   return Refused;
 }
 
-void WaitQueue::onMiss(Instant Now) {
+void WaitQueue::Endings::onMiss(Instant Now) {
   if (Now - std::exchange(m_lastMiss, Now) >= OverloadGap)
     m_missesSince = Now;
 }
 
-double WaitQueue::Endings::givenUpShare() const {
-  return m_givenUp / (m_sent + m_givenUp + PriorEndings);
+bool WaitQueue::Endings::hopeless(Instant Now) const {
+  return Now - m_lastMiss < OverloadGap && Now - m_missesSince > OverloadTime &&
+         m_givenUp > MaxGivenUpShare * (m_sent + m_givenUp + PriorEndings);
 }
 
 void WaitQueue::countEnding(const RankedRequests::Node &Ended, bool GivenUp) {
-  if (Ended.m_expectedLate)
-    (GivenUp ? m_expectedLate.m_givenUp : m_expectedLate.m_sent) += 1;
+  if (!Ended.m_expectedLate)
+    return;
+  Endings &Counts = m_endings[Ended.m_request.m_priority];
+  (GivenUp ? Counts.m_givenUp : Counts.m_sent) += 1;
 }
 
 bool WaitQueue::erase(RequestNumber Number) {
