--- a/src/libgateway/command_queue_test.cpp
+++ b/src/libgateway/command_queue_test.cpp
@@ -1,4 +1,4 @@
-#include "coordinator_driver.h"
+#include "command_queue.h"
 
 #include "libhttp/raw_server.h"
 
--- a/src/libgateway/coordinator_driver.cpp
+++ b/src/libgateway/coordinator_driver.cpp
@@ -43,7 +43,6 @@
 constexpr double MinServiceSeconds = 0.001;
 /// Matches no connection of a pool.
 constexpr std::uint64_t NoConnection = ~std::uint64_t(0);
-constexpr Duration GrantTimeout{400'000};
 /// A coordinator steps down after its paths to the upstreams have been lost for
 /// this time. Grants outlive it and the election of another host.
 constexpr Duration MaxPathLoss{300'000};
@@ -64,83 +63,12 @@
       static_cast<std::int64_t>(static_cast<double>(Time.count()) * Factor));
 }
 
-/// Responses to commands consist of a few header lines.
-constexpr std::size_t MaxCommandResponseBytes = 64 << 10;
-
-/// Settings of the connections for commands. Upstreams may leave out the id in
-/// responses to them.
-ChannelPoolSettings commandSettings(const PlatformCodec &Codec) {
-  ChannelPoolSettings Settings;
-  Settings.m_maxResponseBytes = MaxCommandResponseBytes;
-  Settings.m_echoHeader = Codec.headers().m_requestId;
-  Settings.m_echoRequired = false;
-  Settings.m_maxSendDelay = Settings.m_connectTimeout;
-  return Settings;
-}
-
-/// Settings of the connection for grants. What is not delivered in time is not
-/// delivered at all, also if this process is suspended meanwhile.
-ChannelPoolSettings grantSettings(const PlatformCodec &Codec) {
-  ChannelPoolSettings Settings = commandSettings(Codec);
-  Settings.m_unacknowledgedTimeout = GrantTimeout;
-  return Settings;
-}
-
-/// Settings of the connections for releases. Each has one of its own: a
-/// response to an earlier command that the upstream repeats, without an id,
-/// would show keys as released that the owner still holds.
-ChannelPoolSettings releaseSettings(const PlatformCodec &Codec) {
-  ChannelPoolSettings Settings = commandSettings(Codec);
-  Settings.m_maxConnections = 0;
-  return Settings;
-}
-
-ChannelPoolSettings oneConnection(ChannelPoolSettings Settings) {
-  Settings.m_maxConnections = 1;
-  return Settings;
-}
-
 std::string tableKey(const ServiceId &Service) {
   return store_keys::KeyTables + Service.value();
 }
 
 } // namespace
 
-CommandQueue::CommandQueue(event_base *Base, const Endpoint &Address,
-                           ChannelPoolSettings Settings)
-    : m_address(Address), m_pool(Base, Address, oneConnection(Settings)) {}
-
-void CommandQueue::push(Command Queued) {
-  m_commands.push_back(std::move(Queued));
-  if (!m_busy)
-    startNext(bootClockNow());
-}
-
-void CommandQueue::startNext(Instant Now) {
-  while (!m_commands.empty() && (Now > m_commands.front().m_sendBefore ||
-                                 !m_commands.front().m_allowed())) {
-    Command NotSent = std::move(m_commands.front());
-    m_commands.pop_front();
-    ChannelResult Result;
-    Result.m_error = ChannelError::ConnectFailed;
-    NotSent.m_done(std::move(Result));
-  }
-  if (m_commands.empty())
-    return;
-  Command Next = std::move(m_commands.front());
-  m_commands.pop_front();
-  m_busy = true;
-  m_pool.call(
-      Next.m_request, Next.m_id, Next.m_timeout, ChannelPool::Reuse::Any,
-      [this, Done = std::move(Next.m_done)](ChannelResult &&Result) {
-        m_busy = false;
-        Done(std::move(Result));
-        if (!m_busy)
-          startNext(bootClockNow());
-      },
-      Next.m_connection);
-}
-
 CoordinatorDriver::CoordinatorDriver(GatewayState &State, WatchableStore &Store)
     : m_state(State), m_store(Store), m_random(std::random_device()()) {}
 
