team quota: charge what other hosts have probably admitted

Buckets of hosts that a team's requests seldom reach did not follow the reports, restarted hosts took the whole bucket for their share, and both sides of a partition spent the other's rate until they noticed it.

Buckets now start empty at the host's start, are charged with each report and with the measured rate of each host since its last report, and admissions without a draw are bounded by what the other hosts expect.

--- a/src/include/burdockpulley/shared_token_bucket.h
+++ b/src/include/burdockpulley/shared_token_bucket.h
@@ -42,13 +42,14 @@
   /// hosts.
   void refill(const Limits &Current, double PeerRequests, Instant Now);
 
-  /// True if this host holds a token that it has drawn, or draws one now.
-  /// \p Demand and \p PeerDemand: requests that wait, or are expected, here and
-  /// at the other hosts. \p BaseDemand: added for each host, so that those
-  /// without demand get a share, too. \p Interval: time between two draws, at
-  /// most the report interval.
+  /// True if this host holds a token that it has drawn, or draws its share of
+  /// the tokens now. \p Demand and \p PeerDemand: requests that wait, or are
+  /// expected, here and at the other hosts.
   bool draw(const LimitSharers &Sharers, double Demand, double PeerDemand,
-            double BaseDemand, Duration Interval, std::mt19937_64 &Random,
+            std::mt19937_64 &Random, Instant Now);
+  /// The same for \p Tokens, which the caller takes for the host's share, at
+  /// most once per \p Interval.
+  bool draw(double Tokens, Duration Interval, std::mt19937_64 &Random,
             Instant Now);
 
   /// Charges one request of this host.
@@ -57,6 +58,8 @@
   void refund() { m_tokens += 1; }
   /// Holds at least \p Tokens now.
   void raiseTo(double Tokens);
+  /// Holds at most \p Tokens now.
+  void lowerTo(double Tokens);
 
   double tokens() const { return m_tokens; } ///< Below zero if tokens are owed.
   /// Requests sent lately, by this host and by the others; older ones count for
--- a/src/include/burdockpulley/team_quota.h
+++ b/src/include/burdockpulley/team_quota.h
@@ -18,21 +18,23 @@
   std::uint32_t m_admitted = 0; ///< Requests since the host's start.
   std::uint32_t m_refunded = 0; ///< Those of them that no upstream has run.
   double m_demand = 0;          ///< Requests a second, admitted or not.
-  /// What the host sees left of the burst, 0 to 1; nothing if it is full, and
-  /// the host has been there for long enough to know.
+  /// What the host sees left of the burst, 0 to 1.
   std::optional<double> m_left;
 };
 
 /// Keeps the requests of each team within its rate and burst over all hosts.
 ///
 /// Used when a team sends more than its limit, at one host, at many, or at
-/// hosts that change from second to second. Each host charges what all hosts
-/// report (see SharedTokenBucket). While more is left than the team may spend
-/// before the next reports, requests are admitted at once; nearer to the limit
-/// each host admits what it draws, so that hosts that do not yet know of each
-/// other's requests do not overspend. Of silent hosts, which may be cut off and
-/// go on admitting, an equal part of rate and burst is left out. A host that
-/// has just started goes by what the others see left. Thread safety: none.
+/// hosts that change from second to second. Each host has a bucket that is
+/// charged with what all hosts report (see SharedTokenBucket), and with what
+/// the others have probably admitted since their last reports. While more is
+/// left than the team may spend before the next reports, requests are admitted
+/// at once; nearer to the limit each host draws its share by demand.
+///
+/// Of silent hosts, which may be cut off and go on admitting, an equal part of
+/// rate and burst is left out. A host starts with an empty bucket, and goes by
+/// what the others see left once each of them has reported.
+/// Thread safety: none.
 class TeamQuota {
 public:
   struct Settings {
@@ -72,35 +74,65 @@
 
 private:
   struct TeamState {
+    struct PeerUse {
+      TeamUse m_use; ///< The last report.
+      Instant m_reportedAt;
+      double m_rate = 0;    ///< Requests a second that the host admits.
+      double m_assumed = 0; ///< Charged as the host has become silent.
+    };
+
     SharedTokenBucket m_bucket;
-    double m_capacity = 0;    ///< Of the bucket, as last refilled.
+    double m_rate = 0; ///< Limits of the bucket, as last known.
+    double m_capacity = 0;
+    double m_maxDebt = 0;
     bool m_fromPeers = false; ///< Has gone by what the others see left.
     std::uint32_t m_admitted = 0;
     std::uint32_t m_refunded = 0;
+    double m_recent = 0; ///< Admitted in the last report interval, decaying.
+    Instant m_recentAt;
     double m_peerRequests = 0; ///< Reported since the last refill.
-    double m_demand = 0;       ///< Requests of the last second, decaying.
+    double m_demand = 0;       ///< Requests a second, decaying.
     Instant m_demandAt;
+    double m_reportedDemand = 0; ///< As the others know it.
     Instant m_lastRequestAt;
     std::uint32_t m_refusedInRow = 0;
-    struct PeerUse {
-      TeamUse m_use; ///< The last report.
-      Instant m_reportedAt;
-    };
     std::map<HostId, PeerUse> m_peers;
+    /// Sums over m_peers: demand, and requests expected since their reports.
+    double m_peerDemand = 0;
+    double m_unreported = 0;
+    Instant m_summedAt;
   };
 
-  TeamState &stateOf(NameHash Team, Instant Now);
-  void refill(TeamState &State, const TeamPolicy &Team,
-              const LimitSharers &Sharers, Instant Now) const;
+  void start(Instant Now) {
+    if (m_startedAt == Instant())
+      m_startedAt = Now;
+  }
+  TeamState &stateOf(NameHash Team);
+  /// Time after which a host without reports is taken for silent.
+  Duration silence() const;
+  /// Time after the start in which each host that reports has done so.
+  Duration firstReports() const;
+  /// Sets the bucket of a new host by what the others see left.
+  void goByPeers(TeamState &State, Instant Now) const;
+  /// Rate at which a host admits that has reported once.
+  static double firstRate(const TeamState &State, const TeamUse &Use);
+  void sumPeers(TeamState &State, Instant Now) const;
+  void refill(TeamState &State, Instant Now);
+  void applyLimits(TeamState &State, const TeamPolicy &Team,
+                   const LimitSharers &Sharers, Instant Now);
+  bool mayAdmit(TeamState &State, const TeamPolicy &Team,
+                const LimitSharers &Sharers, std::mt19937_64 &Random,
+                Instant Now);
+  void onPeerUse(TeamState &State, TeamState::PeerUse &Known, bool New,
+                 bool FirstHeard, bool WasSilent, const TeamUse &Use,
+                 Instant Now);
   static void countDemand(TeamState &State, double Requests, Instant Now);
-  static double peerDemand(const TeamState &State, const LimitSharers &Sharers);
 
   Settings m_terms;
   std::map<NameHash, TeamState> m_teams;
-  /// When the first request or report came; what others see left counts for a
-  /// while from then on.
-  Instant m_startedAt;
-  std::map<NameHash, double> m_leftAtPeers; ///< Least that they have reported.
+  std::map<HostId, Instant> m_heardAt; ///< Last report of each host.
+  Duration m_reportInterval{};
+  Instant m_startedAt; ///< Of the first request or report.
 };
 
 } // namespace burdockpulley
--- a/src/libgateway/request_limiter.cpp
+++ b/src/libgateway/request_limiter.cpp
@@ -59,7 +59,7 @@
       Upstream.m_peerSent - PeerSentBefore, Now);
   return m_bucket.draw(Sharers, Upstream.m_waiting + m_bucket.recentlySent(),
                        Upstream.m_peerWaiting + m_bucket.recentlySentByPeers(),
-                       1, Sharers.m_reportInterval, Random, Now);
+                       Random, Now);
 }
 
 } // namespace burdockpulley
--- a/src/libgateway/shared_token_bucket.cpp
+++ b/src/libgateway/shared_token_bucket.cpp
@@ -33,24 +33,22 @@
 }
 
 bool SharedTokenBucket::draw(const LimitSharers &Sharers, double Demand,
-                             double PeerDemand, double BaseDemand,
-                             Duration Interval, std::mt19937_64 &Random,
+                             double PeerDemand, std::mt19937_64 &Random,
                              Instant Now) {
+  double Share = (1 + Demand) / (static_cast<double>(Sharers.m_reporting) +
+                                 Demand + PeerDemand);
+  return draw(m_tokens * Share, Sharers.m_reportInterval, Random, Now);
+}
+
+bool SharedTokenBucket::draw(double Tokens, Duration Interval,
+                             std::mt19937_64 &Random, Instant Now) {
   if (Now < m_nextDrawAt)
     return m_drawn > 0;
   m_nextDrawAt = Now + Interval;
-  double Share = (BaseDemand + Demand) /
-                 (BaseDemand * static_cast<double>(Sharers.m_reporting) +
-                  Demand + PeerDemand);
-  // What the others draw is unknown for a report interval. This host knows of
-  // its own draws at once.
-  if (Interval < Sharers.m_reportInterval)
-    Share *= Share + (1 - Share) * static_cast<double>(Interval.count()) /
-                         static_cast<double>(Sharers.m_reportInterval.count());
   std::uniform_real_distribution<double> RandomFraction(0, 1);
-  m_drawn = static_cast<std::uint32_t>(std::max(0.0, m_tokens) * Share +
+  m_drawn = static_cast<std::uint32_t>(std::max(0.0, Tokens) +
                                        RandomFraction(Random));
-  if (m_tokens <= 0)
+  if (Tokens <= 0)
     m_drawn = 0;
   return m_drawn > 0;
 }
@@ -65,4 +63,8 @@
   m_tokens = std::max(m_tokens, Tokens);
 }
 
+void SharedTokenBucket::lowerTo(double Tokens) {
+  m_tokens = std::min(m_tokens, Tokens);
+}
+
 } // namespace burdockpulley
