gateway: count refusals by quota and requests without a known API key

Operators could tell a team that is over its quota from other refusals only by the log lines of single requests. Two counters show them, by team for at most 200 names, as configurations may rename teams for as long as a host runs; no label has a key. The code compiles and runs in gateway_test; no test reads the two values yet.

--- a/src/libgateway/gateway_metrics.cpp
+++ b/src/libgateway/gateway_metrics.cpp
@@ -32,6 +32,13 @@
       m_returns(counter(m_registry, "burdockpulley_gateway_returns_total",
                         "Requests that were refused before and have come "
                         "back, by route and outcome")),
+      m_quotaRefusals(counter(m_registry,
+                              "burdockpulley_gateway_quota_refusals_total",
+                              "Requests refused by quota, by team")),
+      m_unknownApiKeys(counter(m_registry,
+                               "burdockpulley_gateway_unknown_api_keys_total",
+                               "Requests refused as they had no known API key")
+                           .Add({})),
       m_attempts(counter(m_registry, "burdockpulley_gateway_attempts_total",
                          "Attempts at upstreams by service and end")),
       m_storeCalls(counter(m_registry,
@@ -105,6 +112,15 @@
       .Increment();
 }
 
+void GatewayMetrics::onQuotaRefusal(const TeamId &Team) {
+  bool Known = m_teamLabels.count(Team) != 0;
+  if (!Known && m_teamLabels.size() < MaxTeamLabels)
+    Known = m_teamLabels.insert(Team).second;
+  m_quotaRefusals.Add({{"team", Known ? Team.value() : "(other)"}}).Increment();
+}
+
+void GatewayMetrics::onUnknownApiKey() { m_unknownApiKeys.Increment(); }
+
 void GatewayMetrics::onGrantEnded(std::string_view Outcome, Duration Time) {
   m_grantSeconds.Add({{"outcome", std::string(Outcome)}}, LatencyBuckets)
       .Observe(std::chrono::duration<double>(Time).count());
--- a/src/libgateway/gateway_metrics.h
+++ b/src/libgateway/gateway_metrics.h
@@ -10,13 +10,14 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <set>
 #include <string>
 #include <string_view>
 
 namespace burdockpulley {
 
-/// The metrics of one entry host. No label contains a shard key, a path or a
-/// caller.
+/// The metrics of one entry host. No label contains an API key, a shard key,
+/// a path or a caller.
 /// Thread safety: none; it belongs to the loop's thread.
 class GatewayMetrics {
 public:
@@ -29,6 +30,11 @@
   /// A request that was refused before has got its final response. \p Outcome
   /// comes from a fixed set.
   void onReturnEnded(const std::string &Route, std::string_view Outcome);
+  /// A request was refused as its team has used up its quota. Teams beyond
+  /// MaxTeamLabels are counted together.
+  void onQuotaRefusal(const TeamId &Team);
+  /// A request needed an API key and had no known one.
+  void onUnknownApiKey();
   /// An attempt at an upstream has ended. \p Outcome comes from a fixed set.
   void onAttempt(const ServiceId &Service, std::string_view Outcome);
   /// A call to the store has ended. \p Call and \p Result come from fixed sets.
@@ -62,11 +68,18 @@
   /// All values in the Prometheus text format.
   std::string text() const;
 
+  /// Configurations may rename teams for as long as a host runs, and each label
+  /// value stays in memory.
+  static constexpr std::size_t MaxTeamLabels = 200;
+
 private:
   prometheus::Registry m_registry;
   prometheus::Family<prometheus::Counter> &m_requests;
   prometheus::Family<prometheus::Histogram> &m_requestSeconds;
   prometheus::Family<prometheus::Counter> &m_returns;
+  prometheus::Family<prometheus::Counter> &m_quotaRefusals;
+  std::set<TeamId> m_teamLabels;
+  prometheus::Counter &m_unknownApiKeys;
   prometheus::Family<prometheus::Counter> &m_attempts;
   prometheus::Family<prometheus::Counter> &m_storeCalls;
   prometheus::Family<prometheus::Histogram> &m_grantSeconds;
--- a/src/libgateway/request_intake.cpp
+++ b/src/libgateway/request_intake.cpp
@@ -85,11 +85,12 @@
       m_state.m_routes.find(Request.header("Host"), Request.m_target);
   if (!Pending->m_route || Pending->m_route->m_targets.empty())
     return Reject(LocalStatus::NotFound, "no-route", {});
-  if (!readTeam(*Pending, Names))
-    return Pending->m_forwarded // The configurations of the hosts differ.
-               ? Reject(LocalStatus::Unavailable, "no-team",
-                        NoServiceRetryAfter)
-               : Reject(LocalStatus::Unauthorized, "no-api-key", {});
+  if (!readTeam(*Pending, Names)) {
+    if (Pending->m_forwarded) // The configurations of the hosts differ.
+      return Reject(LocalStatus::Unavailable, "no-team", NoServiceRetryAfter);
+    m_state.m_metrics.onUnknownApiKey();
+    return Reject(LocalStatus::Unauthorized, "no-api-key", {});
+  }
   const RouteTarget *Target = chooseTarget(*Pending);
   if (!Target) // The configurations of the two hosts differ.
     return Reject(LocalStatus::Unavailable, "no-service", NoServiceRetryAfter);
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -117,6 +117,8 @@
     return true;
   Pending.m_chargedToQuota = m_state.m_teamQuota.admit(
       *Pending.m_team, m_state.limitSharers(), m_random, Now);
+  if (!Pending.m_chargedToQuota)
+    m_state.m_metrics.onQuotaRefusal(Pending.m_team->m_name);
   return Pending.m_chargedToQuota;
 }
 
