--- a/src/libgateway/compatibility_test.cpp
+++ b/src/libgateway/compatibility_test.cpp
@@ -201,6 +201,26 @@
                       "1a00191c159a011508001116b80611110000");
 }
 
+BOOST_AUTO_TEST_CASE(teams_are_added_behind_the_known_fields) {
+  HostRecord Record = hostRecord();
+  Record.m_relays = true;
+  Record.m_teams = true;
+  BOOST_TEST(encodeHostRecord(Record) == GoldenHostRecord + " relays teams");
+  BOOST_TEST((decodeHostRecord(GoldenHostRecord + " relays teams") == Record));
+  wire::TeamUse Use;
+  Use.team = -77;
+  Use.admitted = 1200;
+  Use.demandHundredths = 4250;
+  Use.__set_leftPercent(40);
+  Use.__set_refunded(3);
+  wire::Datagram Status = hostStatus();
+  Status.hostStatus.__set_teams({Use});
+  requireSame(Status,
+              "18026831168280f281838985061c191c15ff880f15061504150215ac"
+              "021550150a15dc01150e170000000000002940153c15c60115280019"
+              "1c159a011508001116b8061111191c15990115e01215b44215501506000000");
+}
+
 // A message of a later version.
 BOOST_AUTO_TEST_CASE(unknown_fields_are_skipped) {
   // Field 15 of the outermost struct, a string, before its end.
--- a/src/libgateway/coordinator_driver_test.cpp
+++ b/src/libgateway/coordinator_driver_test.cpp
@@ -1,5 +1,6 @@
 #include "burdockpulley/clock.h"
 #include "coordinator_driver.h"
+#include "no_codec.h"
 #include "store_keys.h"
 
 #include "libhttp/raw_server.h"
@@ -78,24 +79,8 @@
 };
 
 /// Commands are all alike, and a status is all that responses say.
-class StatusCodec : public PlatformCodec {
+class StatusCodec : public NoCodec {
 public:
-  const HeaderNames &headers() const override { return m_headers; }
-  RegistryChange decodeEntry(const StoreEntry &) override { return {}; }
-  RegistryChange decodeRemoval(const std::string &) override { return {}; }
-  std::vector<std::string> followedPrefixes() const override { return {}; }
-  std::optional<UpstreamId> upstreamOfKey(const std::string &) const override {
-    return std::nullopt;
-  }
-  std::optional<LoadReport> decodeLoad(std::string_view) const override {
-    return std::nullopt;
-  }
-  std::optional<double> decodeRequestLimit(std::string_view) const override {
-    return std::nullopt;
-  }
-  UpstreamNotice decodeNotice(const HttpResponse &) const override {
-    return {};
-  }
   HttpRequest encodeGrant(const GrantCommand &) const override {
     return {"POST", "/grant", {{"Host", "a"}}, "{}", ""};
   }
@@ -103,17 +88,6 @@
     return Response.m_status == 200 ? GrantOutcome::Granted
                                     : GrantOutcome::Unanswered;
   }
-  HttpRequest encodeRelease(const ReleaseCommand &) const override {
-    return {};
-  }
-  std::optional<std::string>
-  decodeRelease(const HttpResponse &) const override {
-    return std::nullopt;
-  }
-  bool showsOtherUpstream(const HttpResponse &) const override { return false; }
-
-private:
-  HeaderNames m_headers;
 };
 
 GatewaySettings hostSettings(const char *Host) {
--- a/src/libgateway/request_forwarder_test.cpp
+++ b/src/libgateway/request_forwarder_test.cpp
@@ -1,8 +1,10 @@
 #include "request_forwarder.h"
 
 #include "burdockpulley/upstream_reachability.h"
+#include "no_codec.h"
 
 #include <boost/test/unit_test.hpp>
+#include <event2/event.h>
 
 using namespace burdockpulley;
 
@@ -109,3 +111,37 @@
   BOOST_TEST(
       (readOutcome(HttpResponse{404, {}, ""}) == ForwardOutcome::NotServed));
 }
+
+// An older host would ignore the team, and want the key that was dropped.
+BOOST_AUTO_TEST_CASE(a_forwarded_request_carries_its_team) {
+  HttpRequest Request;
+  addForwardHeaders(Request, {ServiceId("fee"), 2, TeamId("returns")});
+  BOOST_REQUIRE(readForwardHeaders(Request).has_value());
+  BOOST_TEST(readForwardHeaders(Request)->m_team.value() == "returns");
+  for (const HttpHeader &Header : Request.m_headers)
+    BOOST_TEST(isForwardHeader(Header.m_name));
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_knows_no_teams_gets_no_request_of_one) {
+  NoCodec Codec;
+  event_base *Base = event_base_new();
+  {
+    GatewayState State(Base, GatewaySettings(), Codec);
+    RequestForwarder Forwarder(State);
+    ForwardingPeer Older;
+    Older.m_host = HostId("older");
+    ForwardingPeer Newer;
+    Newer.m_host = HostId("newer");
+    Newer.m_record.m_teams = true;
+    State.m_forwardingPeers = {Older};
+    BOOST_TEST(!Forwarder.choose(std::nullopt, {}, true, at(0)));
+    BOOST_TEST(!Forwarder.choose(Older.m_host, {}, true, at(0)));
+    BOOST_TEST(Forwarder.choose(std::nullopt, {}, false, at(0)));
+    State.m_forwardingPeers = {Older, Newer};
+    const ForwardingPeer *Chosen =
+        Forwarder.choose(Older.m_host, {}, true, at(0));
+    BOOST_REQUIRE(Chosen);
+    BOOST_TEST(Chosen->m_host.value() == "newer");
+  }
+  event_base_free(Base);
+}
