memory budget: release memory after callers with unfinished bodies left

Paused bodies whose callers had closed stayed charged for minutes: 67 MiB of 71 were still resident ten seconds later. All paused bodies were read again at once, so none came to the end that the kernel held behind its data.

--- a/src/include/burdockpulley/memory_budget.h
+++ b/src/include/burdockpulley/memory_budget.h
@@ -74,7 +74,11 @@
   Level level() const;
   /// Returns true if more of a body may be read, of which \p Received bytes are
   /// kept.
-  bool mayRead(std::size_t Received, const Account *Owner) const;
+  bool mayRead(std::size_t Received, const Account *Owner);
+  /// Returns true if a body may be read again of which \p Missing bytes are
+  /// still to come. Only as many bodies go on as there is room to finish.
+  bool mayResume(std::size_t Received, std::size_t Missing,
+                 const Account *Owner);
   /// Returns true if a request may be begun whose body is not received yet.
   bool mayBeginBody(const Account *Owner) const;
   /// Returns true if a request may be served that has been received entirely.
@@ -113,8 +117,12 @@
   std::size_t m_total = 0;
   std::array<std::size_t, MemoryKindCount> m_used{};
   std::unordered_map<std::string, std::weak_ptr<Account>> m_accounts;
-  std::size_t m_holders = 0; ///< Accounts with at least MinHeldBytes.
-  Instant m_tightSince;      ///< Zero while the level is Ample.
+  std::size_t m_holders = 0;     ///< Accounts with at least MinHeldBytes.
+  bool m_readingStopped = false; ///< Of large bodies, until enough is released.
+  /// Missing bytes of the bodies that were resumed since the last
+  /// bodiesToGiveUp().
+  std::size_t m_resumedBytes = 0;
+  Instant m_tightSince; ///< When that was first seen; zero while they are read.
   std::size_t m_peakSinceTrim = 0;
   Instant m_trimmed;
 };
--- a/src/libhttp/caller_connection.cpp
+++ b/src/libhttp/caller_connection.cpp
@@ -189,8 +189,7 @@
 }
 
 bool CallerConnection::bodyStalled(Instant Now) const {
-  // While reading is paused, the end of the stream is not read either.
-  return callerEnded() || (Now - m_since >= StallTime && !hasUnreadInput());
+  return Now - m_since >= StallTime && !hasUnreadInput();
 }
 
 bool CallerConnection::callerEnded() const {
@@ -239,7 +238,7 @@
 }
 
 bool CallerConnection::admitInput() {
-  const MemoryBudget *Budget = m_listener.m_budget;
+  MemoryBudget *Budget = m_listener.m_budget;
   if (!Budget)
     return true;
   if (receivingBody() &&
@@ -468,7 +467,11 @@
   if (readsTooSlowly(Now))
     return closeFor(CallerLimit::SlowReader);
   if (m_pausedSince != Instant()) {
-    if (m_listener.m_budget->mayRead(m_parser.m_body.size(), m_account.get()))
+    // While reading is paused, the end of the stream is not read.
+    if (callerEnded())
+      return giveUpBody();
+    if (m_listener.m_budget->mayResume(
+            m_parser.m_body.size(), m_parser.missingBytes(), m_account.get()))
       resumeReading(Now);
     return;
   }
--- a/src/libhttp/caller_limits_test.cpp
+++ b/src/libhttp/caller_limits_test.cpp
@@ -137,7 +137,7 @@
   BOOST_TEST((m_budget.level() == MemoryBudget::Level::Ample));
   Callers.clear();
   runUntil([&] {
-    // Connections that are not read show their end once reading goes on.
+    // Of connections that are not read, the end is found by sweep().
     m_listener.sweep(Now + std::chrono::seconds(2));
     return m_listener.connections() <= 1;
   });
--- a/src/libhttp/memory_budget.cpp
+++ b/src/libhttp/memory_budget.cpp
@@ -14,7 +14,9 @@
 constexpr std::size_t TightSixteenths = 11;
 constexpr std::size_t ScarceSixteenths = 13;
 /// Reading goes on below this, so that it does not stop and start at each body.
-constexpr std::size_t ResumeSixteenths = 10;
+constexpr std::size_t ResumeSixteenths = 8;
+/// Bodies that could go on, given up at once.
+constexpr std::size_t GiveUpSixteenths = 2;
 /// Bodies up to this size are read until memory is scarce: ordinary requests
 /// are small, and finish at once.
 constexpr std::size_t SmallBodyBytes = 64 << 10;
@@ -93,13 +95,22 @@
          Owner->m_bytes > 2 * (m_maxBytes / (m_holders + 1));
 }
 
-bool MemoryBudget::mayRead(std::size_t Received, const Account *Owner) const {
-  if (Received < SmallBodyBytes && !overShare(Owner))
+bool MemoryBudget::mayRead(std::size_t Received, const Account *Owner) {
+  bool WithinShare = !overShare(Owner);
+  if (Received < SmallBodyBytes && WithinShare)
     return level() < Level::Scarce;
-  // Reading stops at one level and starts again at another.
-  std::size_t Stop =
-      m_tightSince == Instant() ? TightSixteenths : ResumeSixteenths;
-  return m_total < m_maxBytes / Sixteenths * Stop && !overShare(Owner);
+  std::size_t Stop = m_readingStopped ? ResumeSixteenths : TightSixteenths;
+  m_readingStopped = m_total >= m_maxBytes / Sixteenths * Stop;
+  return !m_readingStopped && WithinShare;
+}
+
+bool MemoryBudget::mayResume(std::size_t Received, std::size_t Missing,
+                             const Account *Owner) {
+  std::size_t Tight = m_maxBytes / Sixteenths * TightSixteenths;
+  if (!mayRead(Received, Owner) || m_total + m_resumedBytes + Missing > Tight)
+    return false;
+  m_resumedBytes += Missing;
+  return true;
 }
 
 bool MemoryBudget::mayBeginBody(const Account *Owner) const {
@@ -107,18 +118,24 @@
 }
 
 std::size_t MemoryBudget::bodiesToGiveUp(bool Stalled, Instant Now) {
+  m_resumedBytes = 0;
   std::size_t Resume = m_maxBytes / Sixteenths * ResumeSixteenths;
-  if (level() == Level::Ample && m_total < Resume)
+  if (m_total < Resume) {
+    m_readingStopped = false;
     m_tightSince = Instant();
-  else if (level() != Level::Ample && m_tightSince == Instant())
-    m_tightSince = Now;
-  if (m_tightSince == Instant())
     return 0;
+  }
+  m_readingStopped |= level() != Level::Ample;
+  if (!m_readingStopped)
+    return 0;
+  if (m_tightSince == Instant())
+    m_tightSince = Now;
   if (level() < Level::Scarce && Now - m_tightSince < GiveUpDelay)
     return 0;
-  std::size_t Excess = m_total < Resume ? 0 : m_total - Resume + 1;
+  std::size_t Excess = m_total - Resume + 1;
   // Callers that still send get time to finish as others are given up.
-  return Stalled ? Excess : std::min(Excess, m_maxBytes / Sixteenths);
+  return Stalled ? Excess
+                 : std::min(Excess, m_maxBytes / Sixteenths * GiveUpSixteenths);
 }
 
 std::size_t MemoryBudget::unreadToGiveUp() const {
--- a/src/libhttp/memory_budget_test.cpp
+++ b/src/libhttp/memory_budget_test.cpp
@@ -65,12 +65,14 @@
   BOOST_TEST(m_budget.bodiesToGiveUp(true, Start) == 0u);
   Instant Later = Start + std::chrono::seconds(1);
   BOOST_TEST(m_budget.bodiesToGiveUp(true, Later) > MaxBytes / 16);
-  BOOST_TEST(m_budget.bodiesToGiveUp(false, Later) == MaxBytes / 16);
+  BOOST_TEST(m_budget.bodiesToGiveUp(false, Later) == MaxBytes / 8);
   Held.resize(MaxBytes / 16 * 10);
   BOOST_TEST(!m_budget.mayRead(LargeBody, nullptr));
-  Held.resize(MaxBytes / 2);
+  Held.resize(MaxBytes / 4);
   BOOST_TEST(m_budget.bodiesToGiveUp(true, Later) == 0u);
-  BOOST_TEST(m_budget.mayRead(LargeBody, nullptr));
+  // As many go on as can finish.
+  BOOST_TEST(m_budget.mayResume(LargeBody, MaxBytes / 4, nullptr));
+  BOOST_TEST(!m_budget.mayResume(LargeBody, MaxBytes / 4, nullptr));
   // Scarce memory does not wait.
   Held.resize(MaxBytes * 7 / 8);
   BOOST_TEST(m_budget.bodiesToGiveUp(true, Later) > 0u);
--- a/src/libhttp/message_parser.h
+++ b/src/libhttp/message_parser.h
@@ -56,6 +56,13 @@
   }
   std::size_t bodyMemory() const { return residentBytes(m_body); }
 
+  /// Returns how much of the body is still to come, or as much as there is if
+  /// its length is not known.
+  std::size_t missingBytes() const {
+    return m_announcedBytes > m_body.size() ? m_announcedBytes - m_body.size()
+                                            : m_body.size();
+  }
+
   State state() const { return m_state; }
   Fault fault() const { return m_fault; }
   /// Returns true from the first byte of a message until reset().
