--- a/src/libgateway/upstream_pace.cpp
+++ b/src/libgateway/upstream_pace.cpp
@@ -338,15 +338,22 @@
   Demand = std::min(Demand, m_reportedDemand + MaxUnreportedDemand);
   LimitSharers Sharers = Current.m_sharers;
   Sharers.m_reportInterval = ReportInterval;
-  return m_bucket.draw(
-      Sharers, Demand, Upstream.m_peerWaiting + m_bucket.recentlySentByPeers(),
-      BaseDemand,
-      // A host that hears from few others has a large share,
-      // for which shorter intervals would mean more draws.
-      Current.m_sharers.reportingShare() < MinReportingShare
+  // A host that hears from few others has a large share, for which shorter
+  // intervals would mean more draws.
+  Duration Interval =
+      Sharers.reportingShare() < MinReportingShare
           ? ReportInterval
-          : ReportInterval / static_cast<int>(RemoteStatusPeriod),
-      Random, Now);
+          : ReportInterval / static_cast<int>(RemoteStatusPeriod);
+  double PeerDemand = Upstream.m_peerWaiting + m_bucket.recentlySentByPeers();
+  double Share = (BaseDemand + Demand) /
+                 (BaseDemand * static_cast<double>(Sharers.m_reporting) +
+                  Demand + PeerDemand);
+  // What the others draw is unknown for a report interval. This host knows of
+  // its own draws at once.
+  double Part = static_cast<double>(Interval.count()) /
+                static_cast<double>(ReportInterval.count());
+  Share *= Share + (1 - Share) * Part;
+  return m_bucket.draw(m_bucket.tokens() * Share, Interval, Random, Now);
 }
 
 } // namespace burdockpulley
