http: limit header fields only while memory is scarce; pace only cold newcomers

A request inside the size limits with more than 128 short fields got 431 on an idle host.

Only cold ones are paced now, and a pace without a reduction ends after 5 s, not 30 s.

--- a/src/include/burdockpulley/caller_listener.h
+++ b/src/include/burdockpulley/caller_listener.h
@@ -29,6 +29,8 @@
   /// Longest time between requests, between parts of a request's body, and for
   /// writing a response.
   Duration m_idleTimeout = std::chrono::seconds(15);
+  /// Header fields of a request while memory is scarce. Otherwise the size of
+  /// the header section is the only limit.
   std::size_t m_headerFields = 128;
   /// Least rates, averaged over a whole transfer, at which a caller sends a
   /// body and reads responses. 300 uploads that share a link of 10 Mbit/s have
@@ -178,6 +180,7 @@
   void count(CallerLimit Reason, const std::string &CallerAddress);
   void logLimits(Instant Now);
   std::size_t maxBodyBytes() const;
+  std::size_t maxHeaderFields() const;
   void remove(detail::CallerConnection *Connection);
 
   event_base *m_base;
--- a/src/libgateway/upstream_pace.cpp
+++ b/src/libgateway/upstream_pace.cpp
@@ -43,7 +43,7 @@
 constexpr Duration RecentResponse{500'000};
 /// Without a reduction for this time, the upstream bears what it is sent,
 /// although that may be less than all its slots.
-constexpr Duration MaxQuietTime{30'000'000};
+constexpr Duration MaxQuietTime{5'000'000};
 /// Standard deviations that are left as a margin below the bound: the hosts'
 /// draws are rounded at random, so that the number of requests in a second
 /// varies, though less than a Poisson variable. With one, 9 requests of 11.6
@@ -123,8 +123,11 @@
   Absence Previous = m_absence;
   m_absence = absenceOf(Upstream, Presence, Now);
   if (First)
-    return Upstream.m_joinedLate && m_absence == Absence::None ? "joined"
-                                                               : nullptr;
+    // One that is not cold has started before there was traffic.
+    return Upstream.m_joinedLate && m_absence == Absence::None &&
+                   Upstream.cold(Now)
+               ? "joined"
+               : nullptr;
   if (Before != Upstream.m_record.m_incarnation)
     return "restarted";
   if (m_absence != Absence::None)
--- a/src/libhttp/caller_connection.cpp
+++ b/src/libhttp/caller_connection.cpp
@@ -42,7 +42,7 @@
 
 MessageParser::Limits parserLimits(const CallerLimits &Limits,
                                    std::size_t MaxBodyBytes) {
-  return {Limits.m_headerBytes, MaxBodyBytes, Limits.m_headerFields};
+  return {Limits.m_headerBytes, MaxBodyBytes, Limits.m_headerBytes};
 }
 
 CallerLimit limitOf(MessageParser::Fault Fault) {
@@ -258,6 +258,7 @@
   bool HadBegun = m_parser.begun();
   bool HadHeaders = m_parser.headersComplete();
   chargeInput(Size);
+  m_parser.limitHeaderFields(m_listener.maxHeaderFields());
   std::size_t ConsumedBytes = m_parser.feed(Bytes, Size);
   evbuffer_drain(Input, ConsumedBytes);
   if (!HadBegun || m_parser.headersComplete())
--- a/src/libhttp/caller_listener.cpp
+++ b/src/libhttp/caller_listener.cpp
@@ -187,6 +187,12 @@
   }
 }
 
+std::size_t CallerListener::maxHeaderFields() const {
+  // A field has at least five bytes: a name, a colon and a line end.
+  bool Ample = !m_budget || m_budget->level() == MemoryBudget::Level::Ample;
+  return Ample ? m_limits.m_headerBytes : m_limits.m_headerFields;
+}
+
 std::size_t CallerListener::maxBodyBytes() const {
   return m_budget ? std::min(m_limits.m_bodyBytes, m_budget->maxBodyBytes())
                   : m_limits.m_bodyBytes;
--- a/src/libhttp/message_parser.h
+++ b/src/libhttp/message_parser.h
@@ -45,6 +45,8 @@
   void expectNoBody(bool Expected) { m_noBody = Expected; }
 
   void setLimits(Limits SizeLimits) { m_limits = SizeLimits; }
+  /// Limits the fields of the present message, too.
+  void limitHeaderFields(std::size_t Count) { m_limits.m_headerFields = Count; }
 
   /// Releases what is kept of a message that is given up. The state does not
   /// change.
