--- a/src/include/burdockpulley/gateway_settings.h
+++ b/src/include/burdockpulley/gateway_settings.h
@@ -44,6 +44,9 @@
   Duration m_retryWindow = std::chrono::seconds(10);
   double m_retryAllowance = 60;
   TeamQuota::Settings m_teamQuota;
+  /// Upstreams that start or come back are paced by how they answer. Otherwise
+  /// cold ones get a fixed share of their rate.
+  bool m_paceUpstreams = false;
   ColdBound m_coldBound;
 
   /// True if the link has bandwidth for work that this host does for others:
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -50,6 +50,8 @@
       cxxopts::value<Text>());
   Add("quota-slack", "requests per window by which a team may exceed it",
       cxxopts::value<Text>());
+  Add("pace-upstreams",
+      "pace upstreams that start or come back by how they answer");
   Add("cold-overage",
       "factor by which a cold upstream may get more than its rate",
       cxxopts::value<Text>());
@@ -105,6 +107,7 @@
     }
     detail::SettingsReader Reader(Flags, Outcome.m_faults);
     readAll(Reader, Outcome.m_settings);
+    Outcome.m_settings.m_paceUpstreams = Flags.count("pace-upstreams") != 0;
     Outcome.m_print = Flags.count("print-settings") != 0;
     for (const std::string &Argument : Flags.unmatched())
       Outcome.m_faults.push_back("unknown argument " + Argument);
@@ -138,6 +141,7 @@
          "\nquota-window=" + milliseconds(Settings.m_teamQuota.m_window) +
          "\nquota-overage=" + std::to_string(Settings.m_teamQuota.m_overage) +
          "\nquota-slack=" + std::to_string(Settings.m_teamQuota.m_slack) +
+         "\npace-upstreams=" + (Settings.m_paceUpstreams ? "1" : "0") +
          "\ncold-overage=" + std::to_string(Settings.m_coldBound.m_overage) +
          "\ncold-slack=" + std::to_string(Settings.m_coldBound.m_slack) + "\n";
 }
--- a/src/libgateway/upstream_assignment.cpp
+++ b/src/libgateway/upstream_assignment.cpp
@@ -97,6 +97,8 @@
 bool UpstreamAssignment::allowedByPace(UpstreamState &Upstream,
                                        const PendingRequest &Pending,
                                        Instant Now) {
+  if (!m_state.m_settings.m_paceUpstreams)
+    return allowedByColdStartLimit(Upstream, Pending, Now);
   if (Upstream.m_paceSettled && !Upstream.cold(Now))
     return true;
   UpstreamPace &Pace = m_paces[Upstream.m_record.m_id];
@@ -105,6 +107,19 @@
   return Pace.available(Upstream, Terms, m_random, Now);
 }
 
+bool UpstreamAssignment::allowedByColdStartLimit(const UpstreamState &Upstream,
+                                                 const PendingRequest &Pending,
+                                                 Instant Now) {
+  if (!Upstream.cold(Now) || Pending.m_service->m_coldRate <= 0)
+    return true;
+  std::uniform_real_distribution<double> Phase(0, 1);
+  auto Limiter =
+      m_coldStartLimiters.try_emplace(Upstream.m_record.m_id, Phase(m_random))
+          .first;
+  return Limiter->second.available(Pending.m_service->m_coldRate,
+                                   m_state.hosts(), Now);
+}
+
 bool UpstreamAssignment::allowedByRequestLimit(const UpstreamState &Upstream,
                                                Instant Now) {
   if (!Upstream.m_requestLimit.m_rate)
@@ -208,7 +223,8 @@
                                         Instant Now) {
   if (!allowedByPace(Owner, Pending, Now))
     return false;
-  bool Paced = Owner.m_paceLimit || Owner.cold(Now);
+  bool Paced = m_state.m_settings.m_paceUpstreams &&
+               (Owner.m_paceLimit || Owner.cold(Now));
   if (Paced &&
       m_paces[Owner.m_record.m_id].divides(Owner, paceTerms(Pending), Now))
     return hasCapacity(Owner);
@@ -298,8 +314,12 @@
 
 void UpstreamAssignment::onSend(const PendingRequest &Pending,
                                 UpstreamState &Upstream, Instant Now) {
-  if (Upstream.m_paceLimit || Upstream.cold(Now))
+  if (!m_state.m_settings.m_paceUpstreams) {
+    if (Upstream.cold(Now) && Pending.m_service->m_coldRate > 0)
+      m_coldStartLimiters[Upstream.m_record.m_id].take();
+  } else if (Upstream.m_paceLimit || Upstream.cold(Now)) {
     m_paces[Upstream.m_record.m_id].take();
+  }
   if (Pending.m_key)
     m_ownerThrottles[Upstream.m_record.m_id].take();
   if (Upstream.m_requestLimit.m_rate)
@@ -308,13 +328,15 @@
 }
 
 void UpstreamAssignment::sweep(Instant Now) {
-  for (auto &[Id, Upstream] : m_state.m_registry.upstreams())
-    updatePace(m_paces[Id], Upstream, paceTerms(Upstream.m_record.m_service),
-               Now);
+  if (m_state.m_settings.m_paceUpstreams)
+    for (auto &[Id, Upstream] : m_state.m_registry.upstreams())
+      updatePace(m_paces[Id], Upstream, paceTerms(Upstream.m_record.m_service),
+                 Now);
   auto IsUnregistered = [this](const auto &Entry) {
     return !m_state.m_registry.find(Entry.first);
   };
   std::erase_if(m_paces, IsUnregistered);
+  std::erase_if(m_coldStartLimiters, IsUnregistered);
   std::erase_if(m_requestLimiters, [this](const auto &Entry) {
     const UpstreamState *Upstream = m_state.m_registry.find(Entry.first);
     return !Upstream || !Upstream->m_requestLimit.m_rate;
--- a/src/libgateway/upstream_assignment.h
+++ b/src/libgateway/upstream_assignment.h
@@ -61,6 +61,10 @@
   bool allowedByPace(UpstreamState &Upstream, const PendingRequest &Pending,
                      Instant Now);
   /// The terms apart from those of a request.
+  /// The same without paces: True if the upstream is not cold, or if this host
+  /// may send it one more request within its share of the cold start rate.
+  bool allowedByColdStartLimit(const UpstreamState &Upstream,
+                               const PendingRequest &Pending, Instant Now);
   UpstreamPace::Terms paceTerms(const ServiceId &Service) const;
   UpstreamPace::Terms paceTerms(const PendingRequest &Pending) const;
   UpstreamPresence presenceOf(const UpstreamState &Upstream) const;
@@ -74,6 +78,7 @@
   GatewayState &m_state;
   const RequestForwarder &m_forwarder;
   std::map<UpstreamId, UpstreamPace> m_paces;
+  std::map<UpstreamId, ColdStartLimiter> m_coldStartLimiters;
   std::map<UpstreamId, OwnerThrottle> m_ownerThrottles;
   std::map<UpstreamId, RequestLimiter> m_requestLimiters;
   std::mt19937_64 m_random;
