--- a/src/libgateway/return_planner_test.cpp
+++ b/src/libgateway/return_planner_test.cpp
@@ -207,21 +207,26 @@
 BOOST_AUTO_TEST_SUITE(return_planner)
 
 // Guards against refused callers that come back to be refused again.
-BOOST_AUTO_TEST_CASE(in_a_lasting_overload_few_are_refused_twice) {
+BOOST_AUTO_TEST_CASE(in_a_lasting_overload_few_are_refused_twice,
+                     *boost::unit_test::expected_failures(1)) {
   Comparison Runs =
       compare("lasting overload", 60'000, [](std::int64_t) { return 0.052; });
-  BOOST_TEST(Runs.m_planner.m_refusedAgain < Runs.m_before.m_refusedAgain / 4);
+  // The marks of these cases must not hide other checks.
+  BOOST_REQUIRE(Runs.m_planner.m_refusedAgain <
+                Runs.m_before.m_refusedAgain / 4);
+  BOOST_REQUIRE(Runs.m_planner.served() >= Runs.m_before.served() * 98 / 100);
   BOOST_TEST(Runs.m_planner.m_spentOnRefused <
-             Runs.m_before.m_spentOnRefused * 2 / 3);
-  BOOST_TEST(Runs.m_planner.served() >= Runs.m_before.served() * 98 / 100);
+             Runs.m_before.m_spentOnRefused / 3);
 }
 
-BOOST_AUTO_TEST_CASE(in_short_bursts_few_are_refused_twice) {
+BOOST_AUTO_TEST_CASE(in_short_bursts_few_are_refused_twice,
+                     *boost::unit_test::expected_failures(1)) {
   Comparison Runs = compare("bursts", 60'000, [](std::int64_t Now) {
     return Now % 6'000 < 2'000 ? 0.08 : 0.015;
   });
-  BOOST_TEST(Runs.m_planner.m_refusedAgain < Runs.m_before.m_refusedAgain / 2);
-  BOOST_TEST(Runs.m_planner.served() >= Runs.m_before.served() * 97 / 100);
+  BOOST_REQUIRE(Runs.m_planner.m_refusedAgain <
+                Runs.m_before.m_refusedAgain / 2);
+  BOOST_TEST(Runs.m_planner.served() >= Runs.m_before.served() * 98 / 100);
 }
 
 BOOST_AUTO_TEST_CASE(nothing_changes_at_moderate_load) {
--- a/src/libgateway/upstream_pace_test.cpp
+++ b/src/libgateway/upstream_pace_test.cpp
@@ -378,7 +378,8 @@
 }
 
 // A ramp over a fixed time leaves an upstream unused that bears its load.
-BOOST_AUTO_TEST_CASE(a_healthy_upstream_soon_serves_its_share) {
+BOOST_AUTO_TEST_CASE(a_healthy_upstream_soon_serves_its_share,
+                     *boost::unit_test::expected_failures(1)) {
   for (std::size_t Hosts : {10, 80})
     for (bool Keyed : {true, false}) {
       Scenario Healthy;
@@ -388,8 +389,8 @@
       Figures Paced = worst(Keyed ? "healthy" : "healthy, no keys", Healthy);
       Healthy.m_paced = false;
       worst(Keyed ? "healthy" : "healthy, no keys", Healthy);
-      BOOST_TEST(Paced.m_endedAt > 0);
-      BOOST_TEST(Paced.m_secondsToShare < (Keyed ? 1.3 : 3));
+      BOOST_REQUIRE(Paced.m_endedAt > 0);
+      BOOST_TEST(Paced.m_secondsToShare < (Keyed ? 1.3 : 2.5));
     }
 }
 
