key planner: leave keys that no owner can serve, and owners with room, in place

The overloaded owner seemed slow, so that any idle one looked better, and the planner ended at it while other busy owners kept their keys. Besides, an owner with six slots counted as busy at 0.37 of its capacity, where hardly any request waits, and lost keys for nothing.

- No piece moves to an owner that would have more than its slots can serve.
- An owner without such a piece is passed over; pieces are looked for at up to 16 places of a range, in all ranges of the owner.
- Owners are busy when a fifth of their requests would find all slots taken (Erlang C): 0.37 for two slots, as before, 0.66 for six.
- A request waits for a moving key as long as it can meet its latency goal, at least 0.5 s as before.

Three new tests; a_key_that_no_owner_can_serve_does_not_move and an_immovable_key_does_not_hold_up_other_owners replay the two loads.

--- a/src/include/burdockpulley/key_coordinator.h
+++ b/src/include/burdockpulley/key_coordinator.h
@@ -164,9 +164,8 @@
 
   /// Returns the commands to be sent and the table to be written now. To be
   /// called many times a second.
-  /// \p BusyRate: see MoveLimits.
   Commands tick(const KeyCandidates &Candidates, const KeyLoad &Load,
-                double BusyRate, bool StoreReachable, Instant Now);
+                const OwnerRates &Rates, bool StoreReachable, Instant Now);
 
   /// Reports the outcome of a grant command, once for each: its keys stay with
   /// their owner until then. \p Now: the grant has not arrived later than that,
@@ -259,7 +258,7 @@
   void issueCommand(RangeState &State, bool StoreReachable,
                     Commands &NewCommands, Instant Now);
   void planRebalance(const KeyCandidates &Candidates, const KeyLoad &Load,
-                     double BusyRate, Instant Now);
+                     const OwnerRates &Rates, Instant Now);
   void planMerges();
   void splitForMove(const KeyPlacement &Move);
   std::optional<KeyTable> planWrite(const KeyCandidates &Candidates,
--- a/src/include/burdockpulley/key_planner.h
+++ b/src/include/burdockpulley/key_planner.h
@@ -71,14 +71,26 @@
                                         const KeyCandidates &Candidates,
                                         const KeyLoad &Load);
 
+/// Rates of an owner in requests a second for each unit of capacity.
+struct OwnerRates {
+  /// No owner counts as busy below this rate.
+  double m_busy = 0;
+  /// At this rate no slot is free. No piece is moved to an owner that would get
+  /// more.
+  double m_full = std::numeric_limits<double>::infinity();
+};
+
 /// Bounds of planMoves().
 struct MoveLimits {
   std::size_t m_moves = 0; ///< Largest number of placements.
-  /// Requests a second, for each unit of capacity, below which no owner counts
-  /// as busy.
-  double m_busyRate = 0;
+  OwnerRates m_rates;
 };
 
+/// Utilization that owners with \p Slots slots are meant to have at most when
+/// keys are moved between them. The more slots, the higher it is, because a
+/// request waits only if it finds all of them taken. Thread safety: safe.
+double busyUtilization(std::uint32_t Slots);
+
 /// Chooses keys to move from busy owners to idle ones, to spread keys that
 /// become hot together and to use upstreams that have just joined and own
 /// nothing. Each placement lies within one range of \p Owned.
--- a/src/libgateway/coordinator_driver.cpp
+++ b/src/libgateway/coordinator_driver.cpp
@@ -34,8 +34,6 @@
 /// coordinator only when no other host does.
 constexpr Duration LowBandwidthDelay{350'000};
 constexpr Duration TableWriteRetryDelay{150'000};
-/// Keys are moved away from owners that are busy for this fraction of the time.
-constexpr double BusyFraction = 0.3;
 /// Exponent of an upstream's speed in its capacity. Above 1, so that fast
 /// upstreams get more than their proportional share of keys: while they are not
 /// busy, their responses come sooner.
@@ -437,12 +435,20 @@
   return Candidates;
 }
 
-double CoordinatorDriver::busyRate(const ServiceId &Service) const {
+OwnerRates CoordinatorDriver::ownerRates(const ServiceId &Service) const {
   auto WorkTimeIt = m_state.m_workTimes.find(Service);
   if (WorkTimeIt == m_state.m_workTimes.end())
-    return 0;
-  double Seconds = std::chrono::duration<double>(WorkTimeIt->second).count();
-  return BusyFraction / std::max(Seconds, MinServiceSeconds);
+    return {};
+  double Seconds =
+      std::max(std::chrono::duration<double>(WorkTimeIt->second).count(),
+               MinServiceSeconds);
+  // If upstreams differ in slots, those with the fewest are busy first.
+  std::uint32_t Slots = 0;
+  for (const auto &[Id, Upstream] : m_state.m_registry.upstreams())
+    if (Upstream.m_record.m_service == Service && Upstream.m_record.m_slots > 0)
+      Slots = Slots == 0 ? Upstream.m_record.m_slots
+                         : std::min(Slots, Upstream.m_record.m_slots);
+  return {busyUtilization(Slots) / Seconds, 1 / Seconds};
 }
 
 void CoordinatorDriver::tickService(const ServiceId &Service,
@@ -451,7 +457,7 @@
   Coordination.m_keyLoad.decay(Now);
   auto Commands = Coordination.m_keyCoordinator.tick(
       candidates(Service, Coordination, Now), Coordination.m_keyLoad,
-      busyRate(Service), m_storeReachable, Now);
+      ownerRates(Service), m_storeReachable, Now);
   if (Commands.m_write) {
     Coordination.m_pendingTable = std::move(Commands.m_write);
     Coordination.m_pendingTable->m_era = eraOf(StoreVersion(m_epoch));
--- a/src/libgateway/coordinator_driver.h
+++ b/src/libgateway/coordinator_driver.h
@@ -121,8 +121,8 @@
   KeyCandidates candidates(const ServiceId &Service,
                            const ServiceCoordination &Coordination,
                            Instant Now) const;
-  /// See MoveLimits::m_busyRate.
-  double busyRate(const ServiceId &Service) const;
+  /// The rates at which upstreams of a service count as busy and as full.
+  OwnerRates ownerRates(const ServiceId &Service) const;
   /// Logs and counts why keys have lost their owner.
   void reportFreed(const ServiceId &Service, const FreedKeys &Freed,
                    Instant Now) const;
--- a/src/libgateway/key_coordinator.cpp
+++ b/src/libgateway/key_coordinator.cpp
@@ -208,9 +208,11 @@
                      });
 }
 
-KeyCoordinator::Commands
-KeyCoordinator::tick(const KeyCandidates &Candidates, const KeyLoad &Load,
-                     double BusyRate, bool StoreReachable, Instant Now) {
+KeyCoordinator::Commands KeyCoordinator::tick(const KeyCandidates &Candidates,
+                                              const KeyLoad &Load,
+                                              const OwnerRates &Rates,
+                                              bool StoreReachable,
+                                              Instant Now) {
   Commands NewCommands;
   for (RangeState &State : m_rangeStates)
     advancePhase(State, Candidates, Now);
@@ -220,7 +222,7 @@
     if (Now - m_lastPlannedAt >= m_settings.m_planInterval) {
       m_lastPlannedAt = Now;
       mergeRangeStates();
-      planRebalance(Candidates, Load, BusyRate, Now);
+      planRebalance(Candidates, Load, Rates, Now);
     }
     NewCommands.m_write = planWrite(Candidates, Load, Now);
     m_writing = NewCommands.m_write.has_value();
@@ -510,7 +512,7 @@
 }
 
 void KeyCoordinator::planRebalance(const KeyCandidates &Candidates,
-                                   const KeyLoad &Load, double BusyRate,
+                                   const KeyLoad &Load, const OwnerRates &Rates,
                                    Instant Now) {
   std::size_t Moving = 0;
   std::vector<KeyRange> Movable;
@@ -531,7 +533,7 @@
   if (Moving >= MaxMoving || TooManyRanges)
     return;
   for (const KeyPlacement &Move :
-       planMoves(Movable, Candidates, Load, {MaxMoving - Moving, BusyRate}))
+       planMoves(Movable, Candidates, Load, {MaxMoving - Moving, Rates}))
     splitForMove(Move);
 }
 
--- a/src/libgateway/key_coordinator_model.cpp
+++ b/src/libgateway/key_coordinator_model.cpp
@@ -415,7 +415,7 @@
   if (!Current.m_active)
     return;
   bool StoreReachable = Current.m_epoch == m_epoch;
-  auto Commands = Current.m_keys->tick(candidates(Current), m_load, 0,
+  auto Commands = Current.m_keys->tick(candidates(Current), m_load, {},
                                        StoreReachable, m_now);
   if (Commands.m_write) {
     Current.m_tableToWrite = std::move(Commands.m_write);
--- a/src/libgateway/key_coordinator_test.cpp
+++ b/src/libgateway/key_coordinator_test.cpp
@@ -54,7 +54,7 @@
   }
 
   KeyCoordinator::Commands tick(int Milliseconds) {
-    return m_keys.tick(m_candidates, m_load, 0, true, at(Milliseconds));
+    return m_keys.tick(m_candidates, m_load, {}, true, at(Milliseconds));
   }
 };
 
@@ -64,13 +64,13 @@
   KeyCoordinator Keys(ServiceId("herd"), {});
   KeyLoad Load;
   Keys.takeOver(std::nullopt, at(0));
-  auto Before = Keys.tick(candidates({"a", "b"}), Load, 0, true, at(0));
+  auto Before = Keys.tick(candidates({"a", "b"}), Load, {}, true, at(0));
   BOOST_TEST(Before.m_grants.empty());
   BOOST_REQUIRE(Before.m_write);
-  BOOST_TEST(Keys.tick(candidates({"a", "b"}), Load, 0, true, at(20))
+  BOOST_TEST(Keys.tick(candidates({"a", "b"}), Load, {}, true, at(20))
                  .m_grants.empty());
   Keys.onWritten(at(30));
-  auto After = Keys.tick(candidates({"a", "b"}), Load, 0, true, at(40));
+  auto After = Keys.tick(candidates({"a", "b"}), Load, {}, true, at(40));
   BOOST_TEST(After.m_grants.size() >= 2u);
 }
 
@@ -183,7 +183,7 @@
   Keys.takeOver(Stored, at(0));
   KeyCandidates Candidates = candidates({"a"});
   auto Tick = [&](int Now) {
-    return Keys.tick(Candidates, Load, 0, true, at(Now));
+    return Keys.tick(Candidates, Load, {}, true, at(Now));
   };
   auto ReportAll = [&](const std::vector<GrantCommand> &Grants,
                        GrantOutcome Outcome, int Now) {
@@ -253,7 +253,7 @@
     KeyCandidate &Owner = Candidates[UpstreamId("a")];
     Owner.m_processEnded = Owner.m_mustRelease = Now > 100;
     Owner.m_eligible = Now <= 100;
-    auto Commands = Keys.tick(Candidates, Load, 0, true, at(Now));
+    auto Commands = Keys.tick(Candidates, Load, {}, true, at(Now));
     for (const GrantCommand &Grant : Commands.m_grants)
       Keys.onGrant(Grant.m_number, GrantOutcome::Misdirected, at(Now));
     for (const ReleaseCommand &Release : Commands.m_releases)
@@ -302,7 +302,7 @@
   Instant End = at(12) + Duration(3'500'000 * 100 / 98);
   for (Instant Now = at(20); Now < End; Now += Duration(200)) {
     auto Commands = Coordinator.m_keys.tick(Coordinator.m_candidates,
-                                            Coordinator.m_load, 0, true, Now);
+                                            Coordinator.m_load, {}, true, Now);
     BOOST_REQUIRE_MESSAGE(!Commands.m_write,
                           "moved " << (End - Now).count() << " us early");
     for (const ReleaseCommand &Release : Commands.m_releases)
@@ -385,7 +385,7 @@
   KeyCoordinator Keys(ServiceId("herd"), {});
   KeyLoad Load;
   Keys.takeOver(Stored, at(0));
-  auto Commands = Keys.tick(candidates({"a"}), Load, 0, true, at(0));
+  auto Commands = Keys.tick(candidates({"a"}), Load, {}, true, at(0));
   BOOST_TEST(Commands.m_grants.empty());
   BOOST_REQUIRE(Commands.m_write);
   BOOST_TEST(Commands.m_write->m_ranges.at(0).m_token.value() > 7u);
@@ -414,7 +414,7 @@
       Candidates = candidates({"a", "b"});
       Candidates[UpstreamId("a")].m_incarnation = UpstreamIncarnation(2);
     }
-    auto Commands = Keys.tick(Candidates, Load, 0, true, at(Now));
+    auto Commands = Keys.tick(Candidates, Load, {}, true, at(Now));
     if (Commands.m_write)
       Keys.onWritten(at(Now));
     for (const ReleaseCommand &Release : Commands.m_releases)
@@ -445,12 +445,12 @@
   // A predecessor may have granted the keys to b for 10 s.
   for (int Now = 0; Now < 12'000; Now += 20) {
     BOOST_TEST(Keys.awaitsEarlierGrants(at(Now)));
-    auto Commands = Keys.tick(candidates({"a", "b"}), Load, 0, true, at(Now));
+    auto Commands = Keys.tick(candidates({"a", "b"}), Load, {}, true, at(Now));
     BOOST_TEST(!Commands.m_write);
     BOOST_TEST(Commands.m_grants.empty());
     BOOST_TEST(Commands.m_releases.empty());
   }
-  auto Commands = Keys.tick(candidates({"a", "b"}), Load, 0, true, at(13'000));
+  auto Commands = Keys.tick(candidates({"a", "b"}), Load, {}, true, at(13'000));
   BOOST_TEST(!Keys.awaitsEarlierGrants(at(13'000)));
   BOOST_REQUIRE(Commands.m_write);
   // Higher than all tokens and versions of the era before.
@@ -506,20 +506,20 @@
     KeyLoad Load;
     auto Candidates = candidates({"a", "b"});
     Keys.takeOver(Stored, at(0));
-    BOOST_REQUIRE(Keys.tick(Candidates, Load, 0, true, at(0)).m_write);
+    BOOST_REQUIRE(Keys.tick(Candidates, Load, {}, true, at(0)).m_write);
     Keys.onWritten(at(1));
     for (const auto &First :
-         Keys.tick(Candidates, Load, 0, true, at(20)).m_grants)
+         Keys.tick(Candidates, Load, {}, true, at(20)).m_grants)
       Keys.onGrant(First.m_number, GrantOutcome::Granted, at(21));
     Keys.resume(StoreEra(2), at(100), at(1500));
     for (const auto &Renewal :
-         Keys.tick(Candidates, Load, 0, true, at(120)).m_grants)
+         Keys.tick(Candidates, Load, {}, true, at(120)).m_grants)
       Keys.onGrant(Renewal.m_number,
                    Renewal.m_range.m_owner.value() == "a"
                        ? GrantOutcome::Granted
                        : Outcome,
                    at(121));
-    auto Write = Keys.tick(Candidates, Load, 0, true, at(140)).m_write;
+    auto Write = Keys.tick(Candidates, Load, {}, true, at(140)).m_write;
     BOOST_REQUIRE(Write);
     BOOST_TEST(Write->m_ranges.at(0).m_owner.value() == "a");
     BOOST_TEST(Write->m_ranges.at(1).m_owner.value() == UnknownOwner);
@@ -531,7 +531,7 @@
     Candidates[UpstreamId("b")].m_processEnded = true;
     for (KeyCoordinator *Acting : {&Keys, &Successor})
       for (int Now = 160; Now < 12'900; Now += 20) {
-        auto Commands = Acting->tick(Candidates, Load, 0, true, at(Now));
+        auto Commands = Acting->tick(Candidates, Load, {}, true, at(Now));
         if (Commands.m_write) {
           BOOST_TEST(Commands.m_write->m_ranges.at(1).m_owner.value() ==
                      UnknownOwner);
@@ -543,14 +543,14 @@
         }
       }
     BOOST_TEST(
-        Keys.tick(Candidates, Load, 0, true, at(13'100)).m_write.has_value());
+        Keys.tick(Candidates, Load, {}, true, at(13'100)).m_write.has_value());
   }
 }
 
 BOOST_AUTO_TEST_CASE(grants_are_long_while_the_store_is_unreachable) {
   ConfirmedCoordinator Coordinator;
   auto Commands = Coordinator.m_keys.tick(
-      Coordinator.m_candidates, Coordinator.m_load, 0, false, at(100));
+      Coordinator.m_candidates, Coordinator.m_load, {}, false, at(100));
   BOOST_REQUIRE(Commands.m_grants.size() == 1u);
   BOOST_TEST((Commands.m_grants[0].m_duration == std::chrono::seconds(10)));
 }
--- a/src/libgateway/key_planner.cpp
+++ b/src/libgateway/key_planner.cpp
@@ -22,10 +22,14 @@
 constexpr double PiecesPerShare = 2;
 /// An owner is busy when its utilization, which is its load divided by its
 /// capacity, is above BusyRatio times the mean, and idle when it is below
-/// IdleRatio times the mean. MoveLimits::m_busyRate takes the place of a mean
+/// IdleRatio times the mean. OwnerRates::m_busy takes the place of a mean
 /// below it.
 constexpr double BusyRatio = 1.25;
 constexpr double IdleRatio = 0.85;
+/// An owner is busy only if more than this share of its requests would find all
+/// its slots taken. Below that, moving its keys costs callers more than it
+/// gains, because keys are not served while they move.
+constexpr double MaxWaitingShare = 0.2;
 /// An owner counts as busy only when its load exceeds that bound by this many
 /// standard deviations of its estimate, because a few more requests may come by
 /// chance.
@@ -39,9 +43,15 @@
 /// is meant to have little.
 constexpr double MinPieceShare = 0.04;
 constexpr double MinReceiverShare = 0.15;
+/// Places in a range at which a piece is looked for, one after the other. More
+/// than the hot keys that one range has as a rule.
+constexpr int MaxPieceTries = 16;
 /// An upstream that owns no keys yet gets its share in this many parts, from
 /// several owners.
 constexpr double NewcomerParts = 3;
+/// Owners without a piece worth moving that one plan passes over. Bounds the
+/// cost of a plan when many owners have one hot key each.
+constexpr std::size_t MaxImmovableOwners = 8;
 /// Share of an owner's highest request rate that it is meant to have. The rest
 /// is room for load that changes before keys have moved.
 constexpr double MaxRateShare = 0.7;
@@ -63,6 +73,7 @@
   double m_capacity = 1; ///< See limitCapacities().
   double m_load = 0;
   std::uint32_t m_keys = 0;
+  bool m_immovable = false; ///< No piece of its keys is worth moving.
 
   double utilization() const { return m_load / m_capacity; }
   bool overMaxRate() const {
@@ -171,32 +182,35 @@
 
 /// The owner from which to move keys first: the one with the highest
 /// utilization, of those over their highest request rate if there are any.
+/// Null when all are marked as immovable.
 OwnerLoad *mostUtilized(std::map<UpstreamId, OwnerLoad> &OwnerLoads) {
   OwnerLoad *Most = nullptr;
   auto Rank = [](const OwnerLoad &Owner) {
     return std::make_pair(Owner.overMaxRate(), Owner.utilization());
   };
   for (auto &[Id, Owner] : OwnerLoads)
-    if (!Most || Rank(Owner) > Rank(*Most))
+    if (!Owner.m_immovable && (!Most || Rank(Owner) > Rank(*Most)))
       Most = &Owner;
   return Most;
 }
 
-/// The range of an owner with the highest load; null when it has no range.
-KeyRange *heaviestRange(std::vector<KeyRange> &Ranges, const UpstreamId &Owner,
-                        const RangeLoadEstimator &Estimator) {
-  KeyRange *Most = nullptr;
-  double MostLoad = 0;
-  for (KeyRange &Range : Ranges) {
-    if (Range.m_owner != Owner)
-      continue;
-    double Load = Estimator.loadOf(Range.m_first, Range.m_last);
-    if (Most && Load <= MostLoad)
-      continue;
-    Most = &Range;
-    MostLoad = Load;
-  }
-  return Most;
+/// The ranges of an owner, the one with the highest load first.
+std::vector<KeyRange *> rangesByLoad(std::vector<KeyRange> &Ranges,
+                                     const UpstreamId &Owner,
+                                     const RangeLoadEstimator &Estimator) {
+  std::vector<std::pair<double, KeyRange *>> Loads;
+  for (KeyRange &Range : Ranges)
+    if (Range.m_owner == Owner)
+      Loads.emplace_back(Estimator.loadOf(Range.m_first, Range.m_last), &Range);
+  std::sort(Loads.begin(), Loads.end(),
+            [](const auto &Left, const auto &Right) {
+              return std::make_pair(Left.first, Right.second) >
+                     std::make_pair(Right.first, Left.second);
+            });
+  std::vector<KeyRange *> Sorted;
+  for (const auto &[RangeLoad, Range] : Loads)
+    Sorted.push_back(Range);
+  return Sorted;
 }
 
 /// Keys that are placed or moved together.
@@ -209,12 +223,16 @@
 /// Chooses keys of a range to move from \p Source to \p Target. Prefers the
 /// first keys of the range with about \p WantedLoad, if their move lowers the
 /// higher utilization of both owners clearly. A move of a single key with most
-/// of the load would not do so: then the keys before or after it are chosen.
-/// \p WantedUtilization is the utilization that the target is meant to have.
-/// Empty when no move is worthwhile.
+/// of the load would not do so: then keys before or after it are chosen. Nor is
+/// a key moved that has more requests than any owner can serve: it gains
+/// nothing from another owner, and is not served while it moves. \p
+/// WantedUtilization is the utilization that the target is meant to have, \p
+/// MaxUtilization the one at which all its slots are taken. Empty when no move
+/// is worthwhile.
 std::optional<Piece> choosePiece(const KeyRange &Range, const OwnerLoad &Source,
                                  const OwnerLoad &Target, double WantedLoad,
                                  double WantedUtilization,
+                                 double MaxUtilization,
                                  const RangeLoadEstimator &Estimator) {
   double MinLoad =
       std::min(Source.m_load * MinPieceShare,
@@ -222,26 +240,44 @@
   auto Worthwhile = [&](const Piece &Candidate) {
     double TargetUtilization =
         (Target.m_load + Candidate.m_load) / Target.m_capacity;
-    return Candidate.m_load > MinLoad &&
+    return Candidate.m_load > MinLoad && TargetUtilization <= MaxUtilization &&
            TargetUtilization < Source.utilization() * MaxReceiverRatio;
   };
   auto MakePiece = [&](std::uint32_t First, std::uint32_t Last) {
     return Piece{First, Last, Estimator.loadOf(First, Last)};
   };
-  std::uint32_t Last =
-      Estimator.lastKeyFor(Range.m_first, Range.m_last, WantedLoad);
-  Piece Preferred = MakePiece(Range.m_first, Last);
-  if (Worthwhile(Preferred))
-    return Preferred;
-  if (Last > Range.m_first)
-    if (Piece Before = MakePiece(Range.m_first, Last - 1); Worthwhile(Before))
-      return Before;
-  if (Last < Range.m_last)
-    if (Piece After = MakePiece(Last + 1, Range.m_last); Worthwhile(After))
-      return After;
+  std::uint32_t First = Range.m_first;
+  for (int Try = 0; Try < MaxPieceTries && First <= Range.m_last; ++Try) {
+    std::uint32_t Last = Estimator.lastKeyFor(First, Range.m_last, WantedLoad);
+    if (Piece Preferred = MakePiece(First, Last); Worthwhile(Preferred))
+      return Preferred;
+    if (Last > First)
+      if (Piece Before = MakePiece(First, Last - 1); Worthwhile(Before))
+        return Before;
+    First = Last + 1;
+  }
   return std::nullopt;
 }
 
+/// Removes a piece from the range of \p Ranges that holds it, which may leave
+/// two ranges.
+void removePiece(std::vector<KeyRange> &Ranges, KeyRange &Range,
+                 const Piece &Removed) {
+  KeyRange After = Range;
+  After.m_first = Removed.m_last + 1;
+  bool EndsRange = Removed.m_last == Range.m_last;
+  if (Removed.m_first == Range.m_first) {
+    if (EndsRange)
+      Range.m_owner = UpstreamId();
+    else
+      Range.m_first = After.m_first;
+    return;
+  }
+  Range.m_last = Removed.m_first - 1;
+  if (!EndsRange)
+    Ranges.push_back(After);
+}
+
 std::vector<Piece> cutPieces(const std::vector<KeyRange> &Free,
                              const RangeLoadEstimator &Estimator,
                              double PieceLoad) {
@@ -261,6 +297,28 @@
 
 } // namespace
 
+double busyUtilization(std::uint32_t Slots) {
+  // Erlang's C formula: the share of requests that wait when they arrive at
+  // random. It grows with the utilization, so the bound is found by bisection.
+  auto WaitingShare = [Slots](double Utilization) {
+    double Offered = Utilization * Slots;
+    double Blocked = 1; // Erlang's B formula, by recursion over the slots.
+    for (std::uint32_t Slot = 1; Slot <= Slots; ++Slot)
+      Blocked = Offered * Blocked / (Slot + Offered * Blocked);
+    return Blocked / (1 - Utilization * (1 - Blocked));
+  };
+  if (Slots == 0)
+    return 0;
+  double Low = 0;
+  double High = 1;
+  constexpr int Bisections = 20;
+  for (int Step = 0; Step < Bisections; ++Step) {
+    double Middle = (Low + High) / 2;
+    (WaitingShare(Middle) < MaxWaitingShare ? Low : High) = Middle;
+  }
+  return Low / BusyRatio;
+}
+
 KeyLoad::KeyLoad() : m_tree(ShardKeyCount + 1, 0) {}
 
 void KeyLoad::addAt(std::uint32_t Key, double Count) {
@@ -359,11 +417,11 @@
   double Total = 0;
   for (const auto &[Id, Owner] : OwnerLoads)
     Total += Owner.m_load;
-  // Owners below m_busyRate may have more than their share of the load of a hot
-  // spot, so that fewer moves are needed to spread it.
+  // Owners below the busy rate may have more than their share of the load of a
+  // hot spot, so that fewer moves are needed to spread it.
   double BusyUtilization = limitCapacities(
       OwnerLoads, [](const KeyCandidate &) { return true; }, Total,
-      Limits.m_busyRate);
+      Limits.m_rates.m_busy);
   for (const auto &[Id, Owner] : OwnerLoads)
     Capacity += Owner.m_capacity;
   if (Capacity <= 0)
@@ -371,6 +429,7 @@
   double MeanUtilization = Total / Capacity;
   std::vector<KeyRange> Remaining = Owned;
   std::vector<KeyPlacement> Moves;
+  std::size_t Immovable = 0;
   while (Moves.size() < Limits.m_moves) {
     OwnerLoad *Target = leastUtilized(OwnerLoads, 0);
     bool Newcomer = Target && Target->m_keys == 0;
@@ -379,7 +438,7 @@
     double WantedUtilization = Newcomer ? MeanUtilization : BusyUtilization;
     if (OverMaxRate)
       WantedUtilization = BusyUtilization * BusyRatio;
-    if (!Target || Source == Target ||
+    if (!Target || !Source || Source == Target ||
         Target->utilization() >= WantedUtilization * IdleRatio)
       break;
     double CertainLoad =
@@ -387,10 +446,6 @@
     bool Busy = CertainLoad > BusyUtilization * BusyRatio * Source->m_capacity;
     if (!Busy && !Newcomer && !OverMaxRate)
       break;
-    KeyRange *Range =
-        heaviestRange(Remaining, Source->m_candidate->m_id, Estimator);
-    if (!Range)
-      break;
     double Surplus = Source->m_load - BusyUtilization * Source->m_capacity;
     double TargetShortfall =
         WantedUtilization * Target->m_capacity - Target->m_load;
@@ -399,21 +454,30 @@
         TargetShortfall);
     if (WantedLoad <= 0)
       break;
-    auto MovedPiece = choosePiece(*Range, *Source, *Target, WantedLoad,
-                                  WantedUtilization, Estimator);
-    if (!MovedPiece)
-      break;
+    KeyRange *Range = nullptr;
+    std::optional<Piece> MovedPiece;
+    for (KeyRange *Each :
+         rangesByLoad(Remaining, Source->m_candidate->m_id, Estimator)) {
+      Range = Each;
+      MovedPiece =
+          choosePiece(*Each, *Source, *Target, WantedLoad, WantedUtilization,
+                      Limits.m_rates.m_full, Estimator);
+      if (MovedPiece)
+        break;
+    }
+    if (!MovedPiece) {
+      // The keys of other busy owners still move.
+      Source->m_immovable = true;
+      if (++Immovable > MaxImmovableOwners)
+        break;
+      continue;
+    }
     Source->m_load -= MovedPiece->m_load;
     Target->m_load += MovedPiece->m_load;
     Target->m_keys += MovedPiece->m_last - MovedPiece->m_first + 1;
     Moves.push_back(
         {MovedPiece->m_first, MovedPiece->m_last, Target->m_candidate->m_id});
-    if (MovedPiece->m_first > Range->m_first)
-      Range->m_last = MovedPiece->m_first - 1;
-    else if (MovedPiece->m_last < Range->m_last)
-      Range->m_first = MovedPiece->m_last + 1;
-    else
-      Range->m_owner = UpstreamId();
+    removePiece(Remaining, *Range, *MovedPiece);
   }
   return Moves;
 }
--- a/src/libgateway/key_planner_test.cpp
+++ b/src/libgateway/key_planner_test.cpp
@@ -135,7 +135,8 @@
     Load.add(ShardKey(21'000 + static_cast<std::uint32_t>(Random() % 200)), 1);
   double Before = imbalance(Ranges, Load, Candidates.size());
   for (int Round = 0; Round < 3; ++Round)
-    for (const KeyPlacement &Move : planMoves(Ranges, Candidates, Load, {8, 0}))
+    for (const KeyPlacement &Move :
+         planMoves(Ranges, Candidates, Load, {8, {}}))
       apply(Ranges, Move);
   double After = imbalance(Ranges, Load, Candidates.size());
   BOOST_TEST_MESSAGE("imbalance " << Before << " -> " << After);
@@ -156,7 +157,7 @@
   double Before = imbalance(Ranges, Load, Candidates.size());
   for (int Round = 0; Round < 3; ++Round)
     for (const KeyPlacement &Move :
-         planMoves(Ranges, Candidates, Load, {80, 0}))
+         planMoves(Ranges, Candidates, Load, {80, {}}))
       apply(Ranges, Move);
   double After = imbalance(Ranges, Load, Candidates.size());
   BOOST_TEST_MESSAGE("imbalance " << Before << " -> " << After);
@@ -172,7 +173,7 @@
   std::mt19937_64 Random(20261204);
   for (int Count = 0; Count < 400; ++Count)
     Load.add(ShardKey(static_cast<std::uint32_t>(Random() % ShardKeyCount)), 1);
-  BOOST_TEST(planMoves(Ranges, Candidates, Load, {40, 0}).size() <= 2u);
+  BOOST_TEST(planMoves(Ranges, Candidates, Load, {40, {}}).size() <= 2u);
 }
 
 BOOST_AUTO_TEST_CASE(a_single_hot_key_stays_with_its_owner) {
@@ -191,11 +192,96 @@
   };
   UpstreamId Owner = OwnerOf(30'000);
   for (int Round = 0; Round < 10; ++Round)
-    for (const KeyPlacement &Move : planMoves(Ranges, Candidates, Load, {8, 0}))
+    for (const KeyPlacement &Move :
+         planMoves(Ranges, Candidates, Load, {8, {}}))
       apply(Ranges, Move);
   BOOST_TEST(OwnerOf(30'000).value() == Owner.value());
 }
 
+// One key with more requests than any owner can serve moved from owner to owner
+// and was not served meanwhile: its owner, slowed by the overload, seemed to
+// have less capacity than the others.
+BOOST_AUTO_TEST_CASE(a_key_that_no_owner_can_serve_does_not_move) {
+  constexpr std::uint32_t HotKey = 30'000;
+  constexpr double BusyRate = 1.2;
+  constexpr double FullRate = 4;
+  auto Candidates = candidates(100);
+  KeyLoad Load;
+  Load.decay(at(0));
+  auto Ranges = toRanges(placeFreeKeys({AllKeys}, {}, Candidates, Load));
+  auto OwnerOf = [&Ranges](std::uint32_t Key) {
+    for (const KeyRange &Range : Ranges)
+      if (Key >= Range.m_first && Key <= Range.m_last)
+        return Range.m_owner;
+    return UpstreamId();
+  };
+  UpstreamId Owner = OwnerOf(HotKey);
+  std::mt19937_64 Random(29543);
+  for (int Step = 1; Step <= 20; ++Step) {
+    Load.decay(at(0.25 * Step));
+    for (int Count = 0; Count < 50; ++Count)
+      Load.add(ShardKey(static_cast<std::uint32_t>(Random() % ShardKeyCount)),
+               1);
+    for (int Count = 0; Count < 25; ++Count)
+      Load.add(
+          ShardKey(HotKey - 100 + static_cast<std::uint32_t>(Random() % 200)),
+          1);
+    Load.add(ShardKey(HotKey), 80);
+    Candidates[Owner].m_capacity = 0.5;
+    for (const KeyPlacement &Move :
+         planMoves(Ranges, Candidates, Load, {40, {BusyRate, FullRate}}))
+      apply(Ranges, Move);
+    BOOST_TEST(OwnerOf(HotKey).value() == Owner.value());
+  }
+  // The other keys of its owner have moved, on both sides of it.
+  double Others = 0;
+  for (const KeyRange &Range : Ranges)
+    if (Range.m_owner == Owner)
+      Others += Load.rate(Range.m_first, Range.m_last);
+  Others -= Load.rate(HotKey, HotKey);
+  BOOST_TEST(Others < 4 * BusyRate);
+}
+
+// A key that can not be moved ended the plan, so that other busy owners kept
+// all their keys.
+BOOST_AUTO_TEST_CASE(an_immovable_key_does_not_hold_up_other_owners) {
+  constexpr std::uint32_t HotKey = 30'000;
+  constexpr std::uint32_t FirstBusyKey = 50'000;
+  constexpr double BusyRate = 1.2;
+  constexpr double FullRate = 4;
+  auto Candidates = candidates(100);
+  KeyLoad Load;
+  Load.decay(at(0));
+  auto Ranges = toRanges(placeFreeKeys({AllKeys}, {}, Candidates, Load));
+  Load.add(ShardKey(HotKey), 300);
+  for (std::uint32_t Key = FirstBusyKey; Key < FirstBusyKey + 100; ++Key)
+    Load.add(ShardKey(Key), 1);
+  for (int Round = 0; Round < 3; ++Round)
+    for (const KeyPlacement &Move :
+         planMoves(Ranges, Candidates, Load, {40, {BusyRate, FullRate}}))
+      apply(Ranges, Move);
+  std::map<UpstreamId, double> Rates;
+  for (const KeyRange &Range : Ranges)
+    if (HotKey < Range.m_first || HotKey > Range.m_last)
+      Rates[Range.m_owner] += Load.rate(Range.m_first, Range.m_last);
+  for (const auto &[Id, Rate] : Rates)
+    BOOST_TEST(Rate < FullRate * 4); // What four slots can serve.
+}
+
+// With a fixed bound for all, owners with many slots lost keys although their
+// requests hardly waited, and callers paid for each move.
+BOOST_AUTO_TEST_CASE(owners_with_more_slots_are_busy_later) {
+  double Previous = 0;
+  for (std::uint32_t Slots : {1, 2, 4, 6, 16}) {
+    double Utilization = busyUtilization(Slots);
+    BOOST_TEST(Utilization > Previous);
+    BOOST_TEST(Utilization < 1);
+    Previous = Utilization;
+  }
+  BOOST_TEST(busyUtilization(0) == 0);
+  BOOST_TEST(std::abs(busyUtilization(2) - 0.3) < 0.02);
+}
+
 BOOST_AUTO_TEST_CASE(an_upstream_without_keys_gets_load) {
   KeyLoad Load;
   Load.decay(at(0));
@@ -206,7 +292,7 @@
   auto Candidates = candidates(6);
   for (int Round = 0; Round < 6; ++Round)
     for (const KeyPlacement &Move :
-         planMoves(Ranges, Candidates, Load, {4, 1e9}))
+         planMoves(Ranges, Candidates, Load, {4, {1e9}}))
       apply(Ranges, Move);
   double Rate = 0;
   for (const KeyRange &Range : Ranges)
@@ -221,7 +307,7 @@
   auto Candidates = candidates(5);
   auto Ranges = toRanges(placeFreeKeys({AllKeys}, {}, Candidates, Load));
   Load.add(ShardKey(100), 3);
-  BOOST_TEST(planMoves(Ranges, Candidates, Load, {8, 5}).empty());
+  BOOST_TEST(planMoves(Ranges, Candidates, Load, {8, {5}}).empty());
 }
 
 // Issue 22: keys stayed at an upstream that took fewer requests than came.
@@ -252,7 +338,7 @@
   Limited.m_maxRate = Limit;
   for (int Round = 0; Round < 20; ++Round)
     for (const KeyPlacement &Move :
-         planMoves(Ranges, Candidates, Load, {4, 5.0}))
+         planMoves(Ranges, Candidates, Load, {4, {5.0}}))
       apply(Ranges, Move);
   BOOST_TEST(RateOf(Limited.m_id) <= Limit);
   BOOST_TEST(RateOf(Limited.m_id) > Limit / 4);
--- a/src/libgateway/upstream_assignment.cpp
+++ b/src/libgateway/upstream_assignment.cpp
@@ -11,8 +11,10 @@
 
 /// Assumed size of a response when choosing an upstream.
 constexpr std::size_t ExpectedResponseBytes = 5000;
-/// How long a request waits for a key that is moving to another owner.
-constexpr Duration MaxOwnerWait{500'000};
+/// How long a request waits at least for a key that is moving to another owner.
+/// It waits longer if it can still be answered within its latency goal: a
+/// release takes as long as the requests that run at the previous owner.
+constexpr Duration MinOwnerWait{500'000};
 /// An owner that is leaving serves its keys for this share of the drain time.
 constexpr double OwnerDrainShare = 0.3;
 /// Assumed service time until responses have shown it.
@@ -210,7 +212,8 @@
   OwnerLookup KeyOwner = findOwner(Pending, Now);
   // An unreachable owner is replaced only after seconds: the request is
   // refused. A key in transit soon has a new owner: the request waits.
-  bool WithinOwnerWait = Now - Pending.m_arrived <= MaxOwnerWait;
+  bool WithinOwnerWait = Now - Pending.m_arrived <= MinOwnerWait ||
+                         Now + Pending.m_workTime <= Pending.m_goalTime;
   CanWait = KeyOwner.m_upstream || (!KeyOwner.m_unreachable && WithinOwnerWait);
   UpstreamState *Upstream = KeyOwner.m_upstream;
   bool HasShare = Upstream && !Upstream->paused(Now) &&
