gateway: supply entries written before the sender's start

Cause: a host that is cut off after its first read of the store asks the host that forwards changes for those after its version. If that host read the store for the first time at a later version, its log begins there, and it answered nothing. The asking host stayed at its version, so each later change was a gap, too.

Change: the log also keeps the entries of the first read, except key tables, which are large. A host that may not know all changes answers with those that it has, at the version that was asked for. The asking host applies them and stays at its version, so that it still reads removals from the store when it can. As the next change leaves a gap again, such replies are limited to 250 kB per second of each sender.

--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -411,8 +411,11 @@
   }
 
   EntryEffect onEntry(const StoreEntry &Entry, Instant Now) override {
-    if (Entry.m_key.starts_with(store_keys::KeyTables))
-      return onKeyTable(Entry, Now);
+    if (Entry.m_key.starts_with(store_keys::KeyTables)) {
+      EntryEffect Effect = onKeyTable(Entry, Now);
+      // Tables as first read are large, and the coordinator sends newer owners.
+      return m_watcher.loaded() ? Effect : EntryEffect::None;
+    }
     if (Entry.m_key == store_keys::Coordinator) {
       m_coordinator.onCoordinatorRecord(HostId(Entry.m_value), Entry.m_modified,
                                         Now);
--- a/src/libgateway/peer_state_exchange.cpp
+++ b/src/libgateway/peer_state_exchange.cpp
@@ -25,6 +25,9 @@
 /// changes of the store, are answered.
 constexpr double RepliesPerSecond = 60;
 constexpr double MaxReplyBurst = 12;
+/// Bandwidth for replies that do not let the requesting host catch up, as it
+/// asks again after each later change of the store.
+constexpr double IncompleteReplyBytesPerSecond = 250e3;
 constexpr Duration OwnersRequestInterval{300'000};
 constexpr Duration StoreUpdateRequestInterval{100'000};
 /// Approximate size at which changes of the store are split into several
@@ -497,13 +500,28 @@
   auto After = combineWithEra(Era, Request.after);
   auto Changes = m_storeChanges(After);
   // Versions of one message are of one era.
-  if (!Changes || eraOf(Changes->m_version) != Era ||
+  if (!Changes || eraOf(Changes->m_version) != Era)
+    return;
+  bool Incomplete = Changes->m_version == After && !Changes->m_events.empty();
+  if ((Incomplete && Now < m_incompleteReplyAllowedAt) ||
       !m_storeUpdateReplies.take(Now))
     return;
+  if (Incomplete) {
+    std::size_t Bytes = 0;
+    for (const StoreEvent &Event : Changes->m_events)
+      Bytes += Event.m_entry.m_key.size() + Event.m_entry.m_value.size();
+    double Seconds = static_cast<double>(Bytes) / IncompleteReplyBytesPerSecond;
+    m_incompleteReplyAllowedAt =
+        Now + Duration(static_cast<std::int64_t>(Seconds * 1e6));
+  }
   splitStoreUpdate(After, *Changes,
                    [&](StoreVersion PartAfter, const StoreEvents &Part, bool) {
                      wire::Datagram Message;
-                     Message.__set_storeUpdate(toWire(PartAfter, Part));
+                     // No part of an incomplete reply may raise the receiver's
+                     // version.
+                     Message.__set_storeUpdate(
+                         Incomplete ? toWire(After, {Part.m_events, After})
+                                    : toWire(PartAfter, Part));
                      m_transport.send(Sender, std::move(Message));
                    });
 }
--- a/src/libgateway/peer_state_exchange.h
+++ b/src/libgateway/peer_state_exchange.h
@@ -134,6 +134,9 @@
   Instant m_lastOwnersRequest; ///< When this host last requested all owners.
   ReplyAllowance m_ownersReplies;
   ReplyAllowance m_storeUpdateReplies;
+  /// When the bandwidth for incomplete replies is free again after the last
+  /// one.
+  Instant m_incompleteReplyAllowedAt;
   bool m_reachesStore = true;
   /// UpstreamRegistry::pathsLost() as of the last tick.
   bool m_reportedPathsLost = false;
--- a/src/libgateway/registry_watcher.cpp
+++ b/src/libgateway/registry_watcher.cpp
@@ -107,7 +107,7 @@
         PreviousIt->second >= Entry.m_modified)
       continue;
     EntryEffect Effect = m_listener.onEntry(Entry, Now);
-    if (m_loaded && Effect == EntryEffect::Change)
+    if (Effect == EntryEffect::Change)
       m_changeLog.add({Entry, false});
   }
   logEvent(Severity::Info, "registry_loaded",
@@ -254,12 +254,16 @@
 RegistryWatcher::changesSince(StoreVersion After) const {
   if (!m_loaded || m_reloadNeeded || After > m_version)
     return std::nullopt;
-  auto Changes = m_changeLog.changesAfter(After);
-  if (!Changes)
-    return std::nullopt;
   StoreEvents Events;
-  Events.m_events = std::move(*Changes);
-  Events.m_version = m_version;
+  if (auto Changes = m_changeLog.changesAfter(After)) {
+    Events.m_events = std::move(*Changes);
+    Events.m_version = m_version;
+    return Events;
+  }
+  // A host that the store turns away has no other source for the entries that
+  // were written before this host read the store. Removals may be missing.
+  Events.m_events = m_changeLog.keptChangesAfter(After);
+  Events.m_version = After;
   return Events;
 }
 
--- a/src/libgateway/registry_watcher.h
+++ b/src/libgateway/registry_watcher.h
@@ -82,7 +82,10 @@
   void setWatchesForDomain(bool Enabled);
 
   /// The changes after a version that this host has applied, the last one of
-  /// each key. Returns nothing when it does not know all of them.
+  /// each key. If it may not know all of them, the returned version is
+  /// \p After: a host that applies them stays at that version, and reads the
+  /// missing ones from the store when it can. Returns nothing while this host
+  /// has not read the store up to \p After.
   std::optional<StoreEvents> changesSince(StoreVersion After) const;
 
   /// Called with the result of each watch that this host has made for its
--- a/src/libgateway/store_change_log.cpp
+++ b/src/libgateway/store_change_log.cpp
@@ -37,6 +37,11 @@
 StoreChangeLog::changesAfter(StoreVersion Version) const {
   if (Version < m_completeAfter)
     return std::nullopt;
+  return keptChangesAfter(Version);
+}
+
+std::vector<StoreEvent>
+StoreChangeLog::keptChangesAfter(StoreVersion Version) const {
   std::vector<StoreEvent> Changes;
   for (const auto &[Key, Event] : m_lastChanges)
     if (Event.m_entry.m_modified > Version)
--- a/src/libgateway/store_change_log.h
+++ b/src/libgateway/store_change_log.h
@@ -18,7 +18,8 @@
   /// Discards everything. All changes after \p Version are added from now on.
   void reset(StoreVersion Version);
 
-  /// Adds a change. Precondition: it is newer than the last one of its key.
+  /// Adds a change, or an entry as of the version of reset(). Precondition: it
+  /// is newer than the last one of its key.
   void add(const StoreEvent &Event);
 
   /// Returns the changes after \p Version in the order of their versions.
@@ -26,6 +27,10 @@
   std::optional<std::vector<StoreEvent>>
   changesAfter(StoreVersion Version) const;
 
+  /// As changesAfter(), but returns what is kept also when some changes may
+  /// have been discarded.
+  std::vector<StoreEvent> keptChangesAfter(StoreVersion Version) const;
+
 private:
   std::map<std::string, StoreEvent> m_lastChanges; ///< By key.
   /// All last changes of keys after this version are kept.
