memory: a body of the largest legal size is served on a host of 160 MB

Callers got 413 for bodies above a quarter of the memory budget (20 MB on a host of 160 MB), although the configuration allows 64 MiB. The bound was there because a body was kept up to three times: as received, in the request that is encoded, and in its encoded form.

Change: encodeRequest() refers to the caller's body, and a channel sends bodies above 16 KiB from there (evbuffer_add_reference). The limit for charged memory is five eighths of the memory instead of half, so that 64 MiB stays below the level from which large bodies are not read. The bound of a quarter is removed: bodies for which there is no room get 503, which is not 413.

Several large bodies could then wait for each other without end: each was paused because the rest of it had no room. A body that is paused for 5 s gets 503.

--- a/src/include/burdockpulley/caller_listener.h
+++ b/src/include/burdockpulley/caller_listener.h
@@ -179,7 +179,6 @@
   void giveUpUnread(Instant Now);
   void count(CallerLimit Reason, const std::string &CallerAddress);
   void logLimits(Instant Now);
-  std::size_t maxBodyBytes() const;
   std::size_t maxHeaderFields() const;
   void remove(detail::CallerConnection *Connection);
 
--- a/src/include/burdockpulley/gateway_settings.h
+++ b/src/include/burdockpulley/gateway_settings.h
@@ -55,11 +55,12 @@
   bool highBandwidth() const { return m_linkMegabits >= HighBandwidthMegabits; }
 
   /// Limit for the memory that callers, requests and responses take, in bytes:
-  /// half of the memory. The program and its state take about 20 MiB, and
-  /// copies and the allocator's overhead the rest. Thread safety: safe.
+  /// five eighths of the memory. Of 160 MB, a body of 64 MiB then stays below
+  /// the level from which large bodies are not read. The program and its state
+  /// take about 9 MiB; the rest is for the allocator's overhead and for a body
+  /// that is copied while it grows. Thread safety: safe.
   std::size_t maxChargedMemory() const {
-    constexpr std::size_t Divisor = 2;
-    return (m_memoryMegabytes << 20) / Divisor;
+    return (m_memoryMegabytes << 20) / 8 * 5;
   }
 
   /// Limit for all responses that are being received, in bytes: an eighth of
--- a/src/include/burdockpulley/http.h
+++ b/src/include/burdockpulley/http.h
@@ -32,6 +32,9 @@
   std::vector<HttpHeader> m_headers;
   std::string m_body;
   std::string m_caller; ///< IP address of the caller; set by the server.
+  /// Sent by ChannelPool in place of m_body, without a copy; may be null. It
+  /// must not change.
+  std::shared_ptr<const std::string> m_sharedBody = nullptr;
 
   /// Returns the first value of a header, or an empty view if it is absent.
   /// Header names are compared without regard to case.
--- a/src/include/burdockpulley/memory_budget.h
+++ b/src/include/burdockpulley/memory_budget.h
@@ -99,8 +99,6 @@
   bool trimDue(Instant Now);
 
   std::size_t maxBytes() const { return m_maxBytes; }
-  /// Largest body of a single request.
-  std::size_t maxBodyBytes() const { return m_maxBytes / BodyDivisor; }
   std::size_t total() const { return m_total; }
   std::size_t used(MemoryKind Kind) const {
     return m_used[static_cast<std::size_t>(Kind)];
@@ -109,10 +107,6 @@
   const Account *largest() const;
 
 private:
-  /// A body is copied up to three times: in the request that is encoded, in its
-  /// encoded form, and at a retry.
-  static constexpr std::size_t BodyDivisor = 4;
-
   std::size_t m_maxBytes;
   std::size_t m_total = 0;
   std::array<std::size_t, MemoryKindCount> m_used{};
--- a/src/libgateway/request_encoding.cpp
+++ b/src/libgateway/request_encoding.cpp
@@ -31,7 +31,8 @@
   HttpRequest UpstreamRequest;
   UpstreamRequest.m_method = CallerRequest.m_method;
   UpstreamRequest.m_target = CallerRequest.m_target;
-  UpstreamRequest.m_body = CallerRequest.m_body;
+  UpstreamRequest.m_sharedBody = std::shared_ptr<const std::string>(
+      Pending.m_exchange, &CallerRequest.m_body);
   std::string_view Connection = CallerRequest.header("Connection");
   // Only deployments with teams give these two headers a meaning.
   bool HasTeams = !Pending.m_configuration->m_teams.empty();
--- a/src/libgateway/request_encoding.h
+++ b/src/libgateway/request_encoding.h
@@ -7,7 +7,9 @@
 namespace burdockpulley {
 
 /// The caller's request without headers that are not passed on, and with the
-/// time that is left. Thread safety: safe.
+/// time that is left. Its body is the caller's, which is not copied; the
+/// exchange lives at least as long as the returned request.
+/// Thread safety: safe.
 HttpRequest encodeRequest(const PendingRequest &Pending,
                           const HeaderNames &Names, Instant Now);
 
--- a/src/libhttp/caller_connection.cpp
+++ b/src/libhttp/caller_connection.cpp
@@ -28,6 +28,9 @@
 /// A body whose caller has sent nothing for this time is stalled.
 constexpr Duration StallTime{1'000'000};
 constexpr Duration RecentInterval{1'000'000};
+/// A body is given up when there has been no room for the rest of it for this
+/// time. Otherwise several large ones could wait for each other without end.
+constexpr Duration MaxPause{5'000'000};
 constexpr int RequestTimeout = 408;
 /// Time for which input is still read after the last response. Closing a socket
 /// with unread input would reset the connection, and the caller might lose the
@@ -40,9 +43,8 @@
 /// callers stop using a connection before it is closed here.
 constexpr double AnnouncedIdleShare = 0.9;
 
-MessageParser::Limits parserLimits(const CallerLimits &Limits,
-                                   std::size_t MaxBodyBytes) {
-  return {Limits.m_headerBytes, MaxBodyBytes, Limits.m_headerBytes};
+MessageParser::Limits parserLimits(const CallerLimits &Limits) {
+  return {Limits.m_headerBytes, Limits.m_bodyBytes, Limits.m_headerBytes};
 }
 
 CallerLimit limitOf(MessageParser::Fault Fault) {
@@ -89,8 +91,7 @@
                                   : nullptr),
       m_charge(Listener.m_budget, MemoryKind::Connections, m_account),
       m_bodyCharge(Listener.m_budget, MemoryKind::Bodies, m_account),
-      m_parser(MessageParser::Kind::Request,
-               parserLimits(Listener.m_limits, Listener.maxBodyBytes())),
+      m_parser(MessageParser::Kind::Request, parserLimits(Listener.m_limits)),
       m_since(Now), m_accepted(Now),
       m_resumeEvent(event_new(
           bufferevent_get_base(Stream), -1, 0,
@@ -331,8 +332,7 @@
   Request.m_caller = m_callerAddress;
   m_keepAlive = m_parser.keepAlive();
   m_hadRequest = true;
-  m_parser.setLimits(
-      parserLimits(m_listener.m_limits, m_listener.maxBodyBytes()));
+  m_parser.setLimits(parserLimits(m_listener.m_limits));
   m_parser.reset();
   chargeInput(0);
   auto NewExchange = std::make_shared<Exchange>(this, std::move(Request),
@@ -474,6 +474,8 @@
     if (m_listener.m_budget->mayResume(
             m_parser.m_body.size(), m_parser.missingBytes(), m_account.get()))
       resumeReading(Now);
+    else if (Now - m_pausedSince > MaxPause)
+      giveUpBody();
     return;
   }
   bool Writing = unreadBytes() > 0;
--- a/src/libhttp/caller_listener.cpp
+++ b/src/libhttp/caller_listener.cpp
@@ -193,11 +193,6 @@
   return Ample ? m_limits.m_headerBytes : m_limits.m_headerFields;
 }
 
-std::size_t CallerListener::maxBodyBytes() const {
-  return m_budget ? std::min(m_limits.m_bodyBytes, m_budget->maxBodyBytes())
-                  : m_limits.m_bodyBytes;
-}
-
 void CallerListener::count(CallerLimit Reason,
                            const std::string &CallerAddress) {
   auto Index = static_cast<std::size_t>(Reason);
--- a/src/libhttp/channel.cpp
+++ b/src/libhttp/channel.cpp
@@ -30,6 +30,9 @@
 /// The ids take 2 KiB.
 constexpr std::size_t MaxRefusedIds = 256;
 constexpr int MinErrorStatus = 400;
+/// Shared bodies up to this size are appended to the header section. Copying
+/// them costs less than a block of their own in the output buffer.
+constexpr std::size_t MaxAppendedBodyBytes = 16 << 10;
 /// Idle connections are closed this long before the server would close them, so
 /// that no request is sent just as the server closes its end.
 constexpr Duration IdleMargin{500'000};
@@ -60,9 +63,22 @@
   return "malformed";
 }
 
+const std::string &bodyOf(const HttpRequest &Request) {
+  return Request.m_sharedBody ? *Request.m_sharedBody : Request.m_body;
+}
+
+/// Returns true if the body is sent from where it is kept.
+bool sendsSharedBody(const HttpRequest &Request) {
+  return Request.m_sharedBody &&
+         Request.m_sharedBody->size() > MaxAppendedBodyBytes;
+}
+
+/// Returns the request without a body for which sendsSharedBody() holds.
 std::string encode(const HttpRequest &Request) {
+  const std::string &Body = bodyOf(Request);
+  bool Appends = !sendsSharedBody(Request);
   std::string Bytes;
-  Bytes.reserve(512 + Request.m_body.size());
+  Bytes.reserve(512 + (Appends ? Body.size() : 0));
   Bytes += Request.m_method + " " + Request.m_target + " HTTP/1.1\r\n";
   for (const HttpHeader &Header : Request.m_headers) {
     Bytes += Header.m_name;
@@ -70,13 +86,13 @@
     Bytes += Header.m_value;
     Bytes += "\r\n";
   }
-  bool NeedsLength = !Request.m_body.empty() || Request.m_method == "POST" ||
+  bool NeedsLength = !Body.empty() || Request.m_method == "POST" ||
                      Request.m_method == "PUT" || Request.m_method == "PATCH";
   if (NeedsLength)
-    Bytes +=
-        "Content-Length: " + std::to_string(Request.m_body.size()) + "\r\n";
+    Bytes += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
   Bytes += "\r\n";
-  Bytes += Request.m_body;
+  if (Appends)
+    Bytes += Body;
   return Bytes;
 }
 
@@ -132,6 +148,8 @@
   if (!m_stream)
     connect();
   m_unsent = encode(Request);
+  if (sendsSharedBody(Request))
+    m_unsentBody = Request.m_sharedBody;
   m_unsentCharge =
       MemoryCharge(m_pool.m_settings.m_memoryBudget, MemoryKind::SendCopies);
   m_unsentCharge.resize(residentBytes(m_unsent));
@@ -176,10 +194,12 @@
 
 void Channel::sendRequest() {
   writeOwned(m_stream, std::exchange(m_unsent, {}), std::move(m_unsentCharge));
+  writeShared(m_stream, std::exchange(m_unsentBody, nullptr));
 }
 
 void Channel::discardRequest() {
   std::string().swap(m_unsent);
+  m_unsentBody = nullptr;
   m_unsentCharge = {};
 }
 
--- a/src/libhttp/channel.h
+++ b/src/libhttp/channel.h
@@ -69,6 +69,8 @@
   ChannelCallId m_call;
   std::string m_unsent; ///< The request, until there is a connection.
   MemoryCharge m_unsentCharge;
+  /// The body of m_unsent if it is sent without a copy.
+  std::shared_ptr<const std::string> m_unsentBody;
   std::string m_echoId;
   ChannelPool::Callback m_done; ///< Empty while no call is in progress.
   Instant m_started;
--- a/src/libhttp/owned_block.cpp
+++ b/src/libhttp/owned_block.cpp
@@ -34,6 +34,23 @@
     (void)Block.release(); // The buffer's cleanup function deletes it.
 }
 
+void writeShared(bufferevent *Stream,
+                 std::shared_ptr<const std::string> Bytes) {
+  if (!Bytes || Bytes->empty())
+    return;
+  using Reference = std::shared_ptr<const std::string>;
+  auto Block = std::make_unique<Reference>(std::move(Bytes));
+  const std::string &Text = **Block;
+  int Added = evbuffer_add_reference(
+      bufferevent_get_output(Stream), Text.data(), Text.size(),
+      [](const void *, std::size_t, void *Shared) {
+        delete static_cast<Reference *>(Shared);
+      },
+      Block.get());
+  if (Added == 0)
+    (void)Block.release(); // The buffer's cleanup function deletes it.
+}
+
 void discardOutput(bufferevent *Stream) {
   evbuffer *Output = bufferevent_get_output(Stream);
   // A bufferevent keeps the front of its output frozen except while it writes.
--- a/src/libhttp/owned_block.h
+++ b/src/libhttp/owned_block.h
@@ -3,6 +3,7 @@
 
 #include "burdockpulley/memory_budget.h"
 
+#include <memory>
 #include <string>
 
 struct bufferevent;
@@ -15,6 +16,10 @@
 void writeOwned(bufferevent *Stream, std::string &&Bytes,
                 MemoryCharge &&Charge);
 
+/// Writes bytes without copying them; releases \p Bytes like writeOwned().
+/// Thread safety: none; use it on the event loop's thread only.
+void writeShared(bufferevent *Stream, std::shared_ptr<const std::string> Bytes);
+
 /// Discards all bytes that the kernel has not taken. Call it before a stream is
 /// freed: libevent frees it later, when the budget of the charges may be gone.
 /// Thread safety: none; use it on the event loop's thread only.
