memory: what the last callers released is returned to the system

After misbehaving callers had left, up to 4 MiB of freed heap stayed resident: malloc_trim ran only when 4 MiB had been released since its last run.

Change: 4 s after the last trimming, 64 KiB of released memory are enough. That is at most one malloc_trim in 4 s, about a millisecond.

The new test small_releases_are_trimmed_later fails without the change.

--- a/src/libhttp/memory_budget.cpp
+++ b/src/libhttp/memory_budget.cpp
@@ -29,6 +29,10 @@
 /// millisecond, and the least time between two.
 constexpr std::size_t MinTrimBytes = 4 << 20;
 constexpr Duration TrimInterval{1'000'000};
+/// The same when the last trimming is longer ago. What was released in between
+/// is small, but its pages stay resident.
+constexpr std::size_t MinLateTrimBytes = 64 << 10;
+constexpr Duration LateTrimInterval{4'000'000};
 
 } // namespace
 
@@ -144,8 +148,10 @@
 }
 
 bool MemoryBudget::trimDue(Instant Now) {
-  if (m_peakSinceTrim - m_total < MinTrimBytes ||
-      Now - m_trimmed < TrimInterval)
+  Duration Elapsed = Now - m_trimmed;
+  std::size_t MinBytes =
+      Elapsed < LateTrimInterval ? MinTrimBytes : MinLateTrimBytes;
+  if (Elapsed < TrimInterval || m_peakSinceTrim - m_total < MinBytes)
     return false;
   m_peakSinceTrim = m_total;
   m_trimmed = Now;
--- a/src/libhttp/memory_budget_test.cpp
+++ b/src/libhttp/memory_budget_test.cpp
@@ -104,3 +104,16 @@
   BOOST_TEST(m_budget.trimDue(Later));
   BOOST_TEST(!m_budget.trimDue(Later + std::chrono::seconds(9)));
 }
+
+// Guards against up to 4 MiB that stay resident because the last callers
+// released less than that after the last trimming.
+BOOST_FIXTURE_TEST_CASE(small_releases_are_trimmed_later, BudgetFixture) {
+  MemoryCharge Held = charge(MaxBytes / 2);
+  Held.resize(LargeBody);
+  Instant First = Start + std::chrono::seconds(1);
+  BOOST_TEST(m_budget.trimDue(First));
+  Held.resize(0);
+  BOOST_TEST(!m_budget.trimDue(First + std::chrono::seconds(2)));
+  BOOST_TEST(m_budget.trimDue(First + std::chrono::seconds(5)));
+  BOOST_TEST(!m_budget.trimDue(First + std::chrono::seconds(10)));
+}
