gateway: only an interrupted coordinator reads the store at once after a restore

Each host of a fleet would have made its calls at the same moment. Only the coordinator that the restore has interrupted needs the restored record within its former lease. A comment is back with the test that it belongs to.

--- a/src/libgateway/coordinator_driver.h
+++ b/src/libgateway/coordinator_driver.h
@@ -34,6 +34,9 @@
   /// The store has come back from an older copy. A host that coordinates stops
   /// until it is elected again; the others leave it time for that.
   void onStoreRestored(Instant Now);
+  /// True if a restore has interrupted this host while it coordinated, and it
+  /// may still go on with the owners that it knows.
+  bool interrupted() const { return !m_interrupted.empty(); }
 
   /// A stored key table is of an earlier era of the store: it has come back
   /// from an older copy before this host has started.
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -464,9 +464,12 @@
     m_state.m_registry.holdRemovals(Now + RecordReturnTime);
     m_domainsHeldUntil = Now + DomainReturnTime;
     m_coordinator.onStoreRestored(Now);
-    // A claim needs the restored record of the coordinator, and the keys stay
-    // with their owners only if it succeeds within the former lease.
-    m_watcher.watchNow();
+    // The claim of an interrupted coordinator needs the restored record, and
+    // the keys stay with their owners only if it succeeds within the former
+    // lease. Other hosts make no extra call: a fleet would make them all at
+    // once.
+    if (m_coordinator.interrupted())
+      m_watcher.watchNow();
   }
 
   void onStoreRegained(Instant Now) override {
--- a/src/libgateway/registry_watcher_test.cpp
+++ b/src/libgateway/registry_watcher_test.cpp
@@ -317,8 +317,6 @@
   BOOST_TEST(Fixture.m_store.m_watches.size() == 1u);
 }
 
-// When the coordinator of 195 hosts was lost, each of them asked the store for
-// its successor seven times a second.
 // Issue 23: after a restore of the store, a coordinator learned of its restored
 // record too late to be elected within its former lease.
 BOOST_AUTO_TEST_CASE(a_call_that_is_asked_for_is_made_at_once) {
@@ -331,6 +329,8 @@
   BOOST_TEST(!Fixture.m_store.m_watches.empty());
 }
 
+// When the coordinator of 195 hosts was lost, each of them asked the store for
+// its successor seven times a second.
 BOOST_AUTO_TEST_CASE(hosts_that_are_informed_do_not_watch_an_expected_change) {
   LoadedWatcher Fixture;
   Instant Received = Fixture.letAnotherHostWatch();
