gateway: decisions about a request can be previewed

Cause: the objects that decide about requests could only be asked by taking: a look at an upstream's limits drew from them, a quota was charged, a split was advanced. So nothing could tell an operator what a host would do.

Change: UpstreamAssignment::preview(), WaitQueue::prospect(), TeamQuota::outlook(), TeamShares::nextAboveShare(), TrafficSplitter::peek() and RequestIntake::preview() are const and use the code of the decisions themselves. Where that code draws random shares, it runs on copies. The reasons for which an upstream is left out have names (Obstacle). The reason of a refusal and the test for waiting requests moved from RequestRelay to waiting_requests.h. waitAtRate() no longer divides by zero if no upstream takes requests; converting the result was undefined.

--- a/src/include/burdockpulley/route_table.h
+++ b/src/include/burdockpulley/route_table.h
@@ -86,10 +86,18 @@
   /// The target of the next request of a route.
   /// Precondition: the route has a target.
   const RouteTarget &next(const RouteRule &Rule);
+  /// What next() would return now. Counts nothing.
+  /// Precondition: the route has a target.
+  const RouteTarget &peek(const RouteRule &Rule) const;
 
 private:
+  using Credits = std::map<ServiceId, double>;
+  /// Adds the credit of one request to each target, and returns the target that
+  /// then has the most.
+  static const RouteTarget &addCredits(const RouteRule &Rule, Credits &Of);
+
   /// Credit of each target, in requests, by route name.
-  std::map<std::string, std::map<ServiceId, double>> m_credits;
+  std::map<std::string, Credits> m_credits;
 };
 
 } // namespace burdockpulley
--- a/src/include/burdockpulley/team_quota.h
+++ b/src/include/burdockpulley/team_quota.h
@@ -60,6 +60,18 @@
   bool admit(const TeamPolicy &Team, const LimitSharers &Sharers,
              std::mt19937_64 &Random, Instant Now);
 
+  /// What admit() would decide now.
+  struct Outlook {
+    bool m_admitted = true;
+    double m_left = 0;       ///< Requests that are left, as this host sees it.
+    double m_most = 0;       ///< Requests that may be left.
+    Duration m_retryAfter{}; ///< Zero if it would be admitted.
+  };
+  /// Charges and counts nothing. The amounts are zero for a team without a
+  /// rate. \p Random: a copy of what the next call to admit() gets.
+  Outlook outlook(const TeamPolicy &Team, const LimitSharers &Sharers,
+                  std::mt19937_64 Random, Instant Now) const;
+
   /// Takes back the charge of a request that no upstream has run or will run.
   /// Precondition: admit() has returned true for it.
   void refund(const TeamPolicy &Team);
--- a/src/include/burdockpulley/team_shares.h
+++ b/src/include/burdockpulley/team_shares.h
@@ -34,6 +34,9 @@
   /// it is above the team's share. Takes one look-up.
   bool aboveShare(const TeamPolicy &Team);
 
+  /// What aboveShare() would return now. Counts nothing.
+  bool nextAboveShare(const TeamPolicy &Team) const;
+
   /// Part of the team's requests that is within its share, 0 to 1.
   double partWithin(const TeamPolicy &Team) const;
 
@@ -48,6 +51,7 @@
     double m_credit = 1;
     TeamTotal m_last;
   };
+  static bool nextAboveShare(const TeamState &State);
   struct ServedCount {
     Instant m_at;
     double m_served; ///< Since an arbitrary start.
--- a/src/include/burdockpulley/upstream_registry.h
+++ b/src/include/burdockpulley/upstream_registry.h
@@ -123,6 +123,23 @@
   }
 };
 
+/// Why a request may not be sent to an upstream now.
+enum class Obstacle {
+  None,
+  Leaving,
+  OutOfService, ///< Its failure domain is.
+  Unreachable,
+  Paused,       ///< It has asked for a pause.
+  Cold,         ///< This host has used up its share of what it may get.
+  Paced,        ///< The same while UpstreamPace limits it.
+  RequestLimit, ///< The same of the requests a second that it has named.
+  NoCapacity,   ///< Its slots are in use.
+  OtherHosts,   ///< The other hosts have the rest of its free slots.
+};
+
+/// Returns the name of an obstacle; empty for None. Thread safety: safe.
+const char *toString(Obstacle Reason);
+
 /// The registered upstreams and their state as seen by this host.
 ///
 /// A record that disappears because of a fault of the store may come back, so
@@ -188,10 +205,18 @@
   void setPathsLost(bool Lost, Instant Now);
   bool pathsLost() const { return m_pathsLost; }
 
+  /// Why no new requests may be sent to the upstream, whatever its load.
+  Obstacle obstacle(const UpstreamState &Upstream) const {
+    if (Upstream.leaving())
+      return Obstacle::Leaving;
+    if (Upstream.m_unreachable)
+      return Obstacle::Unreachable;
+    return domainOut(Upstream.m_record.m_domain) ? Obstacle::OutOfService
+                                                 : Obstacle::None;
+  }
   /// True when new requests may be sent to the upstream.
   bool usable(const UpstreamState &Upstream) const {
-    return !Upstream.leaving() && !Upstream.m_unreachable &&
-           !domainOut(Upstream.m_record.m_domain);
+    return obstacle(Upstream) == Obstacle::None;
   }
 
   UpstreamState *find(const UpstreamId &Id);
--- a/src/include/burdockpulley/wait_queue.h
+++ b/src/include/burdockpulley/wait_queue.h
@@ -43,6 +43,14 @@
   Duration m_wait{}; ///< Expected as the request was refused.
 };
 
+/// What WaitQueue::offer() decides about a request.
+struct WaitProspect {
+  double m_ahead = 0; ///< Requests here that would be sent before it.
+  Duration m_wait{};
+  bool m_expectedLate = false; ///< It is expected to miss its latency goal.
+  bool m_refused = false;      ///< It would not be answered in time.
+};
+
 /// Requests of one service that wait at this host because no upstream has
 /// capacity.
 ///
@@ -63,6 +71,10 @@
   std::optional<Refusal> offer(const WaitingRequest &Request,
                                const ServiceCapacity &Capacity, Instant Now);
 
+  /// What offer() would decide now. Changes nothing.
+  WaitProspect prospect(const WaitingRequest &Request,
+                        const ServiceCapacity &Capacity, Instant Now) const;
+
   /// The request to send first; nothing if none waits.
   std::optional<RequestNumber> first(Instant Now);
   /// The request to send after \p Number; nothing if that one does not wait, or
@@ -100,13 +112,16 @@
     Instant m_lastMiss;
 
     void onMiss(Instant Now);
-    bool hopeless(Instant Now) const;
+    /// \p Remaining: part that is left of the counts after their decay.
+    bool hopeless(double Remaining, Instant Now) const;
   };
 
   /// Applies the passing of time to the order.
   void advance(Instant Now);
-  Duration expectedWait(const WaitingRequest &Request,
-                        const ServiceCapacity &Capacity, Instant Now);
+  /// Sum over the requests to be sent before \p Rank, also if advance() has not
+  /// been called for a while.
+  QueuedWork ahead(const RequestRank &Rank, Instant Now) const;
+  double remainingEndings(Instant Now) const;
   /// The wait, without a pause, of a request behind \p Ahead, which wait at
   /// this host. Hosts send about in turn: of the equally urgent requests
   /// elsewhere, the same share is taken to be ahead of it as of the \p
--- a/src/libgateway/request_intake.cpp
+++ b/src/libgateway/request_intake.cpp
@@ -2,10 +2,10 @@
 
 #include "burdockpulley/event_log.h"
 #include "burdockpulley/hashing.h"
-#include "local_response.h"
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace burdockpulley {
 
@@ -17,8 +17,8 @@
 /// Retry-After if the configurations of two hosts differ.
 constexpr Duration NoServiceRetryAfter{250'000};
 constexpr Duration NoConfigurationRetryAfter{300'000};
-/// Longest deadline that a caller may set: one hour.
-constexpr std::int64_t MaxDeadlineMillis = 3'600'000;
+constexpr RequestIntake::Rejection NoApiKey{LocalStatus::Unauthorized,
+                                            "no-api-key"};
 
 template <class Number> bool parseNumber(std::string_view Text, Number &Value) {
   auto [End, Error] =
@@ -27,10 +27,9 @@
          !Text.empty();
 }
 
-Fingerprint fingerprintOf(const HttpRequest &Request) {
-  std::string_view Body(Request.m_body);
-  return Fingerprint(stableHash(
-      Request.m_target, stableHash(Body, stableHash(Request.m_method))));
+Fingerprint fingerprintOf(std::string_view Method, std::string_view Target,
+                          std::string_view Body) {
+  return Fingerprint(stableHash(Target, stableHash(Body, stableHash(Method))));
 }
 
 } // namespace
@@ -58,8 +57,8 @@
   Pending->m_forwarded = std::move(Forwarded);
   Pending->m_arrived = Now;
   Pending->m_configuration = m_state.m_routes.current();
-  auto Reject = [&](LocalStatus Status, const char *Reason,
-                    Duration RetryAfter) {
+  auto Reject = [&](const Rejection &Found) {
+    auto [Status, Reason, RetryAfter] = Found;
     logEvent(Severity::Warning, "request_rejected",
              {{"request", Pending->m_requestId},
               {"reason", Reason},
@@ -77,39 +76,78 @@
   // Without an id, a late response to an earlier request could not be told from
   // the response to this one.
   if (Pending->m_requestId.empty())
-    return Reject(LocalStatus::BadRequest, "no-request-id", {});
-  if (!Pending->m_configuration)
-    return Reject(LocalStatus::Unavailable, "no-configuration",
-                  NoConfigurationRetryAfter);
-  Pending->m_route =
-      m_state.m_routes.find(Request.header("Host"), Request.m_target);
-  if (!Pending->m_route || Pending->m_route->m_targets.empty())
-    return Reject(LocalStatus::NotFound, "no-route", {});
+    return Reject({LocalStatus::BadRequest, "no-request-id"});
+  if (auto Found =
+          findRoute(*Pending, Request.header("Host"), Request.m_target))
+    return Reject(*Found);
   if (!readTeam(*Pending, Names)) {
     if (Pending->m_forwarded) // The configurations of the hosts differ.
-      return Reject(LocalStatus::Unavailable, "no-team", NoServiceRetryAfter);
+      return Reject({LocalStatus::Unavailable, "no-team", NoServiceRetryAfter});
     m_state.m_metrics.onUnknownApiKey();
-    return Reject(LocalStatus::Unauthorized, "no-api-key", {});
+    return Reject(NoApiKey);
   }
-  const RouteTarget *Target = chooseTarget(*Pending);
-  if (!Target) // The configurations of the two hosts differ.
-    return Reject(LocalStatus::Unavailable, "no-service", NoServiceRetryAfter);
-  auto Service = Pending->m_configuration->m_services.find(Target->m_service);
-  if (Service == Pending->m_configuration->m_services.end())
-    return Reject(LocalStatus::Unavailable, "no-service", NoServiceRetryAfter);
-  Pending->m_service = &Service->second;
-  if (!readDeadline(*Pending, Now))
-    return Reject(LocalStatus::BadRequest, "bad-deadline", {});
-  if (Pending->m_service->m_keyed && !readKey(*Pending))
-    return Reject(LocalStatus::BadRequest, "bad-key", {});
-  Pending->m_goalTime = Now + Pending->m_route->m_latencyGoal;
-  Pending->m_workTime = m_serviceTimes.expected(
-      Pending->m_route->m_name,
-      Pending->m_route->m_latencyGoal / GoalToWorkTimeRatio);
-  Pending->m_fingerprint = fingerprintOf(Request);
+  if (auto Found = findService(*Pending, chooseTarget(*Pending),
+                               Request.header(Names.m_deadline),
+                               Request.header(Names.m_shardKey), Now))
+    return Reject(*Found);
+  Pending->m_fingerprint =
+      fingerprintOf(Request.m_method, Request.m_target, Request.m_body);
   return Pending;
 }
 
+std::optional<RequestIntake::Rejection>
+RequestIntake::preview(const AskedRequest &Asked, PendingRequest &Pending,
+                       Instant Now) const {
+  // It would be behind all that wait.
+  Pending.m_number = RequestNumber(std::numeric_limits<std::uint64_t>::max());
+  Pending.m_arrived = Now;
+  Pending.m_configuration = m_state.m_routes.current();
+  if (auto Found = findRoute(Pending, Asked.m_host, Asked.m_target))
+    return Found;
+  Pending.m_team = Asked.m_team;
+  if (!Pending.m_configuration->m_teams.empty() && !Pending.m_team &&
+      !Pending.m_route->m_public)
+    return NoApiKey;
+  Pending.m_fingerprint = fingerprintOf(Asked.m_method, Asked.m_target, "");
+  return findService(Pending, &m_splitter.peek(*Pending.m_route),
+                     Asked.m_deadline, Asked.m_key, Now);
+}
+
+std::optional<RequestIntake::Rejection>
+RequestIntake::findRoute(PendingRequest &Pending, std::string_view Host,
+                         std::string_view Target) const {
+  if (!Pending.m_configuration)
+    return Rejection{LocalStatus::Unavailable, "no-configuration",
+                     NoConfigurationRetryAfter};
+  Pending.m_route = m_state.m_routes.find(Host, Target);
+  if (!Pending.m_route || Pending.m_route->m_targets.empty())
+    return Rejection{LocalStatus::NotFound, "no-route"};
+  return std::nullopt;
+}
+
+std::optional<RequestIntake::Rejection>
+RequestIntake::findService(PendingRequest &Pending, const RouteTarget *Target,
+                           std::string_view Deadline, std::string_view Key,
+                           Instant Now) const {
+  Rejection NoService{LocalStatus::Unavailable, "no-service",
+                      NoServiceRetryAfter};
+  if (!Target) // The configurations of the two hosts differ.
+    return NoService;
+  auto Service = Pending.m_configuration->m_services.find(Target->m_service);
+  if (Service == Pending.m_configuration->m_services.end())
+    return NoService;
+  Pending.m_service = &Service->second;
+  if (!readDeadline(Pending, Deadline, Now))
+    return Rejection{LocalStatus::BadRequest, "bad-deadline"};
+  if (Pending.m_service->m_keyed && !readKey(Pending, Key))
+    return Rejection{LocalStatus::BadRequest, "bad-key"};
+  Pending.m_goalTime = Now + Pending.m_route->m_latencyGoal;
+  Pending.m_workTime = m_serviceTimes.expected(Pending.m_route->m_name,
+                                               Pending.m_route->m_latencyGoal /
+                                                   GoalToWorkTimeRatio);
+  return std::nullopt;
+}
+
 bool RequestIntake::readTeam(PendingRequest &Pending,
                              const HeaderNames &Names) {
   const TeamDirectory &Teams = Pending.m_configuration->m_teams;
@@ -127,9 +165,8 @@
   return Pending.m_team || Pending.m_route->m_public;
 }
 
-bool RequestIntake::readDeadline(PendingRequest &Pending, Instant Now) {
-  std::string_view Text = Pending.m_exchange->request().header(
-      m_state.m_codec.headers().m_deadline);
+bool RequestIntake::readDeadline(PendingRequest &Pending, std::string_view Text,
+                                 Instant Now) {
   Pending.m_deadline = Now + Pending.m_route->m_timeout;
   if (Text.empty())
     return true;
@@ -144,9 +181,7 @@
   return true;
 }
 
-bool RequestIntake::readKey(PendingRequest &Pending) {
-  std::string_view Text = Pending.m_exchange->request().header(
-      m_state.m_codec.headers().m_shardKey);
+bool RequestIntake::readKey(PendingRequest &Pending, std::string_view Text) {
   std::uint32_t Value = 0;
   if (!parseNumber(Text, Value) || Value >= ShardKeyCount)
     return false;
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -7,7 +7,6 @@
 #include "upstream_notice.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace burdockpulley {
 
@@ -96,9 +95,7 @@
 }
 
 void RequestRelay::checkShare(PendingRequest &Pending, const QueueKey &Key) {
-  const ServiceId &Service = Pending.m_service->m_name;
-  if (!Pending.m_team || (!m_waiting.anyIn(Key) &&
-                          m_state.m_peerLoads.queues(Service).total() < 1))
+  if (!Pending.m_team || !anyWaits(m_waiting, m_state.m_peerLoads, Key))
     return;
   Pending.m_aboveShare = m_state.m_teamShares.aboveShare(*Pending.m_team);
   if (Pending.m_aboveShare)
@@ -203,20 +200,14 @@
 }
 
 QueueKey RequestRelay::queueOf(const PendingRequest &Pending) const {
-  return WaitingRequests::queueOf(
-      Pending, Pending.m_key ? m_state.m_owners.owner(Pending.m_service->m_name,
-                                                      *Pending.m_key)
-                             : UpstreamId());
+  return WaitingRequests::queueOf(Pending, m_state.m_owners);
 }
 
 void RequestRelay::enqueue(PendingRequest &Pending, Instant Now) {
   ServiceCapacity Capacity = m_assignment.capacityFor(Pending, Now);
   auto Refusal = m_waiting.add(Pending, queueOf(Pending), Capacity, Now);
   if (Refusal)
-    refuse(Pending,
-           Capacity.m_pause > Duration()           ? "upstream-pause"
-           : std::isfinite(Capacity.m_requestRate) ? "upstream-limit"
-                                                   : "no-room-in-time",
+    refuse(Pending, refusalReason(Capacity),
            plannedRetryAfter(Pending, Capacity, Refusal->m_wait, Now), Now);
 }
 
--- a/src/libgateway/route_table.cpp
+++ b/src/libgateway/route_table.cpp
@@ -46,23 +46,37 @@
   return nullptr;
 }
 
-const RouteTarget &TrafficSplitter::next(const RouteRule &Rule) {
-  if (Rule.m_targets.size() == 1)
-    return Rule.m_targets.front();
+const RouteTarget &TrafficSplitter::addCredits(const RouteRule &Rule,
+                                               Credits &Of) {
   double Sum =
       std::accumulate(Rule.m_targets.begin(), Rule.m_targets.end(), 0.0,
                       [](double Total, const RouteTarget &Target) {
                         return Total + Target.m_weight;
                       });
-  auto &Credits = m_credits[Rule.m_name];
   const RouteTarget *Best = &Rule.m_targets.front();
   for (const RouteTarget &Target : Rule.m_targets) {
-    Credits[Target.m_service] += Target.m_weight / Sum;
-    if (Credits[Target.m_service] > Credits[Best->m_service])
+    Of[Target.m_service] += Target.m_weight / Sum;
+    if (Of[Target.m_service] > Of[Best->m_service])
       Best = &Target;
   }
-  Credits[Best->m_service] -= 1;
   return *Best;
 }
 
+const RouteTarget &TrafficSplitter::next(const RouteRule &Rule) {
+  if (Rule.m_targets.size() == 1)
+    return Rule.m_targets.front();
+  Credits &Of = m_credits[Rule.m_name];
+  const RouteTarget &Best = addCredits(Rule, Of);
+  Of[Best.m_service] -= 1;
+  return Best;
+}
+
+const RouteTarget &TrafficSplitter::peek(const RouteRule &Rule) const {
+  if (Rule.m_targets.size() == 1)
+    return Rule.m_targets.front();
+  auto It = m_credits.find(Rule.m_name);
+  Credits Of = It == m_credits.end() ? Credits() : It->second;
+  return addCredits(Rule, Of);
+}
+
 } // namespace burdockpulley
--- a/src/libgateway/team_quota.cpp
+++ b/src/libgateway/team_quota.cpp
@@ -185,6 +185,29 @@
   return true;
 }
 
+TeamQuota::Outlook TeamQuota::outlook(const TeamPolicy &Team,
+                                      const LimitSharers &Sharers,
+                                      std::mt19937_64 Random,
+                                      Instant Now) const {
+  NameHash Name = nameHash(Team.m_name.value());
+  TeamQuota Trial(m_terms);
+  Trial.m_reportInterval = m_reportInterval;
+  Trial.m_startedAt = m_startedAt;
+  if (auto It = m_teams.find(Name); It != m_teams.end())
+    Trial.m_teams.insert(*It);
+  Outlook Result;
+  Result.m_admitted = Trial.admit(Team, Sharers, Random, Now);
+  if (Team.m_requestRate <= 0)
+    return Result;
+  const TeamState &State = Trial.stateOf(Name);
+  double Charged = Result.m_admitted ? 1 : 0;
+  Result.m_left = State.m_bucket.tokens() - State.m_unreported + Charged;
+  Result.m_most = State.m_capacity;
+  if (!Result.m_admitted)
+    Result.m_retryAfter = Trial.retryAfter(Team, Sharers);
+  return Result;
+}
+
 bool TeamQuota::mayAdmit(TeamState &State, const TeamPolicy &Team,
                          const LimitSharers &Sharers, std::mt19937_64 &Random,
                          Instant Now) {
--- a/src/libgateway/team_shares.cpp
+++ b/src/libgateway/team_shares.cpp
@@ -174,11 +174,20 @@
   if (It == m_teams.end() || It->second.m_partWithin >= 1)
     return false;
   TeamState &State = It->second;
+  bool Above = nextAboveShare(State);
   State.m_credit += State.m_partWithin;
-  if (State.m_credit < 1)
-    return true;
-  State.m_credit -= 1;
-  return false;
+  if (!Above)
+    State.m_credit -= 1;
+  return Above;
+}
+
+bool TeamShares::nextAboveShare(const TeamState &State) {
+  return State.m_partWithin < 1 && State.m_credit + State.m_partWithin < 1;
+}
+
+bool TeamShares::nextAboveShare(const TeamPolicy &Team) const {
+  auto It = m_teams.find(nameHash(Team.m_name.value()));
+  return It != m_teams.end() && nextAboveShare(It->second);
 }
 
 double TeamShares::partWithin(const TeamPolicy &Team) const {
--- a/src/libgateway/upstream_assignment.cpp
+++ b/src/libgateway/upstream_assignment.cpp
@@ -70,7 +70,11 @@
 void UpstreamAssignment::updatePace(UpstreamPace &Pace, UpstreamState &Upstream,
                                     const UpstreamPace::Terms &Terms,
                                     Instant Now) {
-  switch (Pace.update(Upstream, presenceOf(Upstream), Terms, Now)) {
+  UpstreamPace::Change Change =
+      Pace.update(Upstream, presenceOf(Upstream), Terms, Now);
+  if (m_isPreview)
+    return;
+  switch (Change) {
   case UpstreamPace::Change::None:
     return;
   case UpstreamPace::Change::Began:
@@ -210,51 +214,84 @@
 UpstreamState *UpstreamAssignment::chooseOwner(const PendingRequest &Pending,
                                                bool &CanWait, Instant Now) {
   OwnerLookup KeyOwner = findOwner(Pending, Now);
+  CanWait = mayAwaitOwner(KeyOwner, Pending, Now);
+  UpstreamState *Upstream = KeyOwner.m_upstream;
+  return Upstream && ownerObstacle(*Upstream, Pending, Now) == Obstacle::None
+             ? Upstream
+             : nullptr;
+}
+
+bool UpstreamAssignment::mayAwaitOwner(const OwnerLookup &KeyOwner,
+                                       const PendingRequest &Pending,
+                                       Instant Now) {
   // An unreachable owner is replaced only after seconds: the request is
   // refused. A key in transit soon has a new owner: the request waits.
   bool WithinOwnerWait = Now - Pending.m_arrived <= MinOwnerWait ||
                          Now + Pending.m_workTime <= Pending.m_goalTime;
-  CanWait = KeyOwner.m_upstream || (!KeyOwner.m_unreachable && WithinOwnerWait);
-  UpstreamState *Upstream = KeyOwner.m_upstream;
-  bool HasShare = Upstream && !Upstream->paused(Now) &&
-                  ownerAvailable(*Upstream, Pending, Now);
-  return HasShare && allowedByRequestLimit(*Upstream, Now) ? Upstream : nullptr;
+  return KeyOwner.m_upstream || (!KeyOwner.m_unreachable && WithinOwnerWait);
 }
 
-bool UpstreamAssignment::ownerAvailable(UpstreamState &Owner,
-                                        const PendingRequest &Pending,
-                                        Instant Now) {
+Obstacle UpstreamAssignment::ownerObstacle(UpstreamState &Owner,
+                                           const PendingRequest &Pending,
+                                           Instant Now) {
+  if (Owner.paused(Now))
+    return Obstacle::Paused;
   if (!allowedByPace(Owner, Pending, Now))
-    return false;
+    return Owner.cold(Now) ? Obstacle::Cold : Obstacle::Paced;
   bool Paced = m_state.m_settings.m_paceUpstreams &&
                (Owner.m_paceLimit || Owner.cold(Now));
-  if (Paced &&
-      m_paces[Owner.m_record.m_id].divides(Owner, paceTerms(Pending), Now))
-    return hasCapacity(Owner);
-  return m_ownerThrottles[Owner.m_record.m_id].available(
-      Owner, Pending.m_workTime, statusInterval(m_state.m_peerLoads.hosts()),
-      m_random, Now);
+  bool Divided = Paced && m_paces[Owner.m_record.m_id].divides(
+                              Owner, paceTerms(Pending), Now);
+  bool Available =
+      Divided ? hasCapacity(Owner)
+              : m_ownerThrottles[Owner.m_record.m_id].available(
+                    Owner, Pending.m_workTime,
+                    statusInterval(m_state.m_peerLoads.hosts()), m_random, Now);
+  if (!Available)
+    return hasCapacity(Owner) ? Obstacle::OtherHosts : Obstacle::NoCapacity;
+  return allowedByRequestLimit(Owner, Now) ? Obstacle::None
+                                           : Obstacle::RequestLimit;
+}
+
+Obstacle UpstreamAssignment::limitOf(UpstreamState &Upstream,
+                                     const PendingRequest &Pending,
+                                     Instant Now) {
+  if (Upstream.paused(Now))
+    return Obstacle::Paused;
+  if (!allowedByPace(Upstream, Pending, Now))
+    return Upstream.cold(Now) ? Obstacle::Cold : Obstacle::Paced;
+  return allowedByRequestLimit(Upstream, Now) ? Obstacle::None
+                                              : Obstacle::RequestLimit;
 }
 
 UpstreamState *UpstreamAssignment::chooseUpstream(const PendingRequest &Pending,
                                                   bool &CanWait, Instant Now) {
   if (Pending.m_key)
     return chooseOwner(Pending, CanWait, Now);
-  std::vector<UpstreamState *> Upstreams =
-      m_state.m_registry.ofService(Pending.m_service->m_name);
+  return chooseAmong(m_state.m_registry.ofService(Pending.m_service->m_name),
+                     Pending, CanWait, nullptr, Now);
+}
+
+UpstreamState *
+UpstreamAssignment::chooseAmong(std::vector<UpstreamState *> Upstreams,
+                                const PendingRequest &Pending, bool &CanWait,
+                                Limits *LeftOut, Instant Now) {
   bool AwaitsLimit = false;
   std::erase_if(Upstreams, [&](UpstreamState *Upstream) {
-    if (!Upstream->paused(Now) && allowedByPace(*Upstream, Pending, Now) &&
-        allowedByRequestLimit(*Upstream, Now))
+    Obstacle Limit = limitOf(*Upstream, Pending, Now);
+    if (Limit == Obstacle::None)
       return false;
+    if (LeftOut)
+      LeftOut->emplace(Upstream->m_record.m_id, Limit);
     AwaitsLimit |= m_state.m_registry.usable(*Upstream) &&
                    !Pending.m_triedUpstreams.count(Upstream->m_record.m_id);
     return true;
   });
   SelectionRequest Request;
   Request.m_workTime = Pending.m_workTime;
-  Request.m_bytes =
-      Pending.m_exchange->request().m_body.size() + ExpectedResponseBytes;
+  Request.m_bytes = ExpectedResponseBytes;
+  if (Pending.m_exchange) // A request that is only previewed has none.
+    Request.m_bytes += Pending.m_exchange->request().m_body.size();
   Request.m_domain = m_state.m_settings.m_domain;
   Request.m_tried = &Pending.m_triedUpstreams;
   Request.m_jitter = jitterFor(statusInterval(m_state.m_peerLoads.hosts()),
@@ -266,6 +303,60 @@
   return Selected.m_upstream;
 }
 
+Obstacle UpstreamAssignment::previewOwner(const OwnerLookup &KeyOwner,
+                                          UpstreamState &Owner,
+                                          const PendingRequest &Pending,
+                                          Instant Now) {
+  if (KeyOwner.m_upstream)
+    return ownerObstacle(Owner, Pending, Now);
+  return KeyOwner.m_unreachable ? Obstacle::Unreachable
+                                : m_state.m_registry.obstacle(Owner);
+}
+
+AssignmentPreview UpstreamAssignment::preview(const PendingRequest &Pending,
+                                              Instant Now) const {
+  // Decides on copies of the limits, the upstreams and the random numbers.
+  UpstreamAssignment Trial(*this);
+  Trial.m_isPreview = true;
+  AssignmentPreview Result;
+  if (Pending.m_key) {
+    OwnerLookup KeyOwner = findOwner(Pending, Now);
+    Result.m_canWait = mayAwaitOwner(KeyOwner, Pending, Now);
+    const UpstreamState *Owner = m_state.m_registry.find(
+        m_state.m_owners.owner(Pending.m_service->m_name, *Pending.m_key));
+    if (!Owner)
+      return Result;
+    auto &Only = Result.m_candidates.emplace_back();
+    Only.m_upstream = *Owner;
+    Only.m_obstacle =
+        Trial.previewOwner(KeyOwner, Only.m_upstream, Pending, Now);
+    if (Only.m_obstacle == Obstacle::None)
+      Result.m_chosen = Owner->m_record.m_id;
+    return Result;
+  }
+  for (const UpstreamState *Upstream :
+       m_state.m_registry.ofService(Pending.m_service->m_name))
+    Result.m_candidates.push_back({*Upstream, Obstacle::None});
+  std::vector<UpstreamState *> Upstreams;
+  for (auto &Candidate : Result.m_candidates)
+    Upstreams.push_back(&Candidate.m_upstream);
+  Limits LeftOut;
+  if (const UpstreamState *Chosen = Trial.chooseAmong(
+          Upstreams, Pending, Result.m_canWait, &LeftOut, Now))
+    Result.m_chosen = Chosen->m_record.m_id;
+  for (auto &Candidate : Result.m_candidates) {
+    Candidate.m_obstacle = m_state.m_registry.obstacle(Candidate.m_upstream);
+    if (Candidate.m_obstacle != Obstacle::None)
+      continue;
+    if (auto It = LeftOut.find(Candidate.m_upstream.m_record.m_id);
+        It != LeftOut.end())
+      Candidate.m_obstacle = It->second;
+    else if (!hasCapacity(Candidate.m_upstream))
+      Candidate.m_obstacle = Obstacle::NoCapacity;
+  }
+  return Result;
+}
+
 ServiceCapacity UpstreamAssignment::capacityFor(const PendingRequest &Pending,
                                                 Instant Now) const {
   ServiceCapacity Capacity;
--- a/src/libgateway/upstream_assignment.h
+++ b/src/libgateway/upstream_assignment.h
@@ -13,6 +13,19 @@
 
 namespace burdockpulley {
 
+/// What UpstreamAssignment would decide about a request now, and why.
+struct AssignmentPreview {
+  struct Candidate {
+    UpstreamState m_upstream; ///< A copy.
+    Obstacle m_obstacle = Obstacle::None;
+  };
+  /// The upstreams of the service, or the owner of the key.
+  std::vector<Candidate> m_candidates;
+  /// The upstream that would be chosen; nothing if there is none.
+  std::optional<UpstreamId> m_chosen;
+  bool m_canWait = false; ///< See UpstreamAssignment::chooseUpstream().
+};
+
 /// Decides which upstream, or which other host, a request may be sent to now,
 /// within the limits that all hosts share, and what capacity the upstreams of
 /// its service have.
@@ -26,6 +39,9 @@
   /// whether one may be able to later.
   UpstreamState *chooseUpstream(const PendingRequest &Pending, bool &CanWait,
                                 Instant Now);
+  /// What chooseUpstream() would decide about a request that has not been sent
+  /// yet. Draws no share of a limit, and changes nothing else.
+  AssignmentPreview preview(const PendingRequest &Pending, Instant Now) const;
   /// True if more requests that are more urgent wait at other hosts for the
   /// upstreams that the request may be sent to than these can take now.
   bool yieldsToPeers(const PendingRequest &Pending, Instant Now) const;
@@ -53,9 +69,28 @@
   OwnerLookup findOwner(const PendingRequest &Pending, Instant Now) const;
   UpstreamState *chooseOwner(const PendingRequest &Pending, bool &CanWait,
                              Instant Now);
-  /// True if this host may send one more request to the owner of its key.
-  bool ownerAvailable(UpstreamState &Owner, const PendingRequest &Pending,
-                      Instant Now);
+  /// True if the request may wait for the owner of its key.
+  static bool mayAwaitOwner(const OwnerLookup &KeyOwner,
+                            const PendingRequest &Pending, Instant Now);
+  /// Why this host may not send one more request to the owner of its key, which
+  /// may be used.
+  Obstacle ownerObstacle(UpstreamState &Owner, const PendingRequest &Pending,
+                         Instant Now);
+  /// The obstacles of upstreams that chooseAmong() has left out by their
+  /// limits.
+  using Limits = std::map<UpstreamId, Obstacle>;
+  /// Chooses among the upstreams of the service of a request without a key.
+  /// \p LeftOut may be null.
+  UpstreamState *chooseAmong(std::vector<UpstreamState *> Upstreams,
+                             const PendingRequest &Pending, bool &CanWait,
+                             Limits *LeftOut, Instant Now);
+  /// Why the limits of an upstream of such a service forbid one more request.
+  Obstacle limitOf(UpstreamState &Upstream, const PendingRequest &Pending,
+                   Instant Now);
+  /// Why the owner of the request's key may not be used, or may not be sent
+  /// one more request.
+  Obstacle previewOwner(const OwnerLookup &KeyOwner, UpstreamState &Owner,
+                        const PendingRequest &Pending, Instant Now);
   /// True if the upstream is neither cold nor paced, or if this host may send
   /// it one more request within its share.
   bool allowedByPace(UpstreamState &Upstream, const PendingRequest &Pending,
@@ -82,6 +117,7 @@
   std::map<UpstreamId, OwnerThrottle> m_ownerThrottles;
   std::map<UpstreamId, RequestLimiter> m_requestLimiters;
   std::mt19937_64 m_random;
+  bool m_isPreview = false; ///< It is a copy, made by preview().
 };
 
 } // namespace burdockpulley
--- a/src/libgateway/upstream_registry.cpp
+++ b/src/libgateway/upstream_registry.cpp
@@ -33,6 +33,32 @@
 
 } // namespace
 
+const char *toString(Obstacle Reason) {
+  switch (Reason) {
+  case Obstacle::Leaving:
+    return "leaving";
+  case Obstacle::OutOfService:
+    return "out-of-service";
+  case Obstacle::Unreachable:
+    return "unreachable";
+  case Obstacle::Paused:
+    return "paused";
+  case Obstacle::Cold:
+    return "cold";
+  case Obstacle::Paced:
+    return "paced";
+  case Obstacle::RequestLimit:
+    return "request-limit";
+  case Obstacle::NoCapacity:
+    return "no-capacity";
+  case Obstacle::OtherHosts:
+    return "share-of-other-hosts";
+  case Obstacle::None:
+    break;
+  }
+  return "";
+}
+
 UpstreamRegistry::Change
 UpstreamRegistry::onRecord(const UpstreamRecord &Record, Instant Now) {
   bool WasHeld = m_heldRemovals.erase(Record.m_id) != 0;
--- a/src/libgateway/wait_queue.cpp
+++ b/src/libgateway/wait_queue.cpp
@@ -66,6 +66,9 @@
 
 /// The time until \p Requests requests have been sent at a limited rate.
 Duration waitAtRate(double Requests, double RequestRate) {
+  // No upstream takes requests. How long that lasts is not known.
+  if (RequestRate <= 0)
+    return Duration();
   return Duration(static_cast<std::int64_t>(Requests / RequestRate * 1e6));
 }
 
@@ -113,30 +116,52 @@
   }
 }
 
-Duration WaitQueue::expectedWait(const WaitingRequest &Request,
-                                 const ServiceCapacity &Capacity, Instant Now) {
-  advance(Now);
-  return Capacity.m_pause + waitBehind(m_waiting.before(rank(Request, Now)),
-                                       Request.m_priority,
-                                       waitingWith(Request.m_priority) + 1,
-                                       Request.m_workTime, Capacity);
+QueuedWork WaitQueue::ahead(const RequestRank &Rank, Instant Now) const {
+  QueuedWork Sum = m_waiting.before(Rank);
+  for (auto It = m_lateAt.begin(); It != m_lateAt.end() && It->first <= Now;
+       ++It) {
+    const RankedRequests::Node *Node = m_waiting.find(It->second);
+    RequestRank Late = Node->m_rank;
+    Late.m_late = true;
+    if (Node->m_rank < Rank && Rank < Late) {
+      Sum.m_requests -= 1;
+      Sum.m_work -= Node->m_request.m_workTime;
+    }
+  }
+  return Sum;
+}
+
+WaitProspect WaitQueue::prospect(const WaitingRequest &Request,
+                                 const ServiceCapacity &Capacity,
+                                 Instant Now) const {
+  WaitProspect Result;
+  QueuedWork Ahead = ahead(rank(Request, Now), Now);
+  Result.m_ahead = Ahead.m_requests;
+  Result.m_wait =
+      Capacity.m_pause + waitBehind(Ahead, Request.m_priority,
+                                    waitingWith(Request.m_priority) + 1,
+                                    Request.m_workTime, Capacity);
+  Result.m_expectedLate = Now + Result.m_wait >= lateAt(Request);
+  // Late requests are overtaken by all that can still meet their goal. If these
+  // take the whole capacity, none of the late ones is sent.
+  auto Similar = m_endings.find(Request.m_priority);
+  bool Hopeless = Result.m_expectedLate && Similar != m_endings.end() &&
+                  Similar->second.hopeless(remainingEndings(Now), Now);
+  Result.m_refused = Hopeless || Now + Result.m_wait >= latestStart(Request);
+  return Result;
 }
 
 std::optional<Refusal> WaitQueue::offer(const WaitingRequest &Request,
                                         const ServiceCapacity &Capacity,
                                         Instant Now) {
   decayCounts(Now);
-  Duration Wait = expectedWait(Request, Capacity, Now);
-  bool ExpectedLate = Now + Wait >= lateAt(Request);
-  // Late requests are overtaken by all that can still meet their goal. If these
-  // take the whole capacity, none of the late ones is sent.
-  auto Similar = m_endings.find(Request.m_priority);
-  bool Hopeless = ExpectedLate && Similar != m_endings.end() &&
-                  Similar->second.hopeless(Now);
-  if (!Hopeless && Now + Wait < latestStart(Request)) {
+  advance(Now);
+  WaitProspect Prospect = prospect(Request, Capacity, Now);
+  Duration Wait = Prospect.m_wait;
+  if (!Prospect.m_refused) {
     bool Late = Now >= lateAt(Request);
     m_waiting.insert(Request, Late, latestStart(Request)).m_expectedLate =
-        ExpectedLate;
+        Prospect.m_expectedLate;
     if (!Late)
       m_lateAt.insert({lateAt(Request), Request.m_number});
     QueuedWork &Sum = m_byPriority[Request.m_priority];
@@ -160,8 +185,7 @@
       std::exp(-Elapsed / static_cast<double>(CountDecayTime.count()));
   m_recentlyQueued *= Remaining;
   m_recentlyRefused *= Remaining;
-  double RemainingEndings =
-      std::exp(-Elapsed / static_cast<double>(EndingsDecayTime.count()));
+  double RemainingEndings = remainingEndings(Now);
   for (auto It = m_endings.begin(); It != m_endings.end();) {
     It->second.m_sent *= RemainingEndings;
     It->second.m_givenUp *= RemainingEndings;
@@ -172,13 +196,16 @@
   m_countsDecayedAt = Now;
 }
 
+double WaitQueue::remainingEndings(Instant Now) const {
+  auto Elapsed = static_cast<double>((Now - m_countsDecayedAt).count());
+  return std::exp(-Elapsed / static_cast<double>(EndingsDecayTime.count()));
+}
+
 bool WaitQueue::discardable(Instant Now) const {
   auto Elapsed = static_cast<double>((Now - m_countsDecayedAt).count());
   double GivenUp = 0;
   for (const auto &[Priority, Each] : m_endings)
-    GivenUp +=
-        Each.m_givenUp *
-        std::exp(-Elapsed / static_cast<double>(EndingsDecayTime.count()));
+    GivenUp += Each.m_givenUp * remainingEndings(Now);
   double Refused =
       m_recentlyRefused *
       std::exp(-Elapsed / static_cast<double>(CountDecayTime.count()));
@@ -243,9 +270,11 @@
     m_missesSince = Now;
 }
 
-bool WaitQueue::Endings::hopeless(Instant Now) const {
+bool WaitQueue::Endings::hopeless(double Remaining, Instant Now) const {
   return Now - m_lastMiss < OverloadGap && Now - m_missesSince > OverloadTime &&
-         m_givenUp > MaxGivenUpShare * (m_sent + m_givenUp + PriorEndings);
+         m_givenUp * Remaining >
+             MaxGivenUpShare *
+                 ((m_sent + m_givenUp) * Remaining + PriorEndings);
 }
 
 void WaitQueue::countEnding(const RankedRequests::Node &Ended, bool GivenUp) {
--- a/src/libgateway/waiting_requests.cpp
+++ b/src/libgateway/waiting_requests.cpp
@@ -1,5 +1,7 @@
 #include "waiting_requests.h"
 
+#include <cmath>
+
 namespace burdockpulley {
 
 namespace {
@@ -23,6 +25,16 @@
   return std::nullopt;
 }
 
+WaitProspect WaitingRequests::prospect(const PendingRequest &Pending,
+                                       const QueueKey &Key,
+                                       const ServiceCapacity &Capacity,
+                                       Instant Now) const {
+  auto It = m_queues.find(Key);
+  return It == m_queues.end()
+             ? WaitQueue().prospect(placeOf(Pending), Capacity, Now)
+             : It->second.prospect(placeOf(Pending), Capacity, Now);
+}
+
 void WaitingRequests::updateWaitingCount(const QueueKey &Key) {
   if (UpstreamState *Upstream = m_registry.find(Key.second))
     Upstream->m_waiting = static_cast<std::uint32_t>(m_queues[Key].size());
@@ -108,4 +120,16 @@
   return Services;
 }
 
+const char *refusalReason(const ServiceCapacity &Capacity) {
+  if (Capacity.m_pause > Duration())
+    return "upstream-pause";
+  return std::isfinite(Capacity.m_requestRate) ? "upstream-limit"
+                                               : "no-room-in-time";
+}
+
+bool anyWaits(const WaitingRequests &Here, const PeerLoads &Elsewhere,
+              const QueueKey &Key) {
+  return Here.anyIn(Key) || Elsewhere.queues(Key.first).total() >= 1;
+}
+
 } // namespace burdockpulley
--- a/src/libgateway/waiting_requests.h
+++ b/src/libgateway/waiting_requests.h
@@ -3,6 +3,8 @@
 
 #include "pending_request.h"
 
+#include "burdockpulley/key_owners.h"
+#include "burdockpulley/peer_loads.h"
 #include "burdockpulley/upstream_registry.h"
 
 #include <functional>
@@ -21,15 +23,19 @@
   explicit WaitingRequests(UpstreamRegistry &Registry) : m_registry(Registry) {}
 
   /// The queue in which the request waits, or would have to wait.
-  /// \p Owner: of its key; empty if it has none.
   static QueueKey queueOf(const PendingRequest &Pending,
-                          const UpstreamId &Owner) {
-    return {Pending.m_service->m_name, Owner};
+                          const KeyOwners &Owners) {
+    const ServiceId &Service = Pending.m_service->m_name;
+    return {Service, Pending.m_key ? Owners.owner(Service, *Pending.m_key)
+                                   : UpstreamId()};
   }
 
   /// Queues a request, or refuses it if it would not be served in time.
   std::optional<Refusal> add(PendingRequest &Pending, const QueueKey &Key,
                              const ServiceCapacity &Capacity, Instant Now);
+  /// What add() would decide now. Changes nothing.
+  WaitProspect prospect(const PendingRequest &Pending, const QueueKey &Key,
+                        const ServiceCapacity &Capacity, Instant Now) const;
   /// Does nothing if the request does not wait.
   void remove(PendingRequest &Pending);
 
@@ -68,6 +74,15 @@
   std::map<QueueKey, WaitQueue> m_queues;
 };
 
+/// Reason of the refusal of a request that would have to wait too long for
+/// \p Capacity. Thread safety: safe.
+const char *refusalReason(const ServiceCapacity &Capacity);
+
+/// True if requests wait in a queue of this host, or for its service at other
+/// hosts. Thread safety: safe.
+bool anyWaits(const WaitingRequests &Here, const PeerLoads &Elsewhere,
+              const QueueKey &Key);
+
 } // namespace burdockpulley
 
 #endif
