gateway: GET /explain on the metrics address

Cause: to find out why a host refuses a request or sends it elsewhere, an operator had to infer the state of upstreams, quotas and queues from log lines of other requests.

Change: the metrics listener answers GET /explain with route, parts of a split, team and quota, owner, candidates with the reason against each, queue and the response that would be given, as JSON. Unknown, doubled, missing and invalid parameters get 400 with name and value. "Held for urgent" is left out, as no host reserves slots yet.

--- a/src/libgateway/attempt_results.h
+++ b/src/libgateway/attempt_results.h
@@ -34,6 +34,7 @@
   void sweep(Instant Now);
 
   CrashSuspects &suspects() { return m_suspects; }
+  const CrashSuspects &suspects() const { return m_suspects; }
   const ServiceTimes &serviceTimes() const { return m_serviceTimes; }
 
   /// Called when a request is suspected of crashing upstreams.
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -12,6 +12,7 @@
 #include "local_response.h"
 #include "peer_state_exchange.h"
 #include "registry_watcher.h"
+#include "request_explanation.h"
 #include "request_relay.h"
 #include "store_keys.h"
 #include "upstream_prober.h"
@@ -101,12 +102,11 @@
                               Ready ? HttpResponse{200, {}, ""}
                                     : localResponse(LocalStatus::Unavailable));
                         }),
-        m_metricsListener(
-            Base, CheckConnections,
-            [this](const std::shared_ptr<Exchange> &Request) {
-              Request->answer(HttpResponse{
-                  200, {{"Content-Type", "text/plain"}}, metricsText()});
-            }) {
+        m_metricsListener(Base, CheckConnections,
+                          [this](const std::shared_ptr<Exchange> &Request) {
+                            Request->answer(
+                                metricsResponse(Request->request()));
+                          }) {
     m_callerListener.setMemoryBudget(m_state.m_memory);
     m_forwardListener.setMemoryBudget(m_state.m_memory);
     CallerLimits CheckLimits;
@@ -250,6 +250,14 @@
            m_state.m_routes.current() != nullptr;
   }
 
+  HttpResponse metricsResponse(const HttpRequest &Request) {
+    if (!asksForExplanation(Request.m_target))
+      return {200, {{"Content-Type", "text/plain"}}, metricsText()};
+    if (Request.m_method != "GET")
+      return {405, {{"Allow", "GET"}}, ""};
+    return explain(Request, m_relay.deciders(), bootClockNow());
+  }
+
   std::string metricsText() {
     auto Contact = m_watcher.lastContact();
     m_state.m_metrics.setStoreContactAge(
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -6,6 +6,7 @@
 #include "burdockpulley/shared_limits.h"
 #include "connection_pools.h"
 #include "gateway_state.h"
+#include "request_explanation.h"
 #include "request_forwarder.h"
 #include "request_intake.h"
 #include "upstream_assignment.h"
@@ -68,6 +69,12 @@
     return m_waiting.byService();
   }
 
+  /// What decides about new requests; valid as long as the relay.
+  RequestDeciders deciders() const {
+    return {m_state,      m_intake,  m_results.suspects(),
+            m_assignment, m_waiting, m_random};
+  }
+
   /// Requests that wait at all hosts, by the priority of their team.
   std::map<std::uint32_t, double> waitingByTeamPriority() const;
 
