burdockpulley explain

Cause: operators had no command that says where a request would go now.

Change: the command asks a host's metrics address and prints text or JSON. Exit codes: 0, 2 for an invalid command line or query, 4 if the host is not reached or does not explain, 6 for an unknown route or team.

--- a/src/burdockpulley/command.h
+++ b/src/burdockpulley/command.h
@@ -4,6 +4,7 @@
 #include "burdockpulley/types.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -16,13 +17,23 @@
   Faulty = 1,    ///< The declarations are faulty or refused.
   Usage = 2,     ///< The command line is wrong.
   Conflict = 3,  ///< Someone else published meanwhile; nothing was changed.
-  NoStore = 4,   ///< The store was not reached; nothing was changed.
+  NoStore = 4,   ///< The store, or the host that explain asks, was not
+                 ///< reached; nothing was changed.
   Unsettled = 5, ///< The outcome is not known.
   NotFound = 6,  ///< There is no such object, revision or key.
   Different = 7, ///< diff has found differences.
   Degraded = 8,  ///< status has found a host that is missing or behind.
 };
 
+/// The request that explain asks about.
+struct ExplainOptions {
+  std::string m_host; ///< Metrics address of the host that is asked.
+  std::optional<std::string> m_team;
+  std::optional<std::uint32_t> m_key;
+  std::optional<std::string> m_method;
+  std::optional<std::uint32_t> m_deadlineMillis;
+};
+
 /// What an operator has asked for.
 struct CommandLine {
   std::vector<std::string> m_arguments; ///< After the command's name.
@@ -32,6 +43,7 @@
   bool m_json = false;
   bool m_force = false;
   std::optional<Revision> m_base;
+  ExplainOptions m_explain;
 };
 
 /// One command of the command line.
@@ -57,6 +69,7 @@
 ExitCode runRollback(const CommandLine &Line);
 ExitCode runOwner(const CommandLine &Line);
 ExitCode runStatus(const CommandLine &Line);
+ExitCode runExplain(const CommandLine &Line);
 
 } // namespace burdockpulley
 
--- a/src/burdockpulley/main.cpp
+++ b/src/burdockpulley/main.cpp
@@ -48,11 +48,21 @@
      "Asks the adminAddress of each declared host. Exit code 8 when one does "
      "not answer,\nis not ready or has another revision than the store.",
      0, false, true, runStatus},
+    {"explain", "HOST PATH", "ask an entry host where a request would go now",
+     "Asks the metrics address of a host of a registry (--host IP:PORT) about "
+     "a "
+     "request\nfor PATH of the host name HOST, as a caller would send it. "
+     "--team NAME, --key N,\n--method M and --deadline MS say more about the "
+     "request. Nothing is sent to an\nupstream, charged or counted. Exit code "
+     "6: no such route or team; 4: the host\nwas not reached, or does not "
+     "explain.",
+     2, false, false, runExplain},
 };
 
 constexpr const char *ExitCodeHelp =
     "Exit codes: 0 done, 1 faulty or refused declarations, 2 wrong command "
-    "line,\n3 conflict, 4 store not reached, 5 outcome not known, 6 not "
+    "line,\n3 conflict, 4 store or host not reached, 5 outcome not known, 6 "
+    "not "
     "found,\n7 diff found differences, 8 status found a host missing or "
     "behind.\nWith 3 and 4 nothing has changed.\n";
 
@@ -76,7 +86,15 @@
               "NAME")("base", "publish only over this revision",
                       cxxopts::value<std::uint64_t>(), "REVISION")(
       "force", "publish although keys change owners all at once")(
-      "help", "print this, or what a command does");
+      "host", "explain: metrics address of the host to ask",
+      cxxopts::value<std::string>(), "IP:PORT")(
+      "team", "explain: team of the caller", cxxopts::value<std::string>(),
+      "NAME")("key", "explain: key of the request, 0 to 65535",
+              cxxopts::value<std::uint32_t>(), "N")(
+      "method", "explain: method of the request", cxxopts::value<std::string>(),
+      "M")("deadline", "explain: time that the caller waits",
+           cxxopts::value<std::uint32_t>(),
+           "MS")("help", "print this, or what a command does");
   Options.add_options("hidden")("command", "", cxxopts::value<std::string>())(
       "arguments", "", cxxopts::value<std::vector<std::string>>());
   Options.parse_positional({"command", "arguments"});
@@ -113,6 +131,23 @@
   return nullptr;
 }
 
+template <class Value>
+std::optional<Value> given(const cxxopts::ParseResult &Flags,
+                           const char *Name) {
+  return Flags.count(Name) ? std::optional(Flags[Name].as<Value>())
+                           : std::nullopt;
+}
+
+ExplainOptions readExplainOptions(const cxxopts::ParseResult &Flags) {
+  ExplainOptions Options;
+  Options.m_host = given<std::string>(Flags, "host").value_or("");
+  Options.m_team = given<std::string>(Flags, "team");
+  Options.m_key = given<std::uint32_t>(Flags, "key");
+  Options.m_method = given<std::string>(Flags, "method");
+  Options.m_deadlineMillis = given<std::uint32_t>(Flags, "deadline");
+  return Options;
+}
+
 CommandLine readLine(const cxxopts::ParseResult &Flags) {
   CommandLine Line;
   if (Flags.count("arguments"))
@@ -126,6 +161,7 @@
   Line.m_author = Flags.count("author")
                       ? Flags["author"].as<std::string>()
                       : environment("BURDOCKPULLEY_AUTHOR", "operator");
+  Line.m_explain = readExplainOptions(Flags);
   return Line;
 }
 
