explain: the text output shows the invalid value and a pause

Cause: the command printed which parameter was invalid, not its value, and that an upstream is paused, not for how long; both were in the JSON only.

Change: the error names parameter and value; the line of a candidate has the rest of its pause.

--- a/src/burdockpulley/explain.cpp
+++ b/src/burdockpulley/explain.cpp
@@ -118,6 +118,8 @@
          << Report.at("slowness") << ", " << Report.at("ageMs") << " ms ago";
   if (!Candidate.at("obstacle").is_null())
     Text << "  NOT USED: " << word(Candidate.at("obstacle"));
+  if (Candidate.at("pauseMs") > 0)
+    Text << ", pauses for " << Candidate.at("pauseMs") << " ms";
   return Text.str() + "\n";
 }
 
--- a/src/libgateway/request_explanation.cpp
+++ b/src/libgateway/request_explanation.cpp
@@ -143,6 +143,16 @@
   return Response;
 }
 
+HttpResponse refuseQuery(const QueryFault &Fault) {
+  std::string Value =
+      Fault.m_value.is_null() ? "" : "=" + Fault.m_value.get<std::string>();
+  return jsonResponse(static_cast<int>(LocalStatus::BadRequest),
+                      {{"error", "parameter " + Fault.m_parameter + Value +
+                                     " " + Fault.m_problem},
+                       {"parameter", Fault.m_parameter},
+                       {"value", Fault.m_value}});
+}
+
 /// Follows the decisions of RequestRelay about one request.
 class Explanation {
 public:
@@ -272,11 +282,7 @@
                      Instant Now) {
   Parameters Found;
   if (auto Fault = readQuery(Request.m_target, Found))
-    return jsonResponse(
-        static_cast<int>(LocalStatus::BadRequest),
-        {{"error", "parameter " + Fault->m_parameter + " " + Fault->m_problem},
-         {"parameter", Fault->m_parameter},
-         {"value", Fault->m_value}});
+    return refuseQuery(*Fault);
   AskedRequest Asked;
   Asked.m_host = Found["host"];
   Asked.m_target = Found["path"];
