--- a/src/libgateway/upstream_assignment.h
+++ b/src/libgateway/upstream_assignment.h
@@ -86,7 +86,7 @@
                              Limits *LeftOut, Instant Now);
   /// Why the limits of an upstream of such a service forbid one more request.
   Obstacle limitOf(UpstreamState &Upstream, const PendingRequest &Pending,
-                   Instant Now);
+                   const UpstreamPace::Terms &Terms, Instant Now);
   /// Why the owner of the request's key may not be used, or may not be sent
   /// one more request.
   Obstacle previewOwner(const OwnerLookup &KeyOwner, UpstreamState &Owner,
@@ -94,7 +94,7 @@
   /// True if the upstream is neither cold nor paced, or if this host may send
   /// it one more request within its share.
   bool allowedByPace(UpstreamState &Upstream, const PendingRequest &Pending,
-                     Instant Now);
+                     const UpstreamPace::Terms &Terms, Instant Now);
   /// The terms apart from those of a request.
   /// The same without paces: True if the upstream is not cold, or if this host
   /// may send it one more request within its share of the cold start rate.
