libhttp: serve the largest request beside small ones of other addresses

Cause: a body of 64 MiB on a host of 160 MB got 503 after five seconds when two other addresses held 64 KiB each. The share of its address was then half of the limit, 50 MiB, although memory was ample. Change: while memory is ample, the share has room for one request of the largest size (max_body_bytes and 1 MiB). From 11/16 of the limit the shares are as before.

--- a/src/include/burdockpulley/memory_budget.h
+++ b/src/include/burdockpulley/memory_budget.h
@@ -84,8 +84,11 @@
   /// Returns true if a request may be served that has been received entirely.
   bool mayServe() const { return level() != Level::Exhausted; }
   /// Returns true if the address holds more than its share while other
-  /// addresses hold memory as well.
+  /// addresses hold memory as well. While memory is ample, the share has room
+  /// for one request of the largest size.
   bool overShare(const Account *Owner) const;
+  /// Sets the size of the largest request.
+  void setLargestRequest(std::size_t Bytes) { m_largestRequest = Bytes; }
 
   /// Returns how many bytes of unfinished bodies have to be given up now. Zero
   /// unless large bodies have not been read for a while. \p Stalled: of the
@@ -108,6 +111,7 @@
 
 private:
   std::size_t m_maxBytes;
+  std::size_t m_largestRequest = 0;
   std::size_t m_total = 0;
   std::array<std::size_t, MemoryKindCount> m_used{};
   std::unordered_map<std::string, std::weak_ptr<Account>> m_accounts;
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -41,6 +41,9 @@
 /// Connections for readiness checks and for metrics. They are far fewer, and
 /// when there are more, the oldest without a request are closed.
 constexpr std::size_t CheckConnections = 128;
+/// What a request with a body of the largest size takes besides the body:
+/// its connection, headers, and further requests of the same address.
+constexpr std::size_t RequestOverheadBytes = 1 << 20;
 /// Limits of readiness checks and metrics, which have no bodies.
 constexpr std::size_t CheckHeaderBytes = 4096;
 constexpr Duration CheckHeaderTimeout{1'000'000};
@@ -560,6 +563,8 @@
                       {{"revision", Revision.value()}});
     CallerLimits Limits = Change.m_configuration->m_limits;
     m_callerListener.setLimits(Limits);
+    m_state.m_memory.setLargestRequest(Limits.m_bodyBytes +
+                                       RequestOverheadBytes);
     Limits.m_headerBytes += ForwardHeaderBytes;
     Limits.m_headerFields += ForwardHeaderFields;
     m_forwardListener.setLimits(Limits);
--- a/src/libhttp/memory_budget.cpp
+++ b/src/libhttp/memory_budget.cpp
@@ -95,8 +95,10 @@
 bool MemoryBudget::overShare(const Account *Owner) const {
   // Twice the equal share of the addresses that hold memory and one more, so
   // that a single address may use the whole budget.
-  return Owner && m_holders > 1 &&
-         Owner->m_bytes > 2 * (m_maxBytes / (m_holders + 1));
+  std::size_t Share = 2 * (m_maxBytes / (m_holders + 1));
+  if (level() == Level::Ample)
+    Share = std::max(Share, m_largestRequest);
+  return Owner && m_holders > 1 && Owner->m_bytes > Share;
 }
 
 bool MemoryBudget::mayRead(std::size_t Received, const Account *Owner) {
--- a/src/libhttp/memory_budget_test.cpp
+++ b/src/libhttp/memory_budget_test.cpp
@@ -95,6 +95,26 @@
   BOOST_TEST(m_budget.mayBeginBody(Account.get()));
 }
 
+// Guards against a single large body that gets 503 on a host with ample memory
+// because two other addresses hold 64 KiB each.
+BOOST_FIXTURE_TEST_CASE(the_largest_request_is_within_its_share_in_calm,
+                        BudgetFixture) {
+  m_budget.setLargestRequest(MaxBytes * 5 / 8);
+  auto Account = m_budget.account("10.0.0.1");
+  MemoryCharge First = charge(MaxBytes * 5 / 8);
+  MemoryCharge Second = charge(64 << 10, "10.0.0.2");
+  MemoryCharge Third = charge(64 << 10, "10.0.0.3");
+  BOOST_TEST(m_budget.mayRead(LargeBody, Account.get()));
+  BOOST_TEST(m_budget.mayBeginBody(Account.get()));
+  First.resize(MaxBytes * 5 / 8 + 1);
+  BOOST_TEST(m_budget.overShare(Account.get()));
+  // Others need memory.
+  First.resize(MaxBytes * 5 / 8);
+  Second.resize(MaxBytes / 8);
+  BOOST_TEST((m_budget.level() == MemoryBudget::Level::Tight));
+  BOOST_TEST(m_budget.overShare(Account.get()));
+}
+
 // Guards against freed memory that the allocator keeps.
 BOOST_FIXTURE_TEST_CASE(released_memory_is_trimmed_once, BudgetFixture) {
   MemoryCharge Held = charge(MaxBytes / 2);
