--- a/src/include/burdockpulley/caller_listener.h
+++ b/src/include/burdockpulley/caller_listener.h
@@ -171,6 +171,8 @@
   /// at least in part and has no response yet.
   std::size_t busy() const;
   std::size_t connections() const { return m_connections.size(); }
+  /// Returns the number of connections that have been closed so far.
+  std::uint64_t closedConnections() const { return m_closedConnections; }
 
 private:
   friend class detail::CallerConnection;
@@ -194,6 +196,7 @@
   std::array<std::string, CallerLimitCount> m_limitedCallers;
   Instant m_limitsLogged;
   bool m_closeAfterResponses = false;
+  std::uint64_t m_closedConnections = 0;
   std::unordered_set<detail::CallerConnection *> m_connections;
 };
 
--- a/src/include/burdockpulley/memory_budget.h
+++ b/src/include/burdockpulley/memory_budget.h
@@ -97,6 +97,8 @@
   /// Returns how many bytes of unread responses have to be given up now.
   std::size_t unreadToGiveUp() const;
 
+  /// Notes that memory has been released that was not charged, for trimDue().
+  void noteUnchargedRelease(std::size_t Bytes) { m_unchargedReleases += Bytes; }
   /// Returns true if enough memory has been released since the last time that
   /// the allocator should return it to the system.
   bool trimDue(Instant Now);
@@ -122,6 +124,7 @@
   std::size_t m_resumedBytes = 0;
   Instant m_tightSince; ///< When that was first seen; zero while they are read.
   std::size_t m_peakSinceTrim = 0;
+  std::size_t m_unchargedReleases = 0; ///< Since the last trimming.
   Instant m_trimmed;
 };
 
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -41,6 +41,9 @@
 /// Connections for readiness checks and for metrics. They are far fewer, and
 /// when there are more, the oldest without a request are closed.
 constexpr std::size_t CheckConnections = 128;
+/// What such a connection takes at most, without responses: input that is not
+/// parsed yet, and headers.
+constexpr std::size_t CheckConnectionBytes = 20 << 10;
 /// What a request with a body of the largest size takes besides the body:
 /// its connection, headers, and further requests of the same address.
 constexpr std::size_t RequestOverheadBytes = 1 << 20;
@@ -395,6 +398,11 @@
     m_readyListener.sweep(Now);
     m_metricsListener.sweep(Now);
     m_stateExchange.sweep(Now);
+    std::uint64_t Checks = m_readyListener.closedConnections() +
+                           m_metricsListener.closedConnections();
+    m_state.m_memory.noteUnchargedRelease(
+        (Checks - std::exchange(m_closedChecks, Checks)) *
+        CheckConnectionBytes);
     if (m_state.m_memory.trimDue(Now))
       returnFreedMemory();
   }
@@ -624,6 +632,8 @@
   Instant m_domainsHeldUntil;
   std::set<DomainId> m_heldDomainReturns;
   Instant m_stopStarted;
+  /// Connections for readiness checks and metrics that have been closed.
+  std::uint64_t m_closedChecks = 0;
   std::string m_metricsText; ///< Of the time m_metricsMade.
   Instant m_metricsMade;
   bool m_registrationEnded = false;
--- a/src/libhttp/caller_listener.cpp
+++ b/src/libhttp/caller_listener.cpp
@@ -275,6 +275,7 @@
   if (m_connections.erase(Connection) == 0)
     return;
   delete Connection;
+  ++m_closedConnections;
   if (m_listener && m_connections.size() < m_maxConnections)
     evconnlistener_enable(m_listener);
 }
--- a/src/libhttp/memory_budget.cpp
+++ b/src/libhttp/memory_budget.cpp
@@ -153,9 +153,11 @@
   Duration Elapsed = Now - m_trimmed;
   std::size_t MinBytes =
       Elapsed < LateTrimInterval ? MinTrimBytes : MinLateTrimBytes;
-  if (Elapsed < TrimInterval || m_peakSinceTrim - m_total < MinBytes)
+  std::size_t Released = m_peakSinceTrim - m_total + m_unchargedReleases;
+  if (Elapsed < TrimInterval || Released < MinBytes)
     return false;
   m_peakSinceTrim = m_total;
+  m_unchargedReleases = 0;
   m_trimmed = Now;
   return true;
 }
--- a/src/libhttp/memory_budget_test.cpp
+++ b/src/libhttp/memory_budget_test.cpp
@@ -137,3 +137,13 @@
   BOOST_TEST(m_budget.trimDue(First + std::chrono::seconds(5)));
   BOOST_TEST(!m_budget.trimDue(First + std::chrono::seconds(10)));
 }
+
+// Guards against the memory of readiness checks and metrics, which is not
+// charged, that stays resident because nothing charged is released after them.
+BOOST_FIXTURE_TEST_CASE(uncharged_releases_are_trimmed, BudgetFixture) {
+  Instant Later = Start + std::chrono::seconds(9);
+  BOOST_TEST(!m_budget.trimDue(Start));
+  m_budget.noteUnchargedRelease(LargeBody);
+  BOOST_TEST(m_budget.trimDue(Later));
+  BOOST_TEST(!m_budget.trimDue(Later + std::chrono::seconds(9)));
+}
