--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -42,12 +42,22 @@
 /// Connections for readiness checks and for metrics. They are far fewer, and
 /// when there are more, the oldest without a request are closed.
 constexpr std::size_t CheckConnections = 128;
+/// What such a connection takes at most, without responses: input that is not
+/// parsed yet, and headers.
+constexpr std::size_t CheckConnectionBytes = 20 << 10;
+/// What a request with a body of the largest size takes besides the body:
+/// its connection, headers, and further requests of the same address.
+constexpr std::size_t RequestOverheadBytes = 1 << 20;
 /// Limits of readiness checks and metrics, which have no bodies.
 constexpr std::size_t CheckHeaderBytes = 4096;
 constexpr Duration CheckHeaderTimeout{1'000'000};
 /// A check on a new connection is read at once, so its connection is not
 /// replaced before that.
 constexpr Duration CheckCrowdedAge{20'000};
+/// Metrics requested within this time of the last ones get the same text.
+/// Making it takes about a millisecond, and 100 callers at once delayed
+/// readiness checks by 139 ms.
+constexpr Duration MetricsInterval{20'000};
 /// Connections from other hosts over which they forward requests.
 constexpr std::size_t ForwardConnections = 512;
 /// Size of the headers that hosts add to a request that they forward.
@@ -252,12 +262,22 @@
 
   HttpResponse metricsResponse(const HttpRequest &Request) {
     if (!asksForExplanation(Request.m_target))
-      return {200, {{"Content-Type", "text/plain"}}, metricsText()};
+      return {200,
+              {{"Content-Type", "text/plain"}},
+              recentMetricsText(bootClockNow())};
     if (Request.m_method != "GET")
       return {405, {{"Allow", "GET"}}, ""};
     return explain(Request, m_relay.deciders(), bootClockNow());
   }
 
+  const std::string &recentMetricsText(Instant Now) {
+    if (m_metricsText.empty() || Now - m_metricsMade >= MetricsInterval) {
+      m_metricsText = metricsText();
+      m_metricsMade = Now;
+    }
+    return m_metricsText;
+  }
+
   std::string metricsText() {
     auto Contact = m_watcher.lastContact();
     m_state.m_metrics.setStoreContactAge(
@@ -387,6 +407,11 @@
     m_readyListener.sweep(Now);
     m_metricsListener.sweep(Now);
     m_stateExchange.sweep(Now);
+    std::uint64_t Checks = m_readyListener.closedConnections() +
+                           m_metricsListener.closedConnections();
+    m_state.m_memory.noteUnchargedRelease(
+        (Checks - std::exchange(m_closedChecks, Checks)) *
+        CheckConnectionBytes);
     if (m_state.m_memory.trimDue(Now))
       returnFreedMemory();
   }
@@ -555,6 +580,8 @@
                       {{"revision", Revision.value()}});
     CallerLimits Limits = Change.m_configuration->m_limits;
     m_callerListener.setLimits(Limits);
+    m_state.m_memory.setLargestRequest(Limits.m_bodyBytes +
+                                       RequestOverheadBytes);
     Limits.m_headerBytes += ForwardHeaderBytes;
     Limits.m_headerFields += ForwardHeaderFields;
     m_forwardListener.setLimits(Limits);
@@ -614,6 +641,10 @@
   Instant m_domainsHeldUntil;
   std::set<DomainId> m_heldDomainReturns;
   Instant m_stopStarted;
+  /// Connections for readiness checks and metrics that have been closed.
+  std::uint64_t m_closedChecks = 0;
+  std::string m_metricsText; ///< Of the time m_metricsMade.
+  Instant m_metricsMade;
   bool m_registrationEnded = false;
 };
 
--- a/src/libhttp/memory_budget.cpp
+++ b/src/libhttp/memory_budget.cpp
@@ -95,8 +95,10 @@
 bool MemoryBudget::overShare(const Account *Owner) const {
   // Twice the equal share of the addresses that hold memory and one more, so
   // that a single address may use the whole budget.
-  return Owner && m_holders > 1 &&
-         Owner->m_bytes > 2 * (m_maxBytes / (m_holders + 1));
+  std::size_t Share = 2 * (m_maxBytes / (m_holders + 1));
+  if (level() == Level::Ample)
+    Share = std::max(Share, m_largestRequest);
+  return Owner && m_holders > 1 && Owner->m_bytes > Share;
 }
 
 bool MemoryBudget::mayRead(std::size_t Received, const Account *Owner) {
@@ -151,9 +153,11 @@
   Duration Elapsed = Now - m_trimmed;
   std::size_t MinBytes =
       Elapsed < LateTrimInterval ? MinTrimBytes : MinLateTrimBytes;
-  if (Elapsed < TrimInterval || m_peakSinceTrim - m_total < MinBytes)
+  std::size_t Released = m_peakSinceTrim - m_total + m_unchargedReleases;
+  if (Elapsed < TrimInterval || Released < MinBytes)
     return false;
   m_peakSinceTrim = m_total;
+  m_unchargedReleases = 0;
   m_trimmed = Now;
   return true;
 }
