gateway: limits of a slot reserve for few hosts, and for one route

Three faults of SlotReserve that its use by hosts would show:

- A host saved at most two tokens between updates.
A single host with 100 slots of 100 ms, 71 of them left to a limited priority, could send 100 requests a second instead of 710.
It may now save its share of 0.1 s, if that is more than two.
- Requests above their team's share counted as a priority of their own, so that slots were reserved between the teams of one route.
They now count as the others of their route (basePriority()).
- Hosts that each get one priority only never reported.
What waits elsewhere is known by priority, and now counts as another one.

WaitQueue gets the limits of the priorities with the capacity: a request of a limited priority is expected to wait for those of its priority, with its slots. afterPriority() finds the first request of the next priority.

--- a/src/include/burdockpulley/slot_reserve.h
+++ b/src/include/burdockpulley/slot_reserve.h
@@ -2,6 +2,7 @@
 #define BURDOCKPULLEY_SLOT_RESERVE_H
 
 #include "burdockpulley/types.h"
+#include "burdockpulley/wait_queue.h"
 
 #include <cstdint>
 #include <map>
@@ -34,10 +35,11 @@
 /// free. This rate changes slowly, so that outdated reports of other hosts do
 /// no harm.
 ///
-/// Returning requests count as new ones of the same priority. Nothing is
-/// limited with one priority, without a usable upstream, or while hosts that do
-/// not report priorities have more than half of the requests in flight. Thread
-/// safety: none.
+/// Returning requests, and those above their team's share, count as the others
+/// of the same priority of team and route. Nothing is limited with one
+/// priority, without a usable upstream, or while hosts that do not report
+/// priorities have more than half of the requests in flight. Thread safety:
+/// none.
 class SlotReserve {
 public:
   /// The service as seen by this host.
@@ -45,8 +47,8 @@
     double m_slots = 0; ///< Of all usable upstreams.
     /// Requests in flight from hosts that do not report priorities.
     double m_unknownInFlight = 0;
-    /// Of the other hosts that report priorities, in any order. A priority may
-    /// occur several times.
+    /// Of the other hosts, in any order. A priority may occur several times.
+    /// Hosts that report no load by priority are only in m_waiting.
     std::vector<PriorityDemand> m_others = {};
     /// Requests that wait at this host, by priority.
     std::map<std::uint32_t, double> m_waitingHere = {};
@@ -71,13 +73,22 @@
   /// number of priorities.
   bool allows(std::uint32_t Priority) const;
 
+  /// True if a request of this priority needs a token.
+  bool limited(std::uint32_t Priority) const;
+  /// What the requests of the limited priorities may hold, on all hosts, the
+  /// most urgent first.
+  std::vector<PrioritySlots> limits() const;
+
   /// Slots that the requests of a priority may hold, on all hosts; \p Slots if
   /// they are not limited.
   double slotsFor(std::uint32_t Priority, double Slots) const;
   /// Slots that the least urgent requests leave free.
   double reserved() const { return m_reserved; }
+  /// True if there is nothing to remember, as of the last update.
+  bool empty() const { return m_kinds.empty(); }
   /// This host's load by priority, for the other hosts. Empty unless requests
-  /// of two or more priorities have arrived within RecentTime.
+  /// of two or more priorities have arrived here within RecentTime, or are
+  /// known to arrive or wait at other hosts.
   std::vector<PriorityDemand> report(Instant Now) const;
 
   static constexpr Duration UpdateInterval{20'000};
--- a/src/include/burdockpulley/team_shares.h
+++ b/src/include/burdockpulley/team_shares.h
@@ -88,6 +88,12 @@
 /// The number without the bit, and the bit. Thread safety: safe.
 std::uint32_t withoutShare(std::uint32_t Priority);
 bool isAboveShare(std::uint32_t Priority);
+/// The number of a new request within its team's share that has the same
+/// priority of team and route, and the least and the largest number with that
+/// priority. Thread safety: safe.
+std::uint32_t basePriority(std::uint32_t Priority);
+std::uint32_t firstOfBasePriority(std::uint32_t Priority);
+std::uint32_t lastOfBasePriority(std::uint32_t Priority);
 
 } // namespace burdockpulley
 
--- a/src/include/burdockpulley/wait_queue.h
+++ b/src/include/burdockpulley/wait_queue.h
@@ -20,6 +20,12 @@
   QueuedWork m_queued;
 };
 
+/// Slots that the requests of one priority may hold on all hosts.
+struct PrioritySlots {
+  std::uint32_t m_priority = 0; ///< See basePriority().
+  double m_slots = 0;
+};
+
 /// Capacity of the upstreams that a request may be sent to.
 struct ServiceCapacity {
   double m_slots = 0; ///< Usable slots, weighted by speed.
@@ -31,10 +37,18 @@
   Duration m_pause{}; ///< Time until they take requests at all.
   /// Requests that wait for them at other hosts, the most urgent first.
   std::vector<PriorityLoad> m_elsewhere = {};
+  /// Of the priorities that may not hold all slots, the most urgent first.
+  std::vector<PrioritySlots> m_limits = {};
 
+  /// The limit of a priority; null if it may hold all slots.
+  const PrioritySlots *limitOf(std::uint32_t Priority) const;
+  /// The slots that a priority may hold.
+  double slotsFor(std::uint32_t Priority) const;
   /// What waits elsewhere and goes before a request of a priority: all that is
   /// more urgent, and \p Share of what is equally urgent.
-  QueuedWork elsewhere(std::uint32_t Priority, double Share) const;
+  /// Without what ranks before \p From.
+  QueuedWork elsewhere(std::uint32_t Priority, double Share,
+                       std::uint32_t From = 0) const;
 };
 
 /// A refusal, with the delay after which a retry may succeed.
@@ -68,6 +82,9 @@
   /// The request to send after \p Number; nothing if that one does not wait, or
   /// is the last.
   std::optional<RequestNumber> after(RequestNumber Number) const;
+  /// The request to send first of those with a less urgent priority of team and
+  /// route than \p Number; nothing if that one does not wait, or there is none.
+  std::optional<RequestNumber> afterPriority(RequestNumber Number) const;
   /// True if a request waits that is to be sent before \p Request.
   bool anyBefore(const WaitingRequest &Request, Instant Now);
 
@@ -110,7 +127,8 @@
   /// The wait, without a pause, of a request behind \p Ahead, which wait at
   /// this host. Hosts send about in turn: of the equally urgent requests
   /// elsewhere, the same share is taken to be ahead of it as of the \p
-  /// OfPriority here.
+  /// OfPriority here. A request of a limited priority only waits for those of
+  /// its priority: its slots are without what the more urgent ones need.
   Duration waitBehind(QueuedWork Ahead, std::uint32_t Priority,
                       double OfPriority, Duration WorkTime,
                       const ServiceCapacity &Capacity) const;
--- a/src/libgateway/slot_reserve.cpp
+++ b/src/libgateway/slot_reserve.cpp
@@ -1,5 +1,7 @@
 #include "burdockpulley/slot_reserve.h"
 
+#include "burdockpulley/team_shares.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -18,16 +20,16 @@
 /// Share of the difference between limit and use that is made up for within one
 /// service time. Below 1, because the use is known with a delay.
 constexpr double Correction = 0.5;
-/// Requests that a host may send at once while their priority is limited.
+/// Requests that a host may send at once while their priority is limited, or
+/// its share of this time, if that is more: with few hosts, two requests in
+/// each update interval are far less than the share.
 constexpr double MaxTokens = 2;
+constexpr double MaxTokenSeconds = 0.1;
 /// Least service time, which rates are computed with.
 constexpr double MinWorkSeconds = 0.001;
 /// Gaps between updates count as no longer than this.
 constexpr double MaxGapSeconds = 1;
 
-/// The lowest bit of a priority distinguishes returning requests.
-std::uint32_t kindOf(std::uint32_t Priority) { return Priority | 1U; }
-
 /// The number of slots in use varies like a Poisson variable, if each request
 /// is sent at once.
 double withMargin(double MeanSlots) {
@@ -38,7 +40,7 @@
 
 void SlotReserve::onArrival(std::uint32_t Priority, Duration WorkTime,
                             Instant Now) {
-  Kind &Of = m_kinds[kindOf(Priority)];
+  Kind &Of = m_kinds[basePriority(Priority)];
   double Seconds =
       std::max(MinWorkSeconds, std::chrono::duration<double>(WorkTime).count());
   Of.m_workSeconds =
@@ -51,13 +53,13 @@
 }
 
 void SlotReserve::onSent(std::uint32_t Priority) {
-  Kind &Of = m_kinds[kindOf(Priority)];
+  Kind &Of = m_kinds[basePriority(Priority)];
   ++Of.m_inFlight;
   Of.m_tokens = std::max(0.0, Of.m_tokens - 1);
 }
 
 void SlotReserve::onEnded(std::uint32_t Priority) {
-  auto It = m_kinds.find(kindOf(Priority));
+  auto It = m_kinds.find(basePriority(Priority));
   if (It != m_kinds.end() && It->second.m_inFlight > 0)
     --It->second.m_inFlight;
 }
@@ -90,9 +92,9 @@
     Of.m_others = {};
   }
   for (const auto &[Priority, Waiting] : View.m_waitingHere)
-    m_kinds[kindOf(Priority)].m_waiting += Waiting;
+    m_kinds[basePriority(Priority)].m_waiting += Waiting;
   for (const PriorityDemand &Other : View.m_others) {
-    PriorityDemand &Sum = m_kinds[kindOf(Other.m_priority)].m_others;
+    PriorityDemand &Sum = m_kinds[basePriority(Other.m_priority)].m_others;
     Sum.m_arrivals += Other.m_arrivals;
     Sum.m_inFlight += Other.m_inFlight;
     Sum.m_waiting += Other.m_waiting;
@@ -153,20 +155,35 @@
     double Share = Demand > 0 ? DemandHere / Demand : 1;
     double Rate =
         (Of.m_slots + Correction * (Of.m_slots - Of.inFlight())) / Work;
-    Of.m_tokens = std::min(MaxTokens,
-                           Of.m_tokens + Share * Seconds * std::max(0.0, Rate));
+    Rate = std::max(0.0, Rate);
+    double MostTokens =
+        std::max(MaxTokens, Share * std::min(Seconds, MaxTokenSeconds) * Rate);
+    Of.m_tokens = std::min(MostTokens, Of.m_tokens + Share * Seconds * Rate);
     MoreUrgent += Mean;
   }
 }
 
 bool SlotReserve::allows(std::uint32_t Priority) const {
-  auto It = m_kinds.find(kindOf(Priority));
+  auto It = m_kinds.find(basePriority(Priority));
   return It == m_kinds.end() || !It->second.m_limited ||
          It->second.m_tokens >= 1;
 }
 
+bool SlotReserve::limited(std::uint32_t Priority) const {
+  auto It = m_kinds.find(basePriority(Priority));
+  return It != m_kinds.end() && It->second.m_limited;
+}
+
+std::vector<PrioritySlots> SlotReserve::limits() const {
+  std::vector<PrioritySlots> Limits;
+  for (const auto &[Priority, Of] : m_kinds)
+    if (Of.m_limited)
+      Limits.push_back({Priority, Of.m_slots});
+  return Limits;
+}
+
 double SlotReserve::slotsFor(std::uint32_t Priority, double Slots) const {
-  auto It = m_kinds.find(kindOf(Priority));
+  auto It = m_kinds.find(basePriority(Priority));
   return It == m_kinds.end() || !It->second.m_limited
              ? Slots
              : std::min(Slots, It->second.m_slots);
@@ -176,7 +193,9 @@
   std::vector<PriorityDemand> Demands;
   int Recent = 0;
   for (const auto &[Priority, Of] : m_kinds) {
-    Recent += Of.arrivedLately(Now) || Of.m_others.m_arrivals > 0 ? 1 : 0;
+    bool ArrivedElsewhere =
+        Of.m_others.m_arrivals > 0 || Of.m_others.m_waiting > 0;
+    Recent += Of.arrivedLately(Now) || ArrivedElsewhere ? 1 : 0;
     Demands.push_back({Priority, Of.m_arrivals,
                        static_cast<double>(Of.m_inFlight), Of.m_waiting});
   }
--- a/src/libgateway/slot_reserve_test.cpp
+++ b/src/libgateway/slot_reserve_test.cpp
@@ -519,6 +519,57 @@
   BOOST_TEST(NoReports.slotsFor(5, 40) == 40);
 }
 
+// Guards against a single host that leaves most slots unused, as it saves only
+// two tokens between updates.
+BOOST_AUTO_TEST_CASE(a_single_host_uses_what_is_left) {
+  SlotReserve Reserve;
+  SlotReserve::ServiceView View;
+  View.m_slots = 100;
+  View.m_waitingHere = {{5, 200}};
+  std::map<std::uint32_t, int> Rates = {{1, 200}, {5, 1500}};
+  feed(Reserve, View, Rates, 0, 1000);
+  int Sent = 0;
+  for (std::int64_t Now = 1000; Now < 3000; ++Now) {
+    feed(Reserve, View, Rates, Now, Now + 1);
+    while (Reserve.allows(5)) {
+      Reserve.onSent(5);
+      Reserve.onEnded(5);
+      ++Sent;
+    }
+  }
+  // 100 slots without 20 and a margin of 9 leave 71, for 100 ms each: 710 a
+  // second, or half as many again as none is in flight.
+  BOOST_TEST(Sent >= 1350);
+  BOOST_TEST(Sent <= 2250);
+}
+
+// Guards against hosts that never report as each gets requests of one priority
+// only: that of requests which wait elsewhere is known.
+BOOST_AUTO_TEST_CASE(a_priority_that_waits_elsewhere_counts_as_another_one) {
+  SlotReserve Reserve;
+  SlotReserve::ServiceView View;
+  View.m_slots = 40;
+  View.m_others = {{5, 0, 0, 3}};
+  feed(Reserve, View, {{4, 20}, {5, 100}}, 0, 1000);
+  BOOST_TEST(Reserve.report(at(1000)).empty());
+  View.m_others = {{0, 0, 0, 3}};
+  feed(Reserve, View, {{5, 100}}, 1000, 1100);
+  BOOST_TEST(!Reserve.report(at(1100)).empty());
+}
+
+// Guards against a reserve for requests within their team's share, which only
+// rank before the others of their priority.
+BOOST_AUTO_TEST_CASE(requests_above_their_share_are_no_priority_of_their_own) {
+  SlotReserve Reserve;
+  SlotReserve::ServiceView View;
+  View.m_slots = 10;
+  View.m_waitingHere = {{5, 10}, {7, 50}};
+  feed(Reserve, View, {{5, 100}, {6, 100}, {7, 300}}, 0, 1000);
+  BOOST_TEST(!Reserve.limited(7));
+  BOOST_TEST(Reserve.reserved() == 0);
+  BOOST_TEST(Reserve.report(at(1000)).empty());
+}
+
 // Guards against messages that grow where there is nothing to reserve.
 BOOST_AUTO_TEST_CASE(only_several_priorities_are_reported) {
   SlotReserve Reserve;
--- a/src/libgateway/team_shares.cpp
+++ b/src/libgateway/team_shares.cpp
@@ -59,6 +59,18 @@
   return (Priority >> ShareBit & 1U) != 0;
 }
 
+std::uint32_t basePriority(std::uint32_t Priority) {
+  return withShare(withoutShare(Priority), false) | 1U;
+}
+
+std::uint32_t firstOfBasePriority(std::uint32_t Priority) {
+  return basePriority(Priority) - 1;
+}
+
+std::uint32_t lastOfBasePriority(std::uint32_t Priority) {
+  return withShare(withoutShare(Priority), true) | 1U;
+}
+
 void TeamShares::update(const std::deque<TeamPolicy> &Teams,
                         const std::vector<TeamTotal> &Totals,
                         const std::map<std::uint32_t, double> &Waiting,
--- a/src/libgateway/wait_queue.cpp
+++ b/src/libgateway/wait_queue.cpp
@@ -1,5 +1,7 @@
 #include "burdockpulley/wait_queue.h"
 
+#include "burdockpulley/team_shares.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -71,11 +73,24 @@
 
 } // namespace
 
-QueuedWork ServiceCapacity::elsewhere(std::uint32_t Priority,
-                                      double Share) const {
+const PrioritySlots *ServiceCapacity::limitOf(std::uint32_t Priority) const {
+  auto It = std::find_if(m_limits.begin(), m_limits.end(),
+                         [Base = basePriority(Priority)](const auto &Limit) {
+                           return Limit.m_priority == Base;
+                         });
+  return It == m_limits.end() ? nullptr : &*It;
+}
+
+double ServiceCapacity::slotsFor(std::uint32_t Priority) const {
+  const PrioritySlots *Limit = limitOf(Priority);
+  return Limit ? std::min(m_slots, Limit->m_slots) : m_slots;
+}
+
+QueuedWork ServiceCapacity::elsewhere(std::uint32_t Priority, double Share,
+                                      std::uint32_t From) const {
   QueuedWork Sum;
   for (const PriorityLoad &Load : m_elsewhere) {
-    if (Load.m_priority > Priority)
+    if (Load.m_priority > Priority || Load.m_priority < From)
       continue;
     double Ahead = Load.m_priority < Priority ? 1 : Share;
     Sum.m_requests += Load.m_queued.m_requests * Ahead;
@@ -93,11 +108,18 @@
     AheadOfPriority -= It->second.m_requests;
   double Share =
       std::clamp((AheadOfPriority + OwnPlace) / OfPriority, 0.0, 1.0);
-  QueuedWork Elsewhere = Capacity.elsewhere(Priority, Share);
+  std::uint32_t From =
+      Capacity.limitOf(Priority) ? firstOfBasePriority(Priority) : 0;
+  for (auto It = m_byPriority.begin();
+       It != m_byPriority.end() && It->first < From; ++It) {
+    Ahead.m_requests = std::max(0.0, Ahead.m_requests - It->second.m_requests);
+    Ahead.m_work = std::max(Duration(), Ahead.m_work - It->second.m_work);
+  }
+  QueuedWork Elsewhere = Capacity.elsewhere(Priority, Share, From);
   auto Others = static_cast<double>(Capacity.m_waiting);
   Duration Work = Ahead.m_work + Elsewhere.m_work + scaled(WorkTime, Others);
   double Requests = Ahead.m_requests + Elsewhere.m_requests + Others;
-  return std::max(scaled(Work, 1 / std::max(Capacity.m_slots, 1.0)),
+  return std::max(scaled(Work, 1 / std::max(Capacity.slotsFor(Priority), 1.0)),
                   waitAtRate(Requests, Capacity.m_requestRate));
 }
 
@@ -199,6 +221,18 @@
   return Next ? std::optional(Next->m_request.m_number) : std::nullopt;
 }
 
+std::optional<RequestNumber>
+WaitQueue::afterPriority(RequestNumber Number) const {
+  const RankedRequests::Node *Before = m_waiting.find(Number);
+  if (!Before)
+    return std::nullopt;
+  RequestRank Last = {lastOfBasePriority(Before->m_request.m_priority), true,
+                      Instant::max(),
+                      RequestNumber(std::numeric_limits<std::uint64_t>::max())};
+  const RankedRequests::Node *Next = m_waiting.after(Last);
+  return Next ? std::optional(Next->m_request.m_number) : std::nullopt;
+}
+
 bool WaitQueue::anyBefore(const WaitingRequest &Request, Instant Now) {
   advance(Now);
   const RankedRequests::Node *First = m_waiting.first();
@@ -208,12 +242,17 @@
 std::vector<RequestNumber> WaitQueue::giveUp(const ServiceCapacity &Capacity,
                                              Instant Now) {
   advance(Now);
+  // The requests of a subtree may have different limits.
+  ServiceCapacity Least = Capacity;
+  Least.m_limits.clear();
+  for (const PrioritySlots &Limit : Capacity.m_limits)
+    Least.m_slots = std::min(Least.m_slots, Limit.m_slots);
   std::vector<RequestNumber> Refused;
   m_waiting.scan(
       [&](const RankedRequests::Bounds &Of) {
-        Duration Wait = waitBehind(Of.m_aheadOfLast, Of.m_maxPriority,
-                                   waitingWith(Of.m_maxPriority),
-                                   Of.m_longestWork, Capacity);
+        Duration Wait =
+            waitBehind(Of.m_aheadOfLast, Of.m_maxPriority,
+                       waitingWith(Of.m_maxPriority), Of.m_longestWork, Least);
         return Now + Capacity.m_pause +
                    scaled(Wait, Of.m_anyLate ? OvertakenFactor : 1) <
                Of.m_earliestStart;
--- a/src/libgateway/wait_queue_test.cpp
+++ b/src/libgateway/wait_queue_test.cpp
@@ -272,6 +272,52 @@
   BOOST_TEST(Queue.offer(request(2, 0), {4, 200}, at(0)).has_value());
 }
 
+// Guards against a limited priority that is expected to wait for more urgent
+// requests, whose slots are not among its own, and against one that is expected
+// to use all slots.
+BOOST_AUTO_TEST_CASE(a_limited_priority_waits_for_its_own_slots) {
+  ServiceCapacity Capacity{10};
+  Capacity.m_elsewhere = {{1, {50, Millisecond * 50'000}},
+                          {5, {4, Millisecond * 4000}}};
+  Capacity.m_limits = {{5, 2}};
+  BOOST_TEST(Capacity.slotsFor(1) == 10);
+  for (std::uint32_t Priority : {4U, 5U, 6U, 7U})
+    BOOST_TEST(Capacity.slotsFor(Priority) == 2);
+  BOOST_TEST(Capacity.slotsFor(9) == 10);
+  auto Place = [](std::uint64_t Number, std::uint32_t Priority) {
+    return WaitingRequest{RequestNumber(Number), Priority, Millisecond * 100,
+                          at(100'000), at(100'000)};
+  };
+  WaitQueue Queue;
+  BOOST_TEST(!Queue.offer(Place(1, 1), Capacity, at(0)));
+  // Of the 4 s elsewhere, half is ahead: 1 s with 2 slots. All of it takes 2 s.
+  WaitingRequest Limited = Place(2, 5);
+  Limited.m_deadline = at(900);
+  BOOST_TEST(Queue.offer(Limited, Capacity, at(0)).has_value());
+  Limited.m_deadline = at(2200);
+  BOOST_TEST(!Queue.offer(Limited, Capacity, at(0)));
+  BOOST_TEST(Queue.giveUp(Capacity, at(0)).empty());
+  BOOST_REQUIRE(Queue.giveUp(Capacity, at(1900)).size() == 1);
+}
+
+// Guards against a held priority that stops the others of its queue.
+BOOST_AUTO_TEST_CASE(the_next_priority_follows_all_requests_of_one) {
+  WaitQueue Queue;
+  ServiceCapacity Capacity{10};
+  std::uint64_t Number = 0;
+  for (std::uint32_t Priority : {4U, 5U, 6U, 7U, 8U, 13U})
+    BOOST_TEST(!Queue.offer({RequestNumber(++Number), Priority,
+                             Millisecond * 100, at(1000), at(100'000)},
+                            Capacity, at(0)));
+  // Late requests are the last of their priority.
+  BOOST_TEST(Queue.first(at(2000))->value() == 1u);
+  for (std::uint64_t Held : {1, 2, 3, 4})
+    BOOST_TEST(Queue.afterPriority(RequestNumber(Held))->value() == 5u);
+  BOOST_TEST(Queue.afterPriority(RequestNumber(5))->value() == 6u);
+  BOOST_TEST(!Queue.afterPriority(RequestNumber(6)));
+  BOOST_TEST(!Queue.afterPriority(RequestNumber(7)));
+}
+
 BOOST_AUTO_TEST_CASE(a_refusal_has_a_retry_delay_within_its_bounds) {
   WaitQueue Queue;
   auto Refused = Queue.offer(request(1, 0), {4, 400}, at(0));
