gateway: hosts reserve slots for urgent requests

Cause: hosts learn of urgent requests elsewhere after 160 to 480 ms, and only of those that wait.

Change: hosts use SlotReserve for services without keys (ServiceReserves). Status messages carry the requests in flight and the arrivals by priority (QueuedPriority 4 and 5) while a service gets two priorities or more; values of other hosts are bounded. Hosts that send neither count with their outstanding requests at usable upstreams. A held request waits in the queue, the next priority is tried, and a limited priority with a token does not yield to urgent requests elsewhere. The estimates of WaitQueue use the slots of the priority. Metrics reserved_slots by service and requests_held_for_urgent_total by route; the line request_ended gets held_for_urgent.

Not measured: fleets of real processes under this load, and processor time.

--- a/src/include/burdockpulley/peer_loads.h
+++ b/src/include/burdockpulley/peer_loads.h
@@ -1,6 +1,7 @@
 #ifndef BURDOCKPULLEY_PEER_LOADS_H
 #define BURDOCKPULLEY_PEER_LOADS_H
 
+#include "burdockpulley/slot_reserve.h"
 #include "burdockpulley/upstream_registry.h"
 #include "burdockpulley/wait_queue.h"
 
@@ -45,6 +46,9 @@
   std::map<NameHash, std::uint32_t> m_waiting; ///< Requests by service.
   /// The same by priority; missing for services of older hosts.
   std::map<NameHash, std::vector<PriorityLoad>> m_priorities;
+  /// Load by priority of the services whose requests compete for slots. What
+  /// waits is not part of it. Missing for services of older hosts.
+  std::map<NameHash, std::vector<PriorityDemand>> m_demands;
 };
 
 /// Requests of one service that wait at other hosts.
@@ -98,6 +102,10 @@
   /// The same of all services for which requests wait.
   const std::map<NameHash, PeerQueues> &queues() const { return m_queues; }
 
+  /// Load of the other hosts at a service, by priority: what they report of it,
+  /// and the requests that wait there.
+  std::vector<PriorityDemand> demands(const ServiceId &Service) const;
+
   /// Number of other hosts that are reporting.
   std::size_t hosts() const { return m_hosts.size(); }
 
@@ -117,12 +125,17 @@
   /// Adds the requests that wait at a host to the totals, or subtracts them if
   /// \p Sign is negative.
   void addQueues(const PeerLoad &Load, int Sign);
+  /// Adds the load by priority that a host reports, or subtracts it if \p Sign
+  /// is negative.
+  void addDemands(const PeerLoad &Load, int Sign);
   /// Adds a host's load to the totals, or subtracts it if \p Sign is negative.
   void addToTotals(const PeerLoad &Load, int Sign);
 
   UpstreamRegistry &m_registry;
   std::map<HostId, HostLoad> m_hosts;
   std::map<NameHash, PeerQueues> m_queues; ///< By service.
+  /// Without what waits, by service and priority.
+  std::map<NameHash, std::map<std::uint32_t, PriorityDemand>> m_demands;
   std::unordered_map<NameHash, UpstreamId> m_idsByHash;
   /// UpstreamRegistry::membership() from which m_idsByHash was built.
   std::uint64_t m_indexedMembership = 0;
--- a/src/include/burdockpulley/upstream_registry.h
+++ b/src/include/burdockpulley/upstream_registry.h
@@ -85,8 +85,11 @@
 
   std::uint32_t m_outstanding = 0;     ///< Requests of this host at it.
   std::uint32_t m_peerOutstanding = 0; ///< Requests of all other hosts at it.
-  std::uint32_t m_waiting = 0;         ///< Requests waiting here for its keys.
-  std::uint32_t m_peerWaiting = 0;     ///< The same at all other hosts.
+  /// Those of m_peerOutstanding from hosts that do not report their load at its
+  /// service by priority.
+  std::uint32_t m_peerUnreported = 0;
+  std::uint32_t m_waiting = 0;     ///< Requests waiting here for its keys.
+  std::uint32_t m_peerWaiting = 0; ///< The same at all other hosts.
   LoadReport m_report;
   Instant m_reportAt;
   bool m_reportIsLocal = false; ///< m_report came in a response to this host.
--- a/src/libgateway/compatibility_test.cpp
+++ b/src/libgateway/compatibility_test.cpp
@@ -236,6 +236,23 @@
               "011508191c150a15061590033100001116b80611110000");
 }
 
+BOOST_AUTO_TEST_CASE(load_by_priority_is_added_among_the_known_fields) {
+  wire::Datagram Status = hostStatus();
+  wire::QueuedPriority Queued;
+  Queued.priority = 5;
+  Queued.waiting = 3;
+  Queued.workMillis = 200;
+  Queued.__set_inFlight(7);
+  Queued.__set_arrivalsHundredths(1250);
+  Queued.__set_aboveShare(true);
+  Status.hostStatus.queues[0].__set_priorities({Queued});
+  requireSame(Status,
+              "18026831168280f281838985061c191c15ff880f15061504150215ac"
+              "021550150a15dc01150e170000000000002940153c15c601152800191c159a"
+              "011508191c150a15061590"
+              "03150e15c4131100001116b80611110000");
+}
+
 // Older hosts compare the numbers of messages with their own, which have no bit
 // for the share.
 BOOST_AUTO_TEST_CASE(priority_numbers_of_messages_have_no_bit_for_the_share) {
--- a/src/libgateway/gateway.thrift
+++ b/src/libgateway/gateway.thrift
@@ -95,13 +95,19 @@
   15: optional i32 failures,
 }
 
-// Requests of one priority that are queued at the host. The priority of a
-// request combines its team's and its route's.
+// Requests of one priority that are queued at the host, and their load. The
+// priority of a request combines its team's and its route's.
 struct QueuedPriority {
   1: i32 priority,
   2: i32 waiting,
   // Sum of their expected service times.
   3: i32 workMillis,
+  // Load of the requests of this priority at a service without keys, whether or
+  // not any are queued: those in flight from this host to upstreams, and new
+  // ones a second, in hundredths. Missing from older hosts and while only one
+  // priority arrives.
+  4: optional i32 inFlight,
+  5: optional i32 arrivalsHundredths,
   // True for requests of teams above their share of the capacity, which rank
   // behind the others of this priority. Older hosts add both kinds together.
   6: optional bool aboveShare,
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -302,6 +302,7 @@
     m_coordinator.tick(Now);
     m_prober.tick(Now);
     m_relay.updateReachability(Now);
+    m_relay.updateReserves(Now);
     m_stateExchange.tick(Now);
     readKeyTablesIfDue(Now);
     m_registration.tick(m_watcher.loaded() && m_watcher.storeReachable(), Now);
--- a/src/libgateway/gateway_metrics.cpp
+++ b/src/libgateway/gateway_metrics.cpp
@@ -39,6 +39,16 @@
                            "burdockpulley_gateway_above_share_total",
                            "Requests ranked behind others as their team was "
                            "above its share, by team")),
+      m_heldForUrgent(counter(
+          m_registry, "burdockpulley_gateway_requests_held_for_urgent_total",
+          "Requests held back as slots are reserved for other "
+          "priorities, by route")),
+      m_reservedSlots(
+          prometheus::BuildGauge()
+              .Name("burdockpulley_gateway_reserved_slots")
+              .Help("Slots that the least urgent requests leave free, by "
+                    "service")
+              .Register(m_registry)),
       m_unknownApiKeys(counter(m_registry,
                                "burdockpulley_gateway_unknown_api_keys_total",
                                "Requests refused as they had no known API key")
@@ -131,6 +141,14 @@
   m_aboveShare.Add({{"team", teamLabel(Team)}}).Increment();
 }
 
+void GatewayMetrics::onHeldForUrgent(const std::string &Route) {
+  m_heldForUrgent.Add({{"route", Route}}).Increment();
+}
+
+void GatewayMetrics::setReservedSlots(const ServiceId &Service, double Slots) {
+  m_reservedSlots.Add({{"service", Service.value()}}).Set(Slots);
+}
+
 void GatewayMetrics::onUnknownApiKey() { m_unknownApiKeys.Increment(); }
 
 void GatewayMetrics::onGrantEnded(std::string_view Outcome, Duration Time) {
--- a/src/libgateway/gateway_metrics.h
+++ b/src/libgateway/gateway_metrics.h
@@ -36,6 +36,10 @@
   /// A request was ranked behind others as its team is above its share of the
   /// capacity. Teams beyond MaxTeamLabels are counted together.
   void onAboveShare(const TeamId &Team);
+  /// A request was held back as slots are reserved for other priorities.
+  void onHeldForUrgent(const std::string &Route);
+  /// Slots of a service that the least urgent requests leave free.
+  void setReservedSlots(const ServiceId &Service, double Slots);
   /// A request needed an API key and had no known one.
   void onUnknownApiKey();
   /// An attempt at an upstream has ended. \p Outcome comes from a fixed set.
@@ -85,6 +89,8 @@
   prometheus::Family<prometheus::Counter> &m_quotaRefusals;
   prometheus::Family<prometheus::Counter> &m_aboveShare;
   std::set<TeamId> m_teamLabels;
+  prometheus::Family<prometheus::Counter> &m_heldForUrgent;
+  prometheus::Family<prometheus::Gauge> &m_reservedSlots;
   prometheus::Counter &m_unknownApiKeys;
   prometheus::Family<prometheus::Counter> &m_attempts;
   prometheus::Family<prometheus::Counter> &m_storeCalls;
--- a/src/libgateway/gen/gateway_types.cpp
+++ b/src/libgateway/gen/gateway_types.cpp
@@ -1434,6 +1434,16 @@
   this->workMillis = val;
 }
 
+void QueuedPriority::__set_inFlight(const int32_t val) {
+  this->inFlight = val;
+__isset.inFlight = true;
+}
+
+void QueuedPriority::__set_arrivalsHundredths(const int32_t val) {
+  this->arrivalsHundredths = val;
+__isset.arrivalsHundredths = true;
+}
+
 void QueuedPriority::__set_aboveShare(const bool val) {
   this->aboveShare = val;
 __isset.aboveShare = true;
@@ -1490,6 +1500,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->inFlight);
+          this->__isset.inFlight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->arrivalsHundredths);
+          this->__isset.arrivalsHundredths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->aboveShare);
@@ -1527,6 +1553,16 @@
   xfer += oprot->writeI32(this->workMillis);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.inFlight) {
+    xfer += oprot->writeFieldBegin("inFlight", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->inFlight);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.arrivalsHundredths) {
+    xfer += oprot->writeFieldBegin("arrivalsHundredths", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->arrivalsHundredths);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.aboveShare) {
     xfer += oprot->writeFieldBegin("aboveShare", ::apache::thrift::protocol::T_BOOL, 6);
     xfer += oprot->writeBool(this->aboveShare);
@@ -1542,6 +1578,8 @@
   swap(a.priority, b.priority);
   swap(a.waiting, b.waiting);
   swap(a.workMillis, b.workMillis);
+  swap(a.inFlight, b.inFlight);
+  swap(a.arrivalsHundredths, b.arrivalsHundredths);
   swap(a.aboveShare, b.aboveShare);
   swap(a.__isset, b.__isset);
 }
@@ -1550,6 +1588,8 @@
   priority = other42.priority;
   waiting = other42.waiting;
   workMillis = other42.workMillis;
+  inFlight = other42.inFlight;
+  arrivalsHundredths = other42.arrivalsHundredths;
   aboveShare = other42.aboveShare;
   __isset = other42.__isset;
 }
@@ -1557,6 +1597,8 @@
   priority = other43.priority;
   waiting = other43.waiting;
   workMillis = other43.workMillis;
+  inFlight = other43.inFlight;
+  arrivalsHundredths = other43.arrivalsHundredths;
   aboveShare = other43.aboveShare;
   __isset = other43.__isset;
 }
@@ -1564,6 +1606,8 @@
   priority = other44.priority;
   waiting = other44.waiting;
   workMillis = other44.workMillis;
+  inFlight = other44.inFlight;
+  arrivalsHundredths = other44.arrivalsHundredths;
   aboveShare = other44.aboveShare;
   __isset = other44.__isset;
   return *this;
@@ -1572,6 +1616,8 @@
   priority = other45.priority;
   waiting = other45.waiting;
   workMillis = other45.workMillis;
+  inFlight = other45.inFlight;
+  arrivalsHundredths = other45.arrivalsHundredths;
   aboveShare = other45.aboveShare;
   __isset = other45.__isset;
   return *this;
@@ -1582,6 +1628,8 @@
   out << "priority=" << to_string(priority);
   out << ", " << "waiting=" << to_string(waiting);
   out << ", " << "workMillis=" << to_string(workMillis);
+  out << ", " << "inFlight="; (__isset.inFlight ? (out << to_string(inFlight)) : (out << "<null>"));
+  out << ", " << "arrivalsHundredths="; (__isset.arrivalsHundredths ? (out << to_string(arrivalsHundredths)) : (out << "<null>"));
   out << ", " << "aboveShare="; (__isset.aboveShare ? (out << to_string(aboveShare)) : (out << "<null>"));
   out << ")";
 }
--- a/src/libgateway/gen/gateway_types.h
+++ b/src/libgateway/gen/gateway_types.h
@@ -581,10 +581,12 @@
 std::ostream& operator<<(std::ostream& out, const UpstreamLoadEntry& obj);
 
 typedef struct _QueuedPriority__isset {
-  _QueuedPriority__isset() : priority(false), waiting(false), workMillis(false), aboveShare(false) {}
+  _QueuedPriority__isset() : priority(false), waiting(false), workMillis(false), inFlight(false), arrivalsHundredths(false), aboveShare(false) {}
   bool priority :1;
   bool waiting :1;
   bool workMillis :1;
+  bool inFlight :1;
+  bool arrivalsHundredths :1;
   bool aboveShare :1;
 } _QueuedPriority__isset;
 
@@ -599,6 +601,8 @@
                  : priority(0),
                    waiting(0),
                    workMillis(0),
+                   inFlight(0),
+                   arrivalsHundredths(0),
                    aboveShare(0) {
   }
 
@@ -606,6 +610,8 @@
   int32_t priority;
   int32_t waiting;
   int32_t workMillis;
+  int32_t inFlight;
+  int32_t arrivalsHundredths;
   bool aboveShare;
 
   _QueuedPriority__isset __isset;
@@ -616,6 +622,10 @@
 
   void __set_workMillis(const int32_t val);
 
+  void __set_inFlight(const int32_t val);
+
+  void __set_arrivalsHundredths(const int32_t val);
+
   void __set_aboveShare(const bool val);
 
   bool operator == (const QueuedPriority & rhs) const
@@ -626,6 +636,14 @@
       return false;
     if (!(workMillis == rhs.workMillis))
       return false;
+    if (__isset.inFlight != rhs.__isset.inFlight)
+      return false;
+    else if (__isset.inFlight && !(inFlight == rhs.inFlight))
+      return false;
+    if (__isset.arrivalsHundredths != rhs.__isset.arrivalsHundredths)
+      return false;
+    else if (__isset.arrivalsHundredths && !(arrivalsHundredths == rhs.arrivalsHundredths))
+      return false;
     if (__isset.aboveShare != rhs.__isset.aboveShare)
       return false;
     else if (__isset.aboveShare && !(aboveShare == rhs.aboveShare))
--- a/src/libgateway/peer_loads.cpp
+++ b/src/libgateway/peer_loads.cpp
@@ -20,6 +20,8 @@
 constexpr Duration StatusIntervalPerHost{2'000};
 /// Status messages in a row that may be lost.
 constexpr int ToleratedLosses = 1;
+/// Unit of the arrivals in messages, in requests a second.
+constexpr double ArrivalsUnit = 0.01;
 /// Added to their intervals, as messages are sent and read with delays.
 constexpr Duration StatusDelay{100'000};
 
@@ -61,6 +63,10 @@
 
 void PeerLoads::addToTotals(const PeerLoad &Load, int Sign) {
   addQueues(Load, Sign);
+  addDemands(Load, Sign);
+  // Upstreams of one service mostly follow one another.
+  const ServiceId *Service = nullptr;
+  bool Divided = false; // The host reports its load there by priority.
   for (const PeerUpstreamLoad &Reported : Load.m_upstreams) {
     if (Reported.m_outstanding == 0 && Reported.m_waiting == 0)
       continue;
@@ -69,6 +75,13 @@
       continue;
     addSigned(Upstream->m_peerOutstanding, Reported.m_outstanding, Sign);
     addSigned(Upstream->m_peerWaiting, Reported.m_waiting, Sign);
+    if (!Load.m_demands.empty() &&
+        (!Service || *Service != Upstream->m_record.m_service)) {
+      Service = &Upstream->m_record.m_service;
+      Divided = Load.m_demands.count(nameHash(Service->value())) != 0;
+    }
+    if (!Divided)
+      addSigned(Upstream->m_peerUnreported, Reported.m_outstanding, Sign);
   }
 }
 
@@ -165,6 +178,37 @@
   }
 }
 
+void PeerLoads::addDemands(const PeerLoad &Load, int Sign) {
+  for (const auto &[Service, Demands] : Load.m_demands) {
+    auto &Sums = m_demands[Service];
+    for (const PriorityDemand &Each : Demands) {
+      PriorityDemand &Sum = Sums[Each.m_priority];
+      Sum.m_priority = Each.m_priority;
+      Sum.m_inFlight += Sign * Each.m_inFlight;
+      // Rounded, as sums that are not exactly zero again count as arrivals.
+      Sum.m_arrivals =
+          std::round((Sum.m_arrivals + Sign * Each.m_arrivals) / ArrivalsUnit) *
+          ArrivalsUnit;
+    }
+    std::erase_if(Sums, [](const auto &Entry) {
+      return Entry.second.m_inFlight <= 0 && Entry.second.m_arrivals <= 0;
+    });
+    if (Sums.empty())
+      m_demands.erase(Service);
+  }
+}
+
+std::vector<PriorityDemand> PeerLoads::demands(const ServiceId &Service) const {
+  std::vector<PriorityDemand> Demands;
+  auto It = m_demands.find(nameHash(Service.value()));
+  if (It != m_demands.end())
+    for (const auto &[Priority, Sum] : It->second)
+      Demands.push_back(Sum);
+  for (const auto &[Priority, Queued] : queues(Service).m_byPriority)
+    Demands.push_back({Priority, 0, 0, Queued.m_requests});
+  return Demands;
+}
+
 const PeerQueues &PeerLoads::queues(const ServiceId &Service) const {
   static const PeerQueues None;
   auto It = m_queues.find(nameHash(Service.value()));
--- a/src/libgateway/peer_state_exchange.cpp
+++ b/src/libgateway/peer_state_exchange.cpp
@@ -4,6 +4,7 @@
 #include "burdockpulley/compression.h"
 #include "burdockpulley/event_log.h"
 #include "burdockpulley/thrift_codec.h"
+#include "queue_reports.h"
 #include "upstream_notice.h"
 
 #include <algorithm>
@@ -47,9 +48,6 @@
 constexpr std::uint64_t StatusesPerRecord = 6;
 /// How long hosts are told that an upstream no longer limits its requests.
 constexpr Duration LimitEndAnnouncementTime{2'000'000};
-/// Priorities that a status message tells apart in each service. The least
-/// urgent ones count together, as the last of them.
-constexpr std::size_t MaxQueuedPriorities = 8;
 /// Value of UpstreamLoadEntry.requestLimit for an upstream without a limit.
 constexpr double NoRequestLimit = -1;
 
@@ -139,38 +137,6 @@
   return Use;
 }
 
-wire::QueueLength toWire(NameHash Service,
-                         const std::map<std::uint32_t, QueuedWork> &Queued) {
-  wire::QueueLength Queue;
-  Queue.serviceHash = Service.value();
-  std::vector<wire::QueuedPriority> Priorities;
-  for (const auto &[Priority, Sum] : Queued) {
-    if (Priorities.size() < MaxQueuedPriorities)
-      Priorities.emplace_back();
-    wire::QueuedPriority &Entry = Priorities.back();
-    Entry.priority = static_cast<std::int32_t>(withoutShare(Priority));
-    Entry.__isset.aboveShare = Entry.aboveShare = isAboveShare(Priority);
-    Entry.waiting += static_cast<std::int32_t>(Sum.m_requests);
-    Entry.workMillis += static_cast<std::int32_t>(Sum.m_work.count() / 1000);
-    Queue.waiting += static_cast<std::int32_t>(Sum.m_requests);
-  }
-  Queue.__set_priorities(std::move(Priorities));
-  return Queue;
-}
-
-std::vector<PriorityLoad>
-fromWire(const std::vector<wire::QueuedPriority> &Entries) {
-  std::vector<PriorityLoad> Priorities;
-  for (const wire::QueuedPriority &Entry : Entries)
-    if (Priorities.size() < MaxQueuedPriorities)
-      Priorities.push_back(
-          {withShare(fromCount(Entry.priority),
-                     Entry.__isset.aboveShare && Entry.aboveShare),
-           {static_cast<double>(std::max(Entry.waiting, 0)),
-            fromMillis(Entry.workMillis)}});
-  return Priorities;
-}
-
 wire::StoreUpdate toWire(StoreVersion After, const StoreEvents &Changes) {
   wire::StoreUpdate Update;
   Update.after = numberInEra(After);
@@ -381,8 +347,7 @@
       Entry.__set_sent(static_cast<std::int32_t>(Upstream.m_sent));
     Status.upstreams.push_back(std::move(Entry));
   }
-  for (const auto &[Service, Priorities] : m_relay.waitingByService())
-    Status.queues.push_back(toWire(nameHash(Service.value()), Priorities));
+  addQueues(Status, Now);
   addHostState(Status, Now);
   Message.__set_hostStatus(std::move(Status));
   // Other failure domains receive fewer status messages: bandwidth between
@@ -393,6 +358,19 @@
     m_transport.sendToDomain(Message, LocalDomain, false);
 }
 
+void PeerStateExchange::addQueues(wire::HostStatus &Status, Instant Now) {
+  auto Waiting = m_relay.waitingByService();
+  auto Demands = m_relay.demandByService(Now);
+  for (const auto &[Service, Of] : Demands)
+    Waiting.try_emplace(Service);
+  for (const auto &[Service, Queued] : Waiting) {
+    auto Of = Demands.find(Service);
+    Status.queues.push_back(encodeQueue(
+        nameHash(Service.value()), Queued,
+        Of == Demands.end() ? std::vector<PriorityDemand>() : Of->second));
+  }
+}
+
 void PeerStateExchange::addHostState(wire::HostStatus &Status, Instant Now) {
   std::vector<wire::TeamUse> Teams;
   for (const TeamUse &Use : m_state.m_teamQuota.report(Now))
@@ -619,12 +597,8 @@
                             Now - *Reported.m_answeredAge);
   m_transport.setServesOthers(Sender, !Status.upstreamsLost && !Status.stopping,
                               AnsweredAt);
-  for (const wire::QueueLength &Queue : Status.queues) {
-    NameHash Service(Queue.serviceHash);
-    Load.m_waiting[Service] = fromCount(Queue.waiting);
-    if (Queue.__isset.priorities)
-      Load.m_priorities[Service] = fromWire(Queue.priorities);
-  }
+  for (const wire::QueueLength &Queue : Status.queues)
+    decodeQueue(Queue, Load);
   m_state.m_peerLoads.onLoad(Sender, std::move(Load), Now);
   std::vector<TeamUse> Uses;
   for (const wire::TeamUse &Entry : Status.teams)
--- a/src/libgateway/peer_state_exchange.h
+++ b/src/libgateway/peer_state_exchange.h
@@ -102,6 +102,8 @@
                      Instant Now);
   void onKeyLoadReport(const wire::KeyLoadReport &Report);
   void sendHostStatus(Instant Now);
+  /// Adds what waits at this host, and its load by priority.
+  void addQueues(wire::HostStatus &Status, Instant Now);
   /// Adds what concerns this host and no upstream.
   void addHostState(wire::HostStatus &Status, Instant Now);
   void sendKeyLoad();
--- a/src/libgateway/pending_request.h
+++ b/src/libgateway/pending_request.h
@@ -44,6 +44,8 @@
   bool m_returning = false;
   /// Its team is above its share of the capacity (see TeamShares).
   bool m_aboveShare = false;
+  /// It was held back as slots are reserved for other priorities.
+  bool m_heldForUrgent = false;
   Duration m_workTime{}; ///< Expected at an upstream of usual speed.
 
   /// Set if another host has forwarded the request to this one.
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -30,7 +30,8 @@
     : m_state(State), m_connections(State.m_base, State.requestPoolSettings()),
       m_forwarder(State), m_results(State),
       m_intake(State, m_results.serviceTimes()),
-      m_assignment(State, m_forwarder), m_waiting(State.m_registry),
+      m_reserves(State.m_registry, State.m_peerLoads, State.m_workTimes),
+      m_assignment(State, m_forwarder, m_reserves), m_waiting(State.m_registry),
       m_random(std::random_device()()) {}
 
 void RequestRelay::onRequest(std::shared_ptr<Exchange> CallerExchange,
@@ -72,6 +73,10 @@
                                 m_state.m_teamQuota.retryAfter(
                                     *Pending.m_team, m_state.limitSharers())),
                   "not-run", "team-quota", Now);
+  // Without paths to upstreams, the request arrives at another host again.
+  if (!Pending.m_key && !m_state.m_registry.pathsLost())
+    m_reserves.onArrival(Pending.m_service->m_name, priorityOf(Pending),
+                         Pending.m_workTime, Now);
   QueueKey Key = queueOf(Pending);
   checkShare(Pending, Key);
   if (m_waiting.anyBefore(Pending, Key, Now)) {
@@ -105,6 +110,25 @@
     m_state.m_metrics.onAboveShare(Pending.m_team->m_name);
 }
 
+void RequestRelay::updateReserves(Instant Now) {
+  if (m_reserves.updateDue(Now))
+    m_reserves.update(m_waiting.byService(), Now);
+}
+
+bool RequestRelay::heldForUrgent(PendingRequest &Pending) {
+  if (Pending.m_key ||
+      m_reserves.allows(Pending.m_service->m_name, priorityOf(Pending)))
+    return false;
+  if (!std::exchange(Pending.m_heldForUrgent, true))
+    m_state.m_metrics.onHeldForUrgent(Pending.m_route->m_name);
+  return true;
+}
+
+void RequestRelay::releaseSlot(const PendingRequest &Pending) {
+  if (Pending.m_attemptInFlight && !Pending.m_key)
+    m_reserves.onEnded(Pending.m_service->m_name, priorityOf(Pending));
+}
+
 std::map<std::uint32_t, double> RequestRelay::waitingByTeamPriority() const {
   std::map<std::uint32_t, double> Sums;
   for (const auto &[Service, Priorities] : m_waiting.byService())
@@ -123,7 +147,7 @@
   Refused.m_wait = Wait;
   Refused.m_left = Pending.m_callerDeadline.value_or(Pending.m_deadline) - Now;
   Refused.m_workTime = Pending.m_workTime;
-  Refused.m_slots = Capacity.m_slots;
+  Refused.m_slots = Capacity.slotsFor(priorityOf(Pending));
   Refused.m_requestRate = Capacity.m_requestRate;
   Refused.m_hosts = m_state.hosts();
   QueueKey Key = queueOf(Pending);
@@ -163,7 +187,7 @@
 }
 
 bool RequestRelay::tryDispatch(PendingRequest &Pending, Instant Now) {
-  if (Now < Pending.m_notBefore)
+  if (Now < Pending.m_notBefore || heldForUrgent(Pending))
     return false;
   bool CanWait = false;
   UpstreamState *Upstream = m_assignment.chooseUpstream(Pending, CanWait, Now);
@@ -210,6 +234,7 @@
 }
 
 void RequestRelay::enqueue(PendingRequest &Pending, Instant Now) {
+  heldForUrgent(Pending);
   ServiceCapacity Capacity = m_assignment.capacityFor(Pending, Now);
   auto Refusal = m_waiting.add(Pending, queueOf(Pending), Capacity, Now);
   if (Refusal)
@@ -221,6 +246,7 @@
 }
 
 void RequestRelay::dispatchWaiting(Instant Now) {
+  updateReserves(Now);
   std::vector<RequestNumber> Expired = m_waiting.giveUp(
       [this, Now](RequestNumber First) -> std::optional<ServiceCapacity> {
         auto It = m_pending.find(First);
@@ -242,10 +268,12 @@
                                  Instant Now) {
   auto Number = m_waiting.first(Key, Now);
   while (Number) {
-    auto Next = m_waiting.after(Key, *Number);
     auto It = m_pending.find(*Number);
-    Number = Next;
-    if (It == m_pending.end())
+    // What less urgent requests keep is theirs also while this one is held.
+    bool Held = It != m_pending.end() && heldForUrgent(*It->second);
+    Number = Held ? m_waiting.afterPriority(Key, *Number)
+                  : m_waiting.after(Key, *Number);
+    if (Held || It == m_pending.end())
       continue;
     PendingRequest &Pending = *It->second;
     bool Paused = Now < Pending.m_notBefore;
@@ -263,6 +291,7 @@
   if (It == m_pending.end())
     return;
   PendingRequest &Pending = *It->second;
+  heldForUrgent(Pending);
   if (Pending.m_mayHaveRun)
     reportUnknown(Pending, AttemptOutcome::TimedOut, Now);
   else
@@ -280,6 +309,8 @@
   Pending.m_upstream = Upstream.m_record.m_id;
   Pending.m_triedUpstreams.insert(Upstream.m_record.m_id);
   Pending.m_attemptInFlight = true;
+  if (!Pending.m_key)
+    m_reserves.onSent(Pending.m_service->m_name, priorityOf(Pending));
   ++Upstream.m_outstanding;
   HttpRequest Request = encodeRequest(Pending, m_state.m_codec.headers(), Now);
   Request.m_headers.push_back({m_state.m_codec.headers().m_expectedUpstream,
@@ -367,6 +398,7 @@
     return;
   PendingRequest &Pending = *It->second;
   Instant Now = bootClockNow();
+  releaseSlot(Pending);
   Pending.m_attemptInFlight = false;
   AttemptOutcome Outcome = m_results.classify(Pending, Result);
   m_results.record(Pending, Result, Outcome, Now);
@@ -456,6 +488,7 @@
     return;
   PendingRequest &Pending = *It->second;
   Instant Now = bootClockNow();
+  releaseSlot(Pending);
   if (Pending.m_attemptInFlight) {
     UpstreamState *Upstream = m_state.m_registry.find(Pending.m_upstream);
     m_connections.cancel(Pending.m_upstream, Pending.m_call);
@@ -530,6 +563,7 @@
             {"priority", priorityOf(Pending)},
             {"returning", Pending.m_returning},
             {"above_share", Pending.m_aboveShare},
+            {"held_for_urgent", Pending.m_heldForUrgent},
             {"forwarded", Pending.m_forwarded.has_value()},
             {"revision", Pending.m_configuration->m_revision.value()}});
   if (Pending.m_forwarded)
@@ -557,6 +591,7 @@
       continue;
     PendingRequest &Pending = *It->second;
     bool Sent = Pending.m_attemptInFlight || Pending.m_forwardedTo;
+    releaseSlot(Pending);
     if (Pending.m_attemptInFlight)
       m_connections.cancel(Pending.m_upstream, Pending.m_call);
     if (Pending.m_forwardedTo)
@@ -577,6 +612,9 @@
   m_forwarder.sweep(Now);
   m_results.sweep(Now);
   m_assignment.sweep(Now);
+  for (const auto &[Service, Slots] : m_reserves.reserved())
+    m_state.m_metrics.setReservedSlots(Service, Slots);
+  m_reserves.sweep();
   m_waiting.sweep(Now);
   m_returns.sweep(Now);
 }
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -8,6 +8,7 @@
 #include "gateway_state.h"
 #include "request_forwarder.h"
 #include "request_intake.h"
+#include "service_reserves.h"
 #include "upstream_assignment.h"
 #include "waiting_requests.h"
 
@@ -68,6 +69,16 @@
     return m_waiting.byService();
   }
 
+  /// Reads the load of all services for the limits of their priorities, if that
+  /// is due. Call it every SlotReserve::UpdateInterval.
+  void updateReserves(Instant Now);
+  /// Load of this host by priority, of the services for which the other hosts
+  /// have to know it.
+  std::map<ServiceId, std::vector<PriorityDemand>>
+  demandByService(Instant Now) const {
+    return m_reserves.report(Now);
+  }
+
   /// Requests that wait at all hosts, by the priority of their team.
   std::map<std::uint32_t, double> waitingByTeamPriority() const;
 
@@ -98,6 +109,12 @@
   /// Finds out whether a new request is above its team's share, if requests
   /// wait for its service. \p Key: its queue.
   void checkShare(PendingRequest &Pending, const QueueKey &Key);
+  /// True if a request has to wait as slots are reserved for other priorities.
+  /// Counts and marks the request if so.
+  bool heldForUrgent(PendingRequest &Pending);
+  /// Tells the reserve that an attempt, if one is in flight, has ended. To be
+  /// called before that is reset.
+  void releaseSlot(const PendingRequest &Pending);
   /// Retry-After of a request for which there will be capacity after \p Wait;
   /// zero if it would be refused again.
   Duration plannedRetryAfter(const PendingRequest &Pending,
@@ -146,6 +163,7 @@
   RequestForwarder m_forwarder;
   AttemptResults m_results;
   RequestIntake m_intake;
+  ServiceReserves m_reserves;
   UpstreamAssignment m_assignment;
   WaitingRequests m_waiting;
   ReturnPlanner m_returns;
--- a/src/libgateway/upstream_assignment.cpp
+++ b/src/libgateway/upstream_assignment.cpp
@@ -22,12 +22,6 @@
 /// Hosts to which a request may be forwarded, one after the other.
 constexpr std::size_t MaxForwards = 2;
 
-/// Slots that may be used while the upstream is paced.
-double usableSlots(const UpstreamState &Upstream) {
-  double Slots = Upstream.m_record.m_slots;
-  return std::min(Slots, Upstream.m_paceLimit.value_or(Slots));
-}
-
 /// Requests that an upstream can take now.
 double freePlaces(const UpstreamState &Upstream) {
   double Places = std::max(1.0, usableSlots(Upstream)) + MaxQueuedBeyondSlots;
@@ -38,9 +32,10 @@
 } // namespace
 
 UpstreamAssignment::UpstreamAssignment(GatewayState &State,
-                                       const RequestForwarder &Forwarder)
-    : m_state(State), m_forwarder(Forwarder), m_random(std::random_device()()) {
-}
+                                       const RequestForwarder &Forwarder,
+                                       const ServiceReserves &Reserves)
+    : m_state(State), m_forwarder(Forwarder), m_reserves(Reserves),
+      m_random(std::random_device()()) {}
 
 UpstreamPace::Terms
 UpstreamAssignment::paceTerms(const ServiceId &Service) const {
@@ -186,6 +181,9 @@
 
 bool UpstreamAssignment::yieldsToPeers(const PendingRequest &Pending,
                                        Instant Now) const {
+  if (!Pending.m_key &&
+      m_reserves.limited(Pending.m_service->m_name, priorityOf(Pending)))
+    return false;
   const PeerQueues &Queues =
       m_state.m_peerLoads.queues(Pending.m_service->m_name);
   double MoreUrgent = Queues.moreUrgent(priorityOf(Pending));
@@ -312,6 +310,7 @@
   const PeerQueues &Queues =
       m_state.m_peerLoads.queues(Pending.m_service->m_name);
   Queues.addTo(Capacity, Queues.total());
+  m_reserves.addLimits(Pending.m_service->m_name, Capacity);
   return Capacity;
 }
 
--- a/src/libgateway/upstream_assignment.h
+++ b/src/libgateway/upstream_assignment.h
@@ -8,6 +8,7 @@
 #include "burdockpulley/upstream_selection.h"
 #include "gateway_state.h"
 #include "pending_request.h"
+#include "service_reserves.h"
 
 #include <random>
 
@@ -19,8 +20,9 @@
 /// Thread safety: none; it belongs to the loop's thread.
 class UpstreamAssignment {
 public:
-  /// Precondition: \p State and \p Forwarder outlive the object.
-  UpstreamAssignment(GatewayState &State, const RequestForwarder &Forwarder);
+  /// Precondition: the arguments outlive the object.
+  UpstreamAssignment(GatewayState &State, const RequestForwarder &Forwarder,
+                     const ServiceReserves &Reserves);
 
   /// Returns null if no upstream can take the request now. \p CanWait says
   /// whether one may be able to later.
@@ -28,6 +30,8 @@
                                 Instant Now);
   /// True if more requests that are more urgent wait at other hosts for the
   /// upstreams that the request may be sent to than these can take now.
+  /// Requests of a limited priority do not yield: their slots are without those
+  /// for the more urgent ones.
   bool yieldsToPeers(const PendingRequest &Pending, Instant Now) const;
   /// The host to which to forward a request for which this host has no usable
   /// upstream; null if there is none that reaches one.
@@ -77,6 +81,7 @@
 
   GatewayState &m_state;
   const RequestForwarder &m_forwarder;
+  const ServiceReserves &m_reserves;
   std::map<UpstreamId, UpstreamPace> m_paces;
   std::map<UpstreamId, ColdStartLimiter> m_coldStartLimiters;
   std::map<UpstreamId, OwnerThrottle> m_ownerThrottles;
--- a/src/libgateway/waiting_requests.cpp
+++ b/src/libgateway/waiting_requests.cpp
@@ -62,6 +62,13 @@
   return It == m_queues.end() ? std::nullopt : It->second.after(Number);
 }
 
+std::optional<RequestNumber>
+WaitingRequests::afterPriority(const QueueKey &Key,
+                               RequestNumber Number) const {
+  auto It = m_queues.find(Key);
+  return It == m_queues.end() ? std::nullopt : It->second.afterPriority(Number);
+}
+
 std::vector<QueueKey> WaitingRequests::queues() const {
   std::vector<QueueKey> Keys;
   for (const auto &[Key, Queue] : m_queues)
--- a/src/libgateway/waiting_requests.h
+++ b/src/libgateway/waiting_requests.h
@@ -37,11 +37,13 @@
   bool anyBefore(const PendingRequest &Pending, const QueueKey &Key,
                  Instant Now);
   bool anyIn(const QueueKey &Key) const;
-  /// The first request of a queue, and the one after a request; nothing if
-  /// there is none.
+  /// The first request of a queue, the one after a request, and the first one
+  /// with a less urgent priority of team and route; nothing if there is none.
   std::optional<RequestNumber> first(const QueueKey &Key, Instant Now);
   std::optional<RequestNumber> after(const QueueKey &Key,
                                      RequestNumber Number) const;
+  std::optional<RequestNumber> afterPriority(const QueueKey &Key,
+                                             RequestNumber Number) const;
   /// The queues in which requests wait.
   std::vector<QueueKey> queues() const;
 
