gateway: count requests that meet a full upstream

Operators could not see how many requests are sent to upstreams without a free slot: attempts at full upstreams had the same metric as those that upstreams refused because they leave or want a pause, and those that hang the same as any late response.

Change: requests_met_full_upstream_total by service counts attempts that were refused with 503, not run, without notice of leaving or a pause, and attempts without a response until the deadline while the newest load report of the upstream says that all slots are taken. Callers that leave earlier are not counted.

The responses of the test of the reserve now carry the id of the request; they had all ended as responses to another request, so that its cases were alike.

The new test fails if pauses count, if each time-out counts, or if each refusal does. The test of the reserve still fails if the end of an attempt does not count as its result comes or as the host ends. The bound of requests in flight for upstreams that hang is not begun.

--- a/src/libgateway/attempt_results.cpp
+++ b/src/libgateway/attempt_results.cpp
@@ -13,6 +13,8 @@
 /// its paths to all upstreams.
 constexpr Duration RefusalDecisionTime{1'000'000};
 
+constexpr int StatusUnavailable = 503;
+
 std::int64_t millis(Duration Time) { return Time.count() / 1000; }
 
 } // namespace
@@ -51,6 +53,8 @@
   if (!Upstream)
     return;
   Upstream->m_outstanding -= std::min(Upstream->m_outstanding, 1U);
+  if (metFullUpstream(*Upstream, Result, Outcome))
+    m_state.m_metrics.onFullUpstream(Pending.m_service->m_name);
   if (Result.m_error == ChannelError::ConnectFailed ||
       Result.m_error == ChannelError::Interrupted)
     m_state.m_reachability.onFailure(Pending.m_upstream, Now);
@@ -80,6 +84,19 @@
     recordConnectFailure(Pending, *Upstream, Result.m_refused, Now);
 }
 
+bool AttemptResults::metFullUpstream(const UpstreamState &Upstream,
+                                     const ChannelResult &Result,
+                                     AttemptOutcome Outcome) const {
+  if (Outcome == AttemptOutcome::TimedOut)
+    return Upstream.m_report.m_running >= Upstream.m_record.m_slots;
+  if (Outcome != AttemptOutcome::NotRun ||
+      Result.m_response.m_status != StatusUnavailable)
+    return false;
+  // The same status tells that the upstream leaves or wants a pause.
+  UpstreamNotice Notice = m_state.m_codec.decodeNotice(Result.m_response);
+  return !Notice.m_leaving && Notice.m_pause <= Duration();
+}
+
 void AttemptResults::recordResponse(PendingRequest &Pending,
                                     UpstreamState &Upstream,
                                     const HttpResponse &Response,
--- a/src/libgateway/attempt_results.h
+++ b/src/libgateway/attempt_results.h
@@ -44,6 +44,11 @@
   void recordResponse(PendingRequest &Pending, UpstreamState &Upstream,
                       const HttpResponse &Response, AttemptOutcome Outcome,
                       Instant Now);
+  /// True if the upstream has refused the attempt as full, or has not answered
+  /// it and is full by its newest load report.
+  bool metFullUpstream(const UpstreamState &Upstream,
+                       const ChannelResult &Result,
+                       AttemptOutcome Outcome) const;
   /// Takes note of the request limit that a response states, or no longer
   /// states.
   void recordRequestLimit(UpstreamState &Upstream, const HttpResponse &Response,
--- a/src/libgateway/gateway_metrics.cpp
+++ b/src/libgateway/gateway_metrics.cpp
@@ -55,6 +55,10 @@
                            .Add({})),
       m_attempts(counter(m_registry, "burdockpulley_gateway_attempts_total",
                          "Attempts at upstreams by service and end")),
+      m_metFullUpstream(counter(
+          m_registry, "burdockpulley_gateway_requests_met_full_upstream_total",
+          "Attempts at upstreams that refused them as full, or were "
+          "full and did not answer, by service")),
       m_storeCalls(counter(m_registry,
                            "burdockpulley_gateway_store_calls_total",
                            "Calls to the platform's store by result")),
@@ -166,6 +170,10 @@
       .Increment();
 }
 
+void GatewayMetrics::onFullUpstream(const ServiceId &Service) {
+  m_metFullUpstream.Add({{"service", Service.value()}}).Increment();
+}
+
 void GatewayMetrics::onStoreCall(std::string_view Call,
                                  std::string_view Result) {
   m_storeCalls
--- a/src/libgateway/gateway_metrics.h
+++ b/src/libgateway/gateway_metrics.h
@@ -44,6 +44,8 @@
   void onUnknownApiKey();
   /// An attempt at an upstream has ended. \p Outcome comes from a fixed set.
   void onAttempt(const ServiceId &Service, std::string_view Outcome);
+  /// An attempt at an upstream has failed as that had no free slot.
+  void onFullUpstream(const ServiceId &Service);
   /// A call to the store has ended. \p Call and \p Result come from fixed sets.
   void onStoreCall(std::string_view Call, std::string_view Result);
   /// A grant has ended, \p Time after the decision to send it. \p Outcome comes
@@ -93,6 +95,7 @@
   prometheus::Family<prometheus::Gauge> &m_reservedSlots;
   prometheus::Counter &m_unknownApiKeys;
   prometheus::Family<prometheus::Counter> &m_attempts;
+  prometheus::Family<prometheus::Counter> &m_metFullUpstream;
   prometheus::Family<prometheus::Counter> &m_storeCalls;
   prometheus::Family<prometheus::Histogram> &m_grantSeconds;
   prometheus::Family<prometheus::Counter> &m_keysFreed;
--- a/src/libgateway/service_reserves_test.cpp
+++ b/src/libgateway/service_reserves_test.cpp
@@ -36,6 +36,13 @@
     m_names.m_requestId = "Request-Id";
     m_names.m_expectedUpstream = "Expected-OnlyUpstream";
     m_names.m_notRun = "Not-Run";
+    m_names.m_deadline = "Deadline";
+  }
+  UpstreamNotice decodeNotice(const HttpResponse &Response) const override {
+    UpstreamNotice Notice;
+    if (!Response.header("Pause").empty())
+      Notice.m_pause = std::chrono::seconds(1);
+    return Notice;
   }
   const HeaderNames &headers() const override { return m_names; }
 
@@ -88,8 +95,10 @@
     return m_start + std::chrono::milliseconds(Milliseconds);
   }
 
-  void request(const char *Prefix, std::int64_t Milliseconds) {
+  void request(const char *Prefix, std::int64_t Milliseconds,
+               const char *Deadline = "10000") {
     HttpRequest Request{"GET", Prefix, {{"Host", "x.example"}}, "", ""};
+    Request.m_headers.push_back({"Deadline", Deadline});
     Request.m_headers.push_back({"Request-Id", std::to_string(++m_requests)});
     m_relay.onRequest(
         std::make_shared<Exchange>(nullptr, std::move(Request), m_start),
@@ -322,9 +331,10 @@
 // slots from their priority for ever.
 BOOST_AUTO_TEST_CASE(each_attempt_ends_in_the_reserve) {
   const char *const Responses[] = {
-      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-      "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n",
-      "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 500 Failed\r\nRequest-Id: 1\r\nContent-Length: 0\r\n\r\n",
+      ("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nRequest-Id: 1\r\n"
+       "Content-Length: 0\r\n\r\n"),
       "no HTTP\r\n\r\n"};
   for (const char *Response : Responses)
     for (bool Closes : {false, true}) {
@@ -353,6 +363,46 @@
   BOOST_TEST(Ended.inFlight() == 0);
 }
 
+// Guards against a metric that misses requests which full upstreams refuse or
+// never answer, or that counts other failures.
+BOOST_AUTO_TEST_CASE(requests_that_meet_a_full_upstream_are_counted) {
+  struct {
+    const char *m_response;
+    std::uint32_t m_running;
+    bool m_counted;
+  } const Cases[] = {
+      {"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nRequest-Id: 1\r\nContent-Length: "
+       "0\r\n\r\n",
+       0, true},
+      {"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nPause: 1\r\n"
+       "Request-Id: 1\r\nContent-Length: 0\r\n\r\n",
+       0, false},
+      {"HTTP/1.1 429 Limit\r\nNot-Run: 1\r\nRequest-Id: 1\r\nContent-Length: "
+       "0\r\n\r\n",
+       Slots, false},
+      {"HTTP/1.1 503 Failed\r\nRequest-Id: 1\r\nContent-Length: 0\r\n\r\n",
+       Slots, false},
+      {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 0\r\n\r\n", Slots,
+       false},
+      {"", Slots, true},
+      {"", Slots - 1, false}};
+  for (const auto &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.m_response << Case.m_running) {
+      RelayHost Host;
+      Host.m_server.m_response = Case.m_response;
+      Host.m_state.m_registry.find(OnlyUpstream)->m_report.m_running =
+          Case.m_running;
+      Host.request("/less/", 0, "200");
+      BOOST_TEST(Host.sent() == 1u);
+      BOOST_TEST(
+          Host.runUntil([&Host] { return Host.m_relay.inFlight() == 0; }));
+      BOOST_TEST(Host.measures(
+                     "requests_met_full_upstream_total{service=\"fee\"} 1") ==
+                 Case.m_counted);
+    }
+  }
+}
+
 // The same for callers that close their connections.
 BOOST_AUTO_TEST_CASE(the_attempt_of_a_caller_that_leaves_ends_in_the_reserve) {
   RelayHost Host;
