--- a/src/burdockpulley/explain.cpp
+++ b/src/burdockpulley/explain.cpp
@@ -149,7 +149,10 @@
     const json &Queue = Told.at("queue");
     Text += "queue: " + Queue.at("ahead").dump() + " ahead here, " +
             Queue.at("aheadElsewhere").dump() + " elsewhere, expected wait " +
-            Queue.at("expectedWaitMs").dump() + " ms\n";
+            Queue.at("expectedWaitMs").dump() + " ms" +
+            (Queue.value("heldForUrgent", false) ? ", held for urgent requests"
+                                                 : "") +
+            "\n";
   }
   return Text + responseLine(Told.at("response"));
 }
--- a/src/libgateway/gateway_metrics.cpp
+++ b/src/libgateway/gateway_metrics.cpp
@@ -39,12 +39,26 @@
                            "burdockpulley_gateway_above_share_total",
                            "Requests ranked behind others as their team was "
                            "above its share, by team")),
+      m_heldForUrgent(counter(
+          m_registry, "burdockpulley_gateway_requests_held_for_urgent_total",
+          "Requests held back as slots are reserved for other "
+          "priorities, by route")),
+      m_reservedSlots(
+          prometheus::BuildGauge()
+              .Name("burdockpulley_gateway_reserved_slots")
+              .Help("Slots that the least urgent requests leave free, by "
+                    "service")
+              .Register(m_registry)),
       m_unknownApiKeys(counter(m_registry,
                                "burdockpulley_gateway_unknown_api_keys_total",
                                "Requests refused as they had no known API key")
                            .Add({})),
       m_attempts(counter(m_registry, "burdockpulley_gateway_attempts_total",
                          "Attempts at upstreams by service and end")),
+      m_metFullUpstream(counter(
+          m_registry, "burdockpulley_gateway_requests_met_full_upstream_total",
+          "Attempts at upstreams that refused them as full, or were "
+          "full and did not answer, by service")),
       m_storeCalls(counter(m_registry,
                            "burdockpulley_gateway_store_calls_total",
                            "Calls to the platform's store by result")),
@@ -131,6 +145,14 @@
   m_aboveShare.Add({{"team", teamLabel(Team)}}).Increment();
 }
 
+void GatewayMetrics::onHeldForUrgent(const std::string &Route) {
+  m_heldForUrgent.Add({{"route", Route}}).Increment();
+}
+
+void GatewayMetrics::setReservedSlots(const ServiceId &Service, double Slots) {
+  m_reservedSlots.Add({{"service", Service.value()}}).Set(Slots);
+}
+
 void GatewayMetrics::onUnknownApiKey() { m_unknownApiKeys.Increment(); }
 
 void GatewayMetrics::onGrantEnded(std::string_view Outcome, Duration Time) {
@@ -148,6 +170,10 @@
       .Increment();
 }
 
+void GatewayMetrics::onFullUpstream(const ServiceId &Service) {
+  m_metFullUpstream.Add({{"service", Service.value()}}).Increment();
+}
+
 void GatewayMetrics::onStoreCall(std::string_view Call,
                                  std::string_view Result) {
   m_storeCalls
--- a/src/libgateway/gateway_metrics.h
+++ b/src/libgateway/gateway_metrics.h
@@ -36,10 +36,16 @@
   /// A request was ranked behind others as its team is above its share of the
   /// capacity. Teams beyond MaxTeamLabels are counted together.
   void onAboveShare(const TeamId &Team);
+  /// A request was held back as slots are reserved for other priorities.
+  void onHeldForUrgent(const std::string &Route);
+  /// Slots of a service that the least urgent requests leave free.
+  void setReservedSlots(const ServiceId &Service, double Slots);
   /// A request needed an API key and had no known one.
   void onUnknownApiKey();
   /// An attempt at an upstream has ended. \p Outcome comes from a fixed set.
   void onAttempt(const ServiceId &Service, std::string_view Outcome);
+  /// An attempt at an upstream has failed as that had no free slot.
+  void onFullUpstream(const ServiceId &Service);
   /// A call to the store has ended. \p Call and \p Result come from fixed sets.
   void onStoreCall(std::string_view Call, std::string_view Result);
   /// A grant has ended, \p Time after the decision to send it. \p Outcome comes
@@ -85,8 +91,11 @@
   prometheus::Family<prometheus::Counter> &m_quotaRefusals;
   prometheus::Family<prometheus::Counter> &m_aboveShare;
   std::set<TeamId> m_teamLabels;
+  prometheus::Family<prometheus::Counter> &m_heldForUrgent;
+  prometheus::Family<prometheus::Gauge> &m_reservedSlots;
   prometheus::Counter &m_unknownApiKeys;
   prometheus::Family<prometheus::Counter> &m_attempts;
+  prometheus::Family<prometheus::Counter> &m_metFullUpstream;
   prometheus::Family<prometheus::Counter> &m_storeCalls;
   prometheus::Family<prometheus::Histogram> &m_grantSeconds;
   prometheus::Family<prometheus::Counter> &m_keysFreed;
--- a/src/libgateway/request_explanation.cpp
+++ b/src/libgateway/request_explanation.cpp
@@ -237,6 +237,7 @@
         {"ahead", static_cast<std::uint64_t>(Wait.m_ahead)},
         {"aheadElsewhere",
          rounded(Capacity.elsewhere(priorityOf(m_pending), 1).m_requests)},
+        {"heldForUrgent", m_by.m_assignment.heldForUrgent(m_pending)},
         {"expectedWaitMs", AtOnce ? 0 : millis(Wait.m_wait)}};
     m_result["response"] = std::move(Response);
   }
@@ -251,7 +252,9 @@
       return refusal(LocalStatus::TooManyRequests, "team-quota",
                      m_quota.m_retryAfter);
     const UpstreamAssignment &Assignment = m_by.m_assignment;
-    if (Wait.m_ahead < 1 && Preview.m_chosen) {
+    if (Assignment.heldForUrgent(m_pending)) {
+      // Waits, whatever upstream is free.
+    } else if (Wait.m_ahead < 1 && Preview.m_chosen) {
       if (!Assignment.yieldsToPeers(m_pending, m_now))
         return {{"outcome", "sent"}, {"upstream", Preview.m_chosen->value()}};
     } else if (Wait.m_ahead < 1 && !Preview.m_canWait) {
--- a/src/libgateway/request_explanation_test.cpp
+++ b/src/libgateway/request_explanation_test.cpp
@@ -113,7 +113,9 @@
   RequestForwarder m_forwarder{m_state};
   RequestIntake m_intake{m_state, m_times};
   CrashSuspects m_suspects;
-  UpstreamAssignment m_assignment{m_state, m_forwarder};
+  ServiceReserves m_reserves{m_state.m_registry, m_state.m_peerLoads,
+                             m_state.m_workTimes};
+  UpstreamAssignment m_assignment{m_state, m_forwarder, m_reserves};
   WaitingRequests m_waiting{m_state.m_registry};
   std::mt19937_64 m_random{5};
   std::uint64_t m_requests = 0;
@@ -167,6 +169,30 @@
   BOOST_TEST(Told["revision"] == 7);
 }
 
+// Slots that look free are kept for others: without being told so, an operator
+// takes the upstreams for the cause.
+BOOST_AUTO_TEST_CASE(a_request_held_for_urgent_ones_is_told_so) {
+  auto Configuration = configuration();
+  Configuration->m_routes.front().m_priority = 2;
+  Host Asked(std::move(Configuration));
+  Asked.add("fee-a");
+  BOOST_TEST(!Asked.told(Fee)["queue"]["heldForUrgent"].get<bool>());
+  const ServiceId Service("fee");
+  std::uint32_t Priority = priorityOf(*Asked.request("/fee/x"));
+  BOOST_REQUIRE(Priority > 1u);
+  for (int Arrived = 0; Arrived < 50; ++Arrived) {
+    Asked.m_reserves.onArrival(Service, 0, std::chrono::milliseconds(100),
+                               at(1));
+    Asked.m_reserves.onArrival(Service, Priority,
+                               std::chrono::milliseconds(100), at(1));
+  }
+  Asked.m_reserves.update({}, at(1));
+  json Told = Asked.told(Fee);
+  BOOST_TEST(Told["queue"]["heldForUrgent"].get<bool>());
+  BOOST_TEST(Told["response"]["outcome"] != "sent");
+  BOOST_TEST(obstacles(Told)["fee-a"] == "");
+}
+
 BOOST_AUTO_TEST_CASE(a_load_report_is_told_with_its_age) {
   Host Asked;
   UpstreamState &Upstream = Asked.add("fee-a");
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -9,6 +9,7 @@
 #include "request_explanation.h"
 #include "request_forwarder.h"
 #include "request_intake.h"
+#include "service_reserves.h"
 #include "upstream_assignment.h"
 #include "waiting_requests.h"
 
@@ -75,6 +76,16 @@
             m_assignment, m_waiting, m_random};
   }
 
+  /// Reads the load of all services for the limits of their priorities, if that
+  /// is due. Call it every SlotReserve::UpdateInterval.
+  void updateReserves(Instant Now);
+  /// Load of this host by priority, of the services for which the other hosts
+  /// have to know it.
+  std::map<ServiceId, std::vector<PriorityDemand>>
+  demandByService(Instant Now) const {
+    return m_reserves.report(Now);
+  }
+
   /// Requests that wait at all hosts, by the priority of their team.
   std::map<std::uint32_t, double> waitingByTeamPriority() const;
 
@@ -105,6 +116,12 @@
   /// Finds out whether a new request is above its team's share, if requests
   /// wait for its service. \p Key: its queue.
   void checkShare(PendingRequest &Pending, const QueueKey &Key);
+  /// True if a request has to wait as slots are reserved for other priorities.
+  /// Counts and marks the request if so.
+  bool heldForUrgent(PendingRequest &Pending);
+  /// Tells the reserve that an attempt, if one is in flight, has ended. To be
+  /// called before that is reset.
+  void releaseSlot(const PendingRequest &Pending);
   /// Retry-After of a request for which there will be capacity after \p Wait;
   /// zero if it would be refused again.
   Duration plannedRetryAfter(const PendingRequest &Pending,
@@ -153,6 +170,7 @@
   RequestForwarder m_forwarder;
   AttemptResults m_results;
   RequestIntake m_intake;
+  ServiceReserves m_reserves;
   UpstreamAssignment m_assignment;
   WaitingRequests m_waiting;
   ReturnPlanner m_returns;
