keys: a coordinator of many ranges sends fewer commands, and moves fewer ranges

First grants have to be sent within 0.3 s of the write of the table; most were not, and their keys were freed and assigned again (701 in a second); owners lost keys as renewals came late (241). Up to 646 ranges moved at a time, a fifth of all keys. It also got 1,500 key loads a second.

Above 1,500 renewals a second they are spread over up to 1.6 s; above 1,000 ranges newcomers get their keys in one part; at most 200 ranges move at a time; key loads are sent every 2 ms a host, at least every 0.2 s. Deployments with up to 100 hosts, 500 owners and 1,000 ranges are not affected: all known ones have at most 301 owners.

--- a/src/include/burdockpulley/key_coordinator.h
+++ b/src/include/burdockpulley/key_coordinator.h
@@ -95,6 +95,11 @@
     /// reassigned then anyway.
     Duration m_longGrantDuration = std::chrono::seconds(10);
     Duration m_renewInterval = std::chrono::milliseconds(900);
+    /// Renewals a second above which they are sent less often: a coordinator on
+    /// a fifth of a core can not send 4,000.
+    double m_maxRenewalRate = 1500;
+    /// Longest interval of renewals. A grant still allows for a lost renewal.
+    Duration m_maxRenewInterval = std::chrono::milliseconds(1600);
     Duration m_retryInterval = std::chrono::milliseconds(100);
     /// Longest time for which a predecessor may still send grants. The store
     /// may end its lease without its knowledge.
@@ -255,6 +260,7 @@
   /// advancePhase() for keys whose holder is not known for certain.
   void advanceUntrusted(RangeState &State, Instant Now);
   bool verifying() const;
+  Duration renewInterval() const;
   void issueCommand(RangeState &State, bool StoreReachable,
                     Commands &NewCommands, Instant Now);
   void planRebalance(const KeyCandidates &Candidates, const KeyLoad &Load,
--- a/src/include/burdockpulley/key_planner.h
+++ b/src/include/burdockpulley/key_planner.h
@@ -84,6 +84,9 @@
 struct MoveLimits {
   std::size_t m_moves = 0; ///< Largest number of placements.
   OwnerRates m_rates;
+  /// An upstream that owns no keys yet gets its share in this many parts, from
+  /// several owners.
+  double m_newcomerParts = 3;
 };
 
 /// Utilization that owners with \p Slots slots are meant to have at most when
--- a/src/libgateway/key_coordinator.cpp
+++ b/src/libgateway/key_coordinator.cpp
@@ -16,11 +16,18 @@
 /// Ranges that may always be moved at the same time, however few candidates
 /// there are.
 constexpr std::size_t MinMovingRanges = 3;
+/// Ranges that may be moved at the same time, however many candidates there
+/// are. Their first grants have to be sent within Settings::m_firstGrantWindow,
+/// and a coordinator on a fifth of a core sends no more in that time.
+constexpr std::size_t MaxMovingRanges = 200;
 /// Pairs of ranges that are merged with one write.
 constexpr std::size_t MergesPerWrite = 4;
 /// Ranges are not split any further when there are more than this for each
 /// candidate, since each range is renewed by its own call.
 constexpr std::size_t MaxRangesPerCandidate = 4;
+/// With more ranges than this, newcomers get their keys in one part. Each range
+/// is renewed by its own call, and one coordinator sends them all.
+constexpr std::size_t ManyRanges = 1000;
 
 } // namespace
 
@@ -350,6 +357,15 @@
     startRelease(State, Now);
 }
 
+Duration KeyCoordinator::renewInterval() const {
+  double Seconds =
+      static_cast<double>(m_rangeStates.size()) / m_settings.m_maxRenewalRate;
+  Duration ForRate(static_cast<std::int64_t>(Seconds * 1e6));
+  return std::clamp(
+      ForRate, m_settings.m_renewInterval,
+      std::max(m_settings.m_renewInterval, m_settings.m_maxRenewInterval));
+}
+
 void KeyCoordinator::issueCommand(RangeState &State, bool StoreReachable,
                                   Commands &NewCommands, Instant Now) {
   if (State.m_phase == Phase::Free || State.m_commandInFlight.value() != 0)
@@ -375,8 +391,8 @@
     return;
   bool NeedsLongGrant =
       !StoreReachable && !State.m_longGrant && State.m_confirmed;
-  Duration Interval = State.m_confirmed ? m_settings.m_renewInterval
-                                        : m_settings.m_retryInterval;
+  Duration Interval =
+      State.m_confirmed ? renewInterval() : m_settings.m_retryInterval;
   if (Elapsed < Interval && !NeedsLongGrant)
     return;
   Duration GrantDuration = StoreReachable ? m_settings.m_grantDuration
@@ -449,8 +465,7 @@
     break;
   case GrantOutcome::Dropped:
     // Commands wait because there are too many: the next try comes later.
-    State->m_lastSentAt =
-        Now - m_settings.m_renewInterval + m_settings.m_retryInterval;
+    State->m_lastSentAt = Now - renewInterval() + m_settings.m_retryInterval;
     if (State->m_confirmed)
       return;
     break;
@@ -524,16 +539,18 @@
     if (CanMove)
       Movable.push_back(State.m_range);
   }
-  auto MaxMoving =
-      std::max(MinMovingRanges,
-               static_cast<std::size_t>(static_cast<double>(Candidates.size()) *
-                                        MovingRangesPerCandidate));
+  auto MaxMoving = std::clamp(
+      static_cast<std::size_t>(static_cast<double>(Candidates.size()) *
+                               MovingRangesPerCandidate),
+      MinMovingRanges, MaxMovingRanges);
   bool TooManyRanges =
       m_rangeStates.size() > Candidates.size() * MaxRangesPerCandidate;
   if (Moving >= MaxMoving || TooManyRanges)
     return;
-  for (const KeyPlacement &Move :
-       planMoves(Movable, Candidates, Load, {MaxMoving - Moving, Rates}))
+  MoveLimits Limits{MaxMoving - Moving, Rates};
+  if (m_rangeStates.size() > ManyRanges)
+    Limits.m_newcomerParts = 1;
+  for (const KeyPlacement &Move : planMoves(Movable, Candidates, Load, Limits))
     splitForMove(Move);
 }
 
--- a/src/libgateway/key_coordinator_test.cpp
+++ b/src/libgateway/key_coordinator_test.cpp
@@ -81,6 +81,41 @@
   BOOST_TEST(!Commands.m_grants[0].m_first);
 }
 
+// A coordinator that renewed each of 3,500 ranges every 0.9 s fell behind on a
+// fifth of a core, and owners lost keys that nobody had taken from them.
+BOOST_AUTO_TEST_CASE(renewals_of_many_ranges_are_spread_over_more_time) {
+  constexpr std::size_t Owners = 3000;
+  KeyCandidates Candidates;
+  for (std::size_t Number = 0; Number < Owners; ++Number) {
+    KeyCandidate Candidate;
+    Candidate.m_id = UpstreamId("u" + std::to_string(Number));
+    Candidate.m_incarnation = UpstreamIncarnation(1);
+    Candidate.m_eligible = true;
+    Candidates[Candidate.m_id] = Candidate;
+  }
+  KeyCoordinator Keys(ServiceId("herd"), {});
+  KeyLoad Load;
+  Keys.takeOver(std::nullopt, at(0));
+  auto Table = Keys.tick(Candidates, Load, {}, true, at(0)).m_write;
+  BOOST_REQUIRE(Table);
+  const std::size_t Ranges = Table->m_ranges.size();
+  BOOST_REQUIRE(Ranges >= Owners);
+  Keys.onWritten(at(5));
+  std::size_t Renewals = 0;
+  constexpr int RenewalsMillis = 6000;
+  constexpr int TickMillis = 20;
+  for (int Millis = TickMillis; Millis < RenewalsMillis; Millis += TickMillis)
+    for (const GrantCommand &Grant :
+         Keys.tick(Candidates, Load, {}, true, at(Millis)).m_grants) {
+      Renewals += Grant.m_first ? 0 : 1;
+      Keys.onGrant(Grant.m_number, GrantOutcome::Granted, at(Millis));
+    }
+  BOOST_TEST(Keys.allConfirmed());
+  // Once each 1.6 s, well within a grant of 3.5 s.
+  BOOST_TEST(Renewals >= 3 * Ranges);
+  BOOST_TEST(Renewals <= 4 * Ranges);
+}
+
 BOOST_AUTO_TEST_CASE(a_lost_connection_requires_a_higher_token) {
   ConfirmedCoordinator Coordinator;
   auto Renewal = Coordinator.tick(1000).m_grants.at(0);
--- a/src/libgateway/key_planner.cpp
+++ b/src/libgateway/key_planner.cpp
@@ -46,9 +46,6 @@
 /// Places in a range at which a piece is looked for, one after the other. More
 /// than the hot keys that one range has as a rule.
 constexpr int MaxPieceTries = 16;
-/// An upstream that owns no keys yet gets its share in this many parts, from
-/// several owners.
-constexpr double NewcomerParts = 3;
 /// Owners without a piece worth moving that one plan passes over. Bounds the
 /// cost of a plan when many owners have one hot key each.
 constexpr std::size_t MaxImmovableOwners = 8;
@@ -450,7 +447,8 @@
     double TargetShortfall =
         WantedUtilization * Target->m_capacity - Target->m_load;
     double WantedLoad = std::min(
-        std::max(Surplus, Newcomer ? TargetShortfall / NewcomerParts : 0),
+        std::max(Surplus,
+                 Newcomer ? TargetShortfall / Limits.m_newcomerParts : 0),
         TargetShortfall);
     if (WantedLoad <= 0)
       break;
--- a/src/libgateway/peer_state_exchange.cpp
+++ b/src/libgateway/peer_state_exchange.cpp
@@ -16,7 +16,10 @@
 
 /// Changes of owners are collected for this time and sent together.
 constexpr Duration OwnersUpdateDelay{50'000};
-constexpr Duration KeyLoadInterval{200'000};
+constexpr Duration MinKeyLoadInterval{200'000};
+/// Interval of key loads for each host: one host, the coordinator, gets them
+/// all.
+constexpr Duration KeyLoadIntervalPerHost{2'000};
 /// An update of owners is sent at this interval even without changes, so that
 /// hosts detect lost ones.
 constexpr Duration OwnersUpdateInterval{500'000};
@@ -207,7 +210,9 @@
     sendHostStatus(Now);
   }
   if (Now >= m_nextKeyLoad) {
-    m_nextKeyLoad = Now + KeyLoadInterval;
+    m_nextKeyLoad =
+        Now + std::max<Duration>(MinKeyLoadInterval,
+                                 KeyLoadIntervalPerHost * m_transport.peers());
     sendKeyLoad();
   }
   if (m_coordinator.coordinating() && Now >= m_nextOwnersUpdate)
