--- a/src/include/burdockpulley/gateway_settings.h
+++ b/src/include/burdockpulley/gateway_settings.h
@@ -44,6 +44,8 @@
   Duration m_retryWindow = std::chrono::seconds(10);
   double m_retryAllowance = 60;
   TeamQuota::Settings m_teamQuota;
+  /// Slots of services without keys are reserved for the more urgent requests.
+  bool m_reserveSlots = false;
   /// Upstreams that start or come back are paced by how they answer. Otherwise
   /// cold ones get a fixed share of their rate.
   bool m_paceUpstreams = false;
--- a/src/libgateway/gateway_settings.cpp
+++ b/src/libgateway/gateway_settings.cpp
@@ -50,6 +50,8 @@
       cxxopts::value<Text>());
   Add("quota-slack", "requests per window by which a team may exceed it",
       cxxopts::value<Text>());
+  Add("reserve-slots",
+      "reserve slots for the more urgent requests of a service");
   Add("pace-upstreams",
       "pace upstreams that start or come back by how they answer");
   Add("cold-overage",
@@ -107,6 +109,7 @@
     }
     detail::SettingsReader Reader(Flags, Outcome.m_faults);
     readAll(Reader, Outcome.m_settings);
+    Outcome.m_settings.m_reserveSlots = Flags.count("reserve-slots") != 0;
     Outcome.m_settings.m_paceUpstreams = Flags.count("pace-upstreams") != 0;
     Outcome.m_print = Flags.count("print-settings") != 0;
     for (const std::string &Argument : Flags.unmatched())
@@ -141,6 +144,7 @@
          "\nquota-window=" + milliseconds(Settings.m_teamQuota.m_window) +
          "\nquota-overage=" + std::to_string(Settings.m_teamQuota.m_overage) +
          "\nquota-slack=" + std::to_string(Settings.m_teamQuota.m_slack) +
+         "\nreserve-slots=" + (Settings.m_reserveSlots ? "1" : "0") +
          "\npace-upstreams=" + (Settings.m_paceUpstreams ? "1" : "0") +
          "\ncold-overage=" + std::to_string(Settings.m_coldBound.m_overage) +
          "\ncold-slack=" + std::to_string(Settings.m_coldBound.m_slack) + "\n";
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -73,7 +73,7 @@
                                     *Pending.m_team, m_state.limitSharers())),
                   "not-run", "team-quota", Now);
   // Without paths to upstreams, the request arrives at another host again.
-  if (!Pending.m_key && !m_state.m_registry.pathsLost())
+  if (usesReserve(Pending) && !m_state.m_registry.pathsLost())
     m_reserves.onArrival(Pending.m_service->m_name, priorityOf(Pending),
                          Pending.m_workTime, Now);
   QueueKey Key = queueOf(Pending);
@@ -120,8 +120,12 @@
   return true;
 }
 
+bool RequestRelay::usesReserve(const PendingRequest &Pending) const {
+  return m_state.m_settings.m_reserveSlots && !Pending.m_key;
+}
+
 void RequestRelay::releaseSlot(const PendingRequest &Pending) {
-  if (Pending.m_attemptInFlight && !Pending.m_key)
+  if (Pending.m_attemptInFlight && usesReserve(Pending))
     m_reserves.onEnded(Pending.m_service->m_name, priorityOf(Pending));
 }
 
@@ -299,7 +303,7 @@
   Pending.m_upstream = Upstream.m_record.m_id;
   Pending.m_triedUpstreams.insert(Upstream.m_record.m_id);
   Pending.m_attemptInFlight = true;
-  if (!Pending.m_key)
+  if (usesReserve(Pending))
     m_reserves.onSent(Pending.m_service->m_name, priorityOf(Pending));
   ++Upstream.m_outstanding;
   HttpRequest Request = encodeRequest(Pending, m_state.m_codec.headers(), Now);
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -119,6 +119,8 @@
   /// True if a request has to wait as slots are reserved for other priorities.
   /// Counts and marks the request if so.
   bool heldForUrgent(PendingRequest &Pending);
+  /// Its service reserves slots for the more urgent requests.
+  bool usesReserve(const PendingRequest &Pending) const;
   /// Tells the reserve that an attempt, if one is in flight, has ended. To be
   /// called before that is reset.
   void releaseSlot(const PendingRequest &Pending);
--- a/src/libgateway/service_reserves.cpp
+++ b/src/libgateway/service_reserves.cpp
@@ -7,6 +7,14 @@
 
 namespace burdockpulley {
 
+namespace {
+
+/// With fewer slots nothing is reserved: the margin of urgent requests that
+/// need half of them would take more than a quarter.
+constexpr double MinSlots = 32;
+
+} // namespace
+
 double usableSlots(const UpstreamState &Upstream) {
   double Slots = Upstream.m_record.m_slots;
   return std::min(Slots, Upstream.m_paceLimit.value_or(Slots));
@@ -74,6 +82,8 @@
     WeightedSlots += Slots / OfOne;
   }
   Slowness = WeightedSlots > 0 ? View.m_slots / WeightedSlots : 1;
+  if (View.m_slots < MinSlots)
+    View.m_slots = 0;
   return View;
 }
 
--- a/src/libgateway/service_reserves.h
+++ b/src/libgateway/service_reserves.h
@@ -13,9 +13,10 @@
 /// Slots that may be used while the upstream is paced. Thread safety: safe.
 double usableSlots(const UpstreamState &Upstream);
 
-/// The slot reserves of the services without keys, with the load of each as
-/// this host sees it. Services for which no request has arrived lately have
-/// none. Priorities are those of priorityOf(). Thread safety: none.
+/// The slot reserves of the services without keys and with 32 slots or more,
+/// with the load of each as this host sees it. Services for which no request
+/// has arrived lately have none. Priorities are those of priorityOf(). Thread
+/// safety: none.
 class ServiceReserves {
 public:
   /// Precondition: the arguments outlive the object. \p WorkTimes: expected
