--- a/review/standins/fields.cc
+++ b/review/standins/fields.cc
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr int MaxHeaderBytes = 16384; // As in configuration().
-constexpr int FieldClients = 60;
+constexpr int FieldClients = 100;
+constexpr int FieldPauseMillis = 250;
 constexpr int OrdinaryClients = 8;
 constexpr int DeadlineMillis = 1500;
 constexpr int CalmMillis = 5000;
@@ -123,7 +124,7 @@
         Log.line("%s %s, %zu bytes: %d",
                  Trouble ? "client with many fields" : "further client",
                  Id.c_str(), Text.size(), Result.m_status);
-        pauseFor(100);
+        pauseFor(FieldPauseMillis);
       }
     });
   pauseFor(TroubleMillis);
