--- a/review/standins/backend.cc
+++ b/review/standins/backend.cc
@@ -4,7 +4,8 @@
 // POST /standin/arm: at the next grant under a new token that comes on a
 // connection on which a grant has been answered, it sends the last answer a
 // second time, gives no other answer, and carries the grant out LateMillis after
-// its arrival. The grant's time counts from its arrival.
+// its arrival. The grant's time counts from its arrival. /standin/arm-extra: it also
+// answers and carries it out at once. /standin/arm-late: it gives no answer.
 //
 // Arguments: id, service, zone, port of the store, log, port file, work in ms.
 #include "kit.hh"
@@ -85,6 +86,9 @@
   }
 
 private:
+  /// What it does when armed: both, or one half.
+  enum class Mode { Both, Extra, Late };
+
   struct Key {
     std::uint64_t m_highest = 0;
     std::int64_t m_until = 0;
@@ -148,8 +152,11 @@
       std::int64_t Arrived = nowMicros();
       std::string Text;
       if (Next.m_target == "/grant" && misbehaves(Next, LastGrantAnswer)) {
-        Text = LastGrantAnswer;
-        std::thread([this, Next, Arrived] {
+        Text = m_mode == Mode::Late ? "" : LastGrantAnswer;
+        if (m_mode == Mode::Extra)
+          Text += handle(Next, Arrived);
+        else
+          std::thread([this, Next, Arrived] {
           pauseFor(LateMillis);
           grant(Next.m_body, Arrived);
         }).detach();
@@ -158,7 +165,8 @@
         if (Next.m_target == "/grant")
           LastGrantAnswer = Text;
       }
-      if (send(Socket, Text.data(), Text.size(), MSG_NOSIGNAL) < 0)
+      if (!Text.empty() &&
+          send(Socket, Text.data(), Text.size(), MSG_NOSIGNAL) < 0)
         break;
     }
     close(Socket);
@@ -189,8 +197,11 @@
   }
 
   std::string handle(const Request &Next, std::int64_t Arrived) {
-    if (Next.m_target == "/standin/arm") {
+    if (Next.m_target.starts_with("/standin/arm")) {
       std::lock_guard<std::mutex> Lock(m_mutex);
+      m_mode = Next.m_target.ends_with("-extra")  ? Mode::Extra
+               : Next.m_target.ends_with("-late") ? Mode::Late
+                                                  : Mode::Both;
       m_armed = true;
       return answer("200 OK", {}, "");
     }
@@ -281,6 +292,7 @@
   std::multiset<unsigned> m_running;
   std::set<std::uint64_t> m_tokens;
   bool m_armed = false;
+  Mode m_mode = Mode::Both;
   std::int64_t m_born = 0;
   std::uint64_t m_sequence = 0;
 };
--- a/review/standins/extra.cc
+++ b/review/standins/extra.cc
@@ -8,6 +8,8 @@
 namespace {
 
 int play(const std::string &Folder, bool Trouble) {
+  // For comparison: HALF=-extra, HALF=-late. Empty for both.
+  const char *Half = getenv("HALF") ? getenv("HALF") : "";
   Record Log(Folder + "/record.txt");
   Deployment System;
   auto StartBackend = [&](const std::string &Id, const std::string &Zone) {
@@ -86,7 +88,7 @@
   Log.line("zone c is evacuated");
   pauseFor(3000);
   if (Trouble && call(System.m_backends["herd-e"].m_port, "POST",
-                      "/standin/arm")
+                      std::string("/standin/arm") + Half)
                          .m_status != 200)
     throw Stopped("the backend cannot be armed");
   int Before = Holds();
@@ -132,9 +134,9 @@
       std::int64_t At = 0;
       Words >> Kind >> First >> Last >> Token >> At;
       Log.lineAt(At,
-                 "backend herd-e repeats its last answer to a grant in the "
-                 "place of that to the grant of keys %u to %u, token %llu",
-                 First, Last, Token);
+                 "backend herd-e misbehaves (%s) at the grant of keys %u to %u, "
+                 "token %llu",
+                 *Half ? Half + 1 : "extra answer, late grant", First, Last, Token);
     }
   Log.line("herd-e gave %d answers", Answers);
   auto Breaks = findOwnerBreaks(System, Events, Log);
