--- a/review/standins/rebirth.cc
+++ b/review/standins/rebirth.cc
@@ -1,4 +1,4 @@
-// One backend of seven falls silent with requests running and starts again, under
+// One backend of eight falls silent with requests running and starts again, under
 // the instance_id that it had, at another port; the clients of these requests
 // leave before their deadline. Arguments: the folder for record.txt.
 #include "kit.hh"
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr int Rounds = 11;
-constexpr int Backends = 7;
+constexpr int Backends = 8;
 constexpr int Slots = 4;
 constexpr int WorkMillis = 78;
 constexpr int DeadlineMillis = 2000; // Also the route's timeout.
