gateway: metrics of retries and of the hosts that share limits

Neither logs nor metrics told whether repeats were charged, nor among how many hosts a host divided the budget, so the hypotheses in docs/incidents/retry-budget.md could not be told apart.

burdockpulley_gateway_retries_total counts requests that are sent again by service and charge; heard_hosts and sharing_hosts show both counts of hosts. No decision changes.

--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -289,6 +289,7 @@
         News ? std::chrono::duration<double>(bootClockNow() - *News).count()
              : -1);
     m_state.m_metrics.setWaiting(m_relay.waiting());
+    m_state.m_metrics.setFleet(m_state.hosts(), m_state.sharingHosts());
     auto CountUpstreams = [this](bool (*Matches)(const UpstreamState &)) {
       const auto &Upstreams = m_state.m_registry.upstreams();
       return static_cast<std::size_t>(std::count_if(
--- a/src/libgateway/gateway_metrics.cpp
+++ b/src/libgateway/gateway_metrics.cpp
@@ -55,6 +55,9 @@
                            .Add({})),
       m_attempts(counter(m_registry, "burdockpulley_gateway_attempts_total",
                          "Attempts at upstreams by service and end")),
+      m_retries(counter(m_registry, "burdockpulley_gateway_retries_total",
+                        "Requests sent again, by service and whether the "
+                        "retry budget was charged")),
       m_metFullUpstream(counter(
           m_registry, "burdockpulley_gateway_requests_met_full_upstream_total",
           "Attempts at upstreams that refused them as full, or were "
@@ -89,6 +92,10 @@
       m_waitingRequests(gauge(m_registry,
                               "burdockpulley_gateway_requests_waiting",
                               "Requests that wait for room at an upstream")),
+      m_heardHosts(gauge(m_registry, "burdockpulley_gateway_heard_hosts",
+                         "Hosts whose load is known to this one")),
+      m_sharingHosts(gauge(m_registry, "burdockpulley_gateway_sharing_hosts",
+                           "Hosts with equal shares of the limits of all")),
       m_pathsLost(gauge(m_registry, "burdockpulley_gateway_upstreams_lost",
                         "One while this host reaches no upstream itself")),
       m_limitedUpstreams(gauge(m_registry,
@@ -170,6 +177,17 @@
       .Increment();
 }
 
+void GatewayMetrics::onRetry(const ServiceId &Service, bool Charged) {
+  m_retries
+      .Add({{"service", Service.value()}, {"charged", Charged ? "1" : "0"}})
+      .Increment();
+}
+
+void GatewayMetrics::setFleet(std::size_t Heard, std::size_t Sharing) {
+  m_heardHosts.Set(static_cast<double>(Heard));
+  m_sharingHosts.Set(static_cast<double>(Sharing));
+}
+
 void GatewayMetrics::onFullUpstream(const ServiceId &Service) {
   m_metFullUpstream.Add({{"service", Service.value()}}).Increment();
 }
--- a/src/libgateway/gateway_metrics.h
+++ b/src/libgateway/gateway_metrics.h
@@ -44,6 +44,12 @@
   void onUnknownApiKey();
   /// An attempt at an upstream has ended. \p Outcome comes from a fixed set.
   void onAttempt(const ServiceId &Service, std::string_view Outcome);
+  /// A request is sent to an upstream or a host once more. \p Charged: at the
+  /// cost of one retry from the budget.
+  void onRetry(const ServiceId &Service, bool Charged);
+  /// Hosts whose load is known to this one, and hosts that have equal shares of
+  /// the limits of all; both include this host.
+  void setFleet(std::size_t Heard, std::size_t Sharing);
   /// An attempt at an upstream has failed as that had no free slot.
   void onFullUpstream(const ServiceId &Service);
   /// A call to the store has ended. \p Call and \p Result come from fixed sets.
@@ -95,6 +101,7 @@
   prometheus::Family<prometheus::Gauge> &m_reservedSlots;
   prometheus::Counter &m_unknownApiKeys;
   prometheus::Family<prometheus::Counter> &m_attempts;
+  prometheus::Family<prometheus::Counter> &m_retries;
   prometheus::Family<prometheus::Counter> &m_metFullUpstream;
   prometheus::Family<prometheus::Counter> &m_storeCalls;
   prometheus::Family<prometheus::Histogram> &m_grantSeconds;
@@ -105,6 +112,8 @@
   prometheus::Gauge &m_rejectedDatagrams;
   prometheus::Gauge &m_revision;
   prometheus::Gauge &m_waitingRequests;
+  prometheus::Gauge &m_heardHosts;
+  prometheus::Gauge &m_sharingHosts;
   prometheus::Gauge &m_pathsLost;
   prometheus::Gauge &m_limitedUpstreams;
   prometheus::Gauge &m_pausedUpstreams;
--- a/src/libgateway/gateway_state.h
+++ b/src/libgateway/gateway_state.h
@@ -16,6 +16,9 @@
 #include "gateway_metrics.h"
 #include "peer_transport.h"
 
+#include <algorithm>
+#include <optional>
+
 struct event_base;
 
 namespace burdockpulley {
@@ -87,8 +90,14 @@
     return Sharers;
   }
 
-  /// Number of hosts that share retry budgets, including this one.
+  /// Number of hosts whose load is known, including this one.
   std::size_t hosts() const { return m_peerLoads.hosts() + 1; }
+
+  /// Number of hosts that have equal shares of a limit, including this one and
+  /// hosts that it does not hear: those may be cut off and still serve callers.
+  std::size_t sharingHosts() const {
+    return std::max(hosts(), m_registeredHosts);
+  }
 };
 
 } // namespace burdockpulley
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -213,6 +213,9 @@
       refuse(Pending, "retry-budget", refusalRetryAfter(Pending, Now), Now);
     return true;
   }
+  if (Pending.m_attempts > 0 || !Pending.m_forwardHosts.empty())
+    m_state.m_metrics.onRetry(Pending.m_service->m_name,
+                              Pending.m_usesRetryBudget);
   if (Peer)
     forward(Pending, *Peer, Now);
   else
