gateway: a request that was tried in vain elsewhere is charged, and not refused as not run

Cause: a host that was sent a request by another one, tried it at an upstream in vain and then had none left ended it with the reason no-upstream. The forwarding host took that for 'sent to none', and sent the request again without charge and without counting the attempt: to a second host, and then to an upstream itself. The same end said that the request had not run, also after an attempt that may have run it (idempotent requests only).

Change: the host that ends a forwarded request tells the attempts that reached an upstream. They count as attempts of the request, and a further one is charged. Only a request without any is sent on for free. An end without upstream after an attempt that may have run is unknown. A host of an older version that names an upstream is taken to have made one attempt; older hosts ignore the new header.

a_forwarded_request_ends_as_the_serving_host_says expected NotServed although an upstream was named: that was the fault. It now checks each outcome with its attempts.

--- a/src/libgateway/request_forwarder.cpp
+++ b/src/libgateway/request_forwarder.cpp
@@ -17,6 +17,7 @@
 constexpr const char *OutcomeHeader = "Burdockpulley-Outcome";
 constexpr const char *ReasonHeader = "Burdockpulley-Reason";
 constexpr const char *UpstreamHeader = "Burdockpulley-Upstream";
+constexpr const char *AttemptsMadeHeader = "Burdockpulley-Attempts-Made";
 /// A host is not chosen for this time after a request to it has failed.
 constexpr Duration FailedPeerTime{500'000};
 /// Requests in flight by which a host of another failure domain, or one with a
@@ -27,6 +28,16 @@
 constexpr std::size_t UnprovenHandicap = 64;
 constexpr Duration ProvenTime{1'000'000};
 
+/// Returns nothing if \p Text is not a number.
+std::optional<std::uint32_t> readCount(std::string_view Text) {
+  std::uint32_t Count = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Parsed, Error] = std::from_chars(Text.data(), End, Count);
+  if (Error != std::errc() || Parsed != End)
+    return std::nullopt;
+  return Count;
+}
+
 } // namespace
 
 bool isForwardHeader(std::string_view Name) {
@@ -47,38 +58,44 @@
   ForwardedRequest Forwarded;
   Forwarded.m_service = ServiceId(std::string(Request.header(ServiceHeader)));
   Forwarded.m_team = TeamId(std::string(Request.header(TeamHeader)));
-  std::string_view Attempts = Request.header(AttemptsHeader);
-  const char *End = Attempts.data() + Attempts.size();
-  auto [Parsed, Error] =
-      std::from_chars(Attempts.data(), End, Forwarded.m_maxAttempts);
-  if (Forwarded.m_service.value().empty() || Error != std::errc() ||
-      Parsed != End || Forwarded.m_maxAttempts == 0)
+  Forwarded.m_maxAttempts =
+      readCount(Request.header(AttemptsHeader)).value_or(0);
+  if (Forwarded.m_service.value().empty() || Forwarded.m_maxAttempts == 0)
     return std::nullopt;
   return Forwarded;
 }
 
 void addOutcomeHeaders(HttpResponse &Response, std::string_view Outcome,
-                       std::string_view Reason, const UpstreamId &Upstream) {
+                       std::string_view Reason, const UpstreamId &Upstream,
+                       std::uint32_t Attempts) {
   Response.m_headers.push_back({OutcomeHeader, std::string(Outcome)});
   if (!Reason.empty())
     Response.m_headers.push_back({ReasonHeader, std::string(Reason)});
   if (!Upstream.value().empty())
     Response.m_headers.push_back({UpstreamHeader, Upstream.value()});
+  Response.m_headers.push_back({AttemptsMadeHeader, std::to_string(Attempts)});
 }
 
 UpstreamId readUpstream(const HttpResponse &Response) {
   return UpstreamId(std::string(Response.header(UpstreamHeader)));
 }
 
-ForwardOutcome readOutcome(const HttpResponse &Response) {
+ForwardedEnd readForwardedEnd(const HttpResponse &Response) {
   std::string_view Outcome = Response.header(OutcomeHeader);
+  ForwardedEnd End;
+  if (Outcome.empty())
+    return End;
+  End.m_noUpstreamLeft = Response.header(ReasonHeader) == NoUpstreamReason;
+  std::uint32_t OfOlderHost = readUpstream(Response).value().empty() ? 0 : 1;
+  End.m_attempts =
+      readCount(Response.header(AttemptsMadeHeader)).value_or(OfOlderHost);
   if (Outcome == "answered")
-    return ForwardOutcome::Answered;
-  if (Outcome == "unknown")
-    return ForwardOutcome::Unknown;
-  bool HasUpstream =
-      !Outcome.empty() && Response.header(ReasonHeader) != NoUpstreamReason;
-  return HasUpstream ? ForwardOutcome::NotRun : ForwardOutcome::NotServed;
+    End.m_outcome = ForwardOutcome::Answered;
+  else if (Outcome == "unknown")
+    End.m_outcome = ForwardOutcome::Unknown;
+  else if (!End.m_noUpstreamLeft || End.m_attempts > 0)
+    End.m_outcome = ForwardOutcome::NotRun;
+  return End;
 }
 
 const char *toString(ForwardOutcome Outcome) {
--- a/src/libgateway/request_forwarder.h
+++ b/src/libgateway/request_forwarder.h
@@ -15,10 +15,22 @@
 enum class ForwardOutcome {
   Answered,  ///< The response is that of an upstream.
   NotRun,    ///< Refused; no upstream has run it.
-  NotServed, ///< The same, because that host has no upstream for it.
+  NotServed, ///< Refused, and sent to no upstream, as that host has none for
+             ///< it.
   Unknown,   ///< An upstream may have run it.
 };
 
+/// What a host says of a forwarded request that it has ended.
+struct ForwardedEnd {
+  ForwardOutcome m_outcome = ForwardOutcome::NotServed;
+  /// Attempts that reached an upstream. They count towards the attempts of the
+  /// request, and a further one towards the retry budget.
+  std::uint32_t m_attempts = 0;
+  /// It was ended as that host had no further upstream for it. Another host may
+  /// have one.
+  bool m_noUpstreamLeft = false;
+};
+
 /// Returns the name of an outcome for logs. Thread safety: safe.
 const char *toString(ForwardOutcome Outcome);
 
@@ -35,20 +47,23 @@
 /// Returns nothing when the headers are missing or malformed.
 /// Thread safety: safe.
 std::optional<ForwardedRequest> readForwardHeaders(const HttpRequest &Request);
-/// Adds to a response how its request has ended, as RequestRelay logs it, and
-/// the upstream of the last attempt, if there was one. Thread safety: safe.
+/// Adds to a response how its request has ended, as RequestRelay logs it, the
+/// upstream of the last attempt, if there was one, and the number of attempts
+/// that reached an upstream. Thread safety: safe.
 void addOutcomeHeaders(HttpResponse &Response, std::string_view Outcome,
-                       std::string_view Reason, const UpstreamId &Upstream);
+                       std::string_view Reason, const UpstreamId &Upstream,
+                       std::uint32_t Attempts);
 /// Reads the upstream that addOutcomeHeaders() has added; empty if it has added
 /// none, or the host is of an older version. Thread safety: safe.
 UpstreamId readUpstream(const HttpResponse &Response);
 /// Reads what addOutcomeHeaders() has added. A response without it was refused
-/// before an upstream was chosen. Thread safety: safe.
-ForwardOutcome readOutcome(const HttpResponse &Response);
+/// before an upstream was chosen. Hosts of older versions do not tell the
+/// attempts: one is assumed if they name an upstream. Thread safety: safe.
+ForwardedEnd readForwardedEnd(const HttpResponse &Response);
 /// True for headers that only hosts send to each other. Thread safety: safe.
 bool isForwardHeader(std::string_view Name);
 
-/// Reason of a refusal for which no upstream could be used.
+/// Reason of the end of a request for which no upstream could be used.
 inline constexpr const char *NoUpstreamReason = "no-upstream";
 
 /// Sends requests to other hosts, which serve them in place of this one when it
--- a/src/libgateway/request_forwarder_test.cpp
+++ b/src/libgateway/request_forwarder_test.cpp
@@ -98,18 +98,39 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_forwarded_request_ends_as_the_serving_host_says) {
-  auto Read = [](const char *Outcome, const char *Reason) {
+  auto Read = [](const char *Outcome, const char *Reason,
+                 std::uint32_t Attempts) {
     HttpResponse Response;
-    addOutcomeHeaders(Response, Outcome, Reason, UpstreamId("u1"));
+    addOutcomeHeaders(Response, Outcome, Reason, UpstreamId("u1"), Attempts);
     BOOST_TEST(readUpstream(Response).value() == "u1");
-    return readOutcome(Response);
+    ForwardedEnd End = readForwardedEnd(Response);
+    BOOST_TEST(End.m_attempts == Attempts);
+    BOOST_TEST(End.m_noUpstreamLeft ==
+               (std::string_view(Reason) == NoUpstreamReason));
+    return End.m_outcome;
   };
-  BOOST_TEST((Read("answered", "") == ForwardOutcome::Answered));
-  BOOST_TEST((Read("unknown", "timed-out") == ForwardOutcome::Unknown));
-  BOOST_TEST((Read("not-run", "deadline-near") == ForwardOutcome::NotRun));
-  BOOST_TEST((Read("not-run", NoUpstreamReason) == ForwardOutcome::NotServed));
+  BOOST_TEST((Read("answered", "", 1) == ForwardOutcome::Answered));
+  BOOST_TEST((Read("unknown", "timed-out", 1) == ForwardOutcome::Unknown));
+  BOOST_TEST((Read("not-run", "deadline-near", 0) == ForwardOutcome::NotRun));
   BOOST_TEST(
-      (readOutcome(HttpResponse{404, {}, ""}) == ForwardOutcome::NotServed));
+      (Read("not-run", NoUpstreamReason, 0) == ForwardOutcome::NotServed));
+  // An upstream has refused it before none was left.
+  BOOST_TEST((Read("not-run", NoUpstreamReason, 1) == ForwardOutcome::NotRun));
+  BOOST_TEST((Read("unknown", NoUpstreamReason, 2) == ForwardOutcome::Unknown));
+  BOOST_TEST((readForwardedEnd(HttpResponse{404, {}, ""}).m_outcome ==
+              ForwardOutcome::NotServed));
+}
+
+BOOST_AUTO_TEST_CASE(an_attempt_is_assumed_of_an_older_host_that_has_made_one) {
+  HttpResponse Response;
+  addOutcomeHeaders(Response, "not-run", NoUpstreamReason, UpstreamId("u1"), 1);
+  Response.m_headers.pop_back();
+  BOOST_TEST(readForwardedEnd(Response).m_attempts == 1u);
+  BOOST_TEST((readForwardedEnd(Response).m_outcome == ForwardOutcome::NotRun));
+  Response.m_headers.pop_back(); // The upstream.
+  BOOST_TEST(readForwardedEnd(Response).m_attempts == 0u);
+  BOOST_TEST(
+      (readForwardedEnd(Response).m_outcome == ForwardOutcome::NotServed));
 }
 
 // An older host would ignore the team, and want the key that was dropped.
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -195,10 +195,10 @@
   if (!Upstream && !CanWait)
     Peer = m_assignment.chooseForwardingPeer(Pending, Now);
   if (!Upstream && !CanWait && !Peer) {
-    refuse(Pending, NoUpstreamReason,
-           Pending.m_key ? LostOwnerRetryAfter
-                         : refusalRetryAfter(Pending, Now),
-           Now);
+    endUnsent(Pending, NoUpstreamReason,
+              Pending.m_key ? LostOwnerRetryAfter
+                            : refusalRetryAfter(Pending, Now),
+              Now);
     return true;
   }
   if (!Upstream && !Peer)
@@ -353,17 +353,20 @@
   PendingRequest &Pending = *It->second;
   Instant Now = bootClockNow();
   HostId Peer = *std::exchange(Pending.m_forwardedTo, std::nullopt);
-  ForwardOutcome Outcome = ForwardOutcome::Unknown;
+  ForwardedEnd End;
   if (Result.m_error == ChannelError::None)
-    Outcome = readOutcome(Result.m_response);
-  else if (Result.m_error == ChannelError::ConnectFailed)
-    Outcome = ForwardOutcome::NotServed;
+    End = readForwardedEnd(Result.m_response);
+  else if (Result.m_error != ChannelError::ConnectFailed)
+    End = {ForwardOutcome::Unknown, 1};
+  ForwardOutcome Outcome = End.m_outcome;
   logEvent(Severity::Info, "forward_ended",
            {{"request", Pending.m_requestId},
             {"host", Peer.value()},
             {"outcome", toString(Outcome)},
             {"error", toString(Result.m_error)},
             {"status", Result.m_response.m_status},
+            {"upstream", readUpstream(Result.m_response).value()},
+            {"attempts", End.m_attempts},
             {"spent_ms", millis(Result.m_spent)}});
   m_state.m_metrics.onAttempt(Pending.m_service->m_name, "forwarded");
   if (Outcome == ForwardOutcome::Answered &&
@@ -373,14 +376,14 @@
       applyLeavingOfPeer(*Upstream, Peer, Now);
   if (Outcome == ForwardOutcome::Answered)
     return deliver(Pending, std::move(Result.m_response), Now);
-  if (Outcome == ForwardOutcome::NotRun && !Pending.m_mayHaveRun)
-    return deliverLocal(Pending, std::move(Result.m_response), "not-run", Now);
-  if (Outcome == ForwardOutcome::Unknown &&
-      Result.m_error == ChannelError::None)
-    return deliverLocal(Pending, std::move(Result.m_response), "unknown", Now);
+  Pending.m_attempts += End.m_attempts;
   if (Outcome == ForwardOutcome::NotServed)
     return retry(Pending, {}, Now);
-  ++Pending.m_attempts;
+  bool Final = Result.m_error == ChannelError::None && !End.m_noUpstreamLeft;
+  if (Final && Outcome == ForwardOutcome::NotRun && !Pending.m_mayHaveRun)
+    return deliverLocal(Pending, std::move(Result.m_response), "not-run", Now);
+  if (Final && Outcome == ForwardOutcome::Unknown)
+    return deliverLocal(Pending, std::move(Result.m_response), "unknown", Now);
   AttemptOutcome Attempt = AttemptOutcome::Unknown;
   if (Outcome == ForwardOutcome::NotRun)
     Attempt = AttemptOutcome::NotRun;
@@ -529,6 +532,14 @@
          "not-run", Reason, Now);
 }
 
+void RequestRelay::endUnsent(PendingRequest &Pending, const char *Reason,
+                             Duration RetryAfter, Instant Now) {
+  if (!Pending.m_mayHaveRun)
+    return refuse(Pending, Reason, RetryAfter, Now);
+  finish(Pending, localResponse(LocalStatus::BadGateway), "unknown", Reason,
+         Now);
+}
+
 void RequestRelay::reportUnknown(PendingRequest &Pending,
                                  AttemptOutcome Outcome, Instant Now) {
   LocalStatus Status = Outcome == AttemptOutcome::TimedOut
@@ -564,7 +575,8 @@
             {"forwarded", Pending.m_forwarded.has_value()},
             {"revision", Pending.m_configuration->m_revision.value()}});
   if (Pending.m_forwarded)
-    addOutcomeHeaders(Response, Outcome, Reason, Pending.m_upstream);
+    addOutcomeHeaders(Response, Outcome, Reason, Pending.m_upstream,
+                      Pending.m_attempts);
   else
     m_state.m_metrics.onRequestEnded(Pending.m_route->m_name, Outcome, Spent);
   if (Pending.m_returning)
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -159,6 +159,10 @@
               Instant Now);
   void reportUnknown(PendingRequest &Pending, AttemptOutcome Outcome,
                      Instant Now);
+  /// Ends a request that is not sent, or not sent again: refuses it unless an
+  /// earlier attempt may have run it.
+  void endUnsent(PendingRequest &Pending, const char *Reason,
+                 Duration RetryAfter, Instant Now);
   /// Sends the final response, logs and counts it, and removes the request.
   void finish(PendingRequest &Pending, HttpResponse &&Response,
               const char *Outcome, const char *Reason, Instant Now);
