gateway: hosts that are not heard keep their shares of the limits

Cause: the allowance of the retry budget was divided by the hosts that a host hears. One that is cut off from the others, or has just started, hears none and took the whole allowance; so did each of the others in its place.

On the code before, a_host_that_hears_no_other_keeps_to_its_share counts 100 repeats of 100 requests where the share is 26, and 26 hosts that hear no other send up to 104 requests a second to a cold upstream that can handle 13.

Change: both limits are divided by the hosts that are heard or registered, whichever are more, as the number of kept connections was already. Registered hosts include lost ones until their records lapse; their shares stay unused.

--- a/src/include/burdockpulley/shared_limits.h
+++ b/src/include/burdockpulley/shared_limits.h
@@ -28,8 +28,9 @@
   /// Records a request from a caller.
   void onRequest(Instant Now);
 
-  /// Takes one retry from the budget when \p Hosts hosts share the allowance.
-  /// Returns false, and takes nothing, when the budget is used up.
+  /// Takes one retry from the budget when \p Hosts hosts share the allowance,
+  /// including those that are not heard. Returns false, and takes nothing, when
+  /// the budget is used up.
   bool take(std::size_t Hosts, Instant Now);
 
 private:
@@ -54,8 +55,8 @@
   /// \p Phase is a random number from 0 to 1, drawn for each host and upstream.
   explicit ColdStartLimiter(double Phase = 0) : m_phase(Phase) {}
 
-  /// True when this host may send a request now. \p Hosts hosts have equal
-  /// shares of \p Rate requests a second.
+  /// True when this host may send a request now. \p Hosts hosts, including
+  /// those that are not heard, have equal shares of \p Rate requests a second.
   bool available(double Rate, std::size_t Hosts, Instant Now);
 
   /// Counts one request as sent. Precondition: available() returned true.
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -205,8 +205,8 @@
     return false;
   if (Upstream && m_assignment.yieldsToPeers(Pending, Now))
     return false;
-  if (Pending.m_usesRetryBudget &&
-      !retryBudget(Pending.m_service->m_name).take(m_state.hosts(), Now)) {
+  if (Pending.m_usesRetryBudget && !retryBudget(Pending.m_service->m_name)
+                                        .take(m_state.sharingHosts(), Now)) {
     if (Pending.m_mayHaveRun)
       reportUnknown(Pending, AttemptOutcome::Unknown, Now);
     else
@@ -317,9 +317,8 @@
   Duration Remaining = std::max(Duration(1000), Pending.m_deadline - Now);
   ChannelPool &Pool =
       m_connections.pool(Upstream.m_record.m_id, Upstream.m_record.m_address);
-  Pool.setMaxConnections(
-      keptConnections(Pending.m_service->m_connectionLimit,
-                      std::max(m_state.hosts(), m_state.m_registeredHosts)));
+  Pool.setMaxConnections(keptConnections(Pending.m_service->m_connectionLimit,
+                                         m_state.sharingHosts()));
   Pending.m_call =
       Pool.call(Request, Pending.m_requestId, Remaining, Reuse,
                 [this, Number = Pending.m_number](ChannelResult &&Result) {
--- a/src/libgateway/retry_budget_test.cpp
+++ b/src/libgateway/retry_budget_test.cpp
@@ -196,6 +196,14 @@
 
 BOOST_AUTO_TEST_SUITE(RetryBudgetTest)
 
+// Hosts that were cut off from each other spent the whole allowance each.
+BOOST_AUTO_TEST_CASE(a_host_that_hears_no_other_keeps_to_its_share) {
+  UnheardFleetHost Host;
+  Host.run();
+  BOOST_TEST(Host.m_arrivals >= Requests);
+  BOOST_TEST(static_cast<double>(Host.m_arrivals - Requests) <= ShareOfBudget);
+}
+
 // A request that another host had sent to an upstream in vain was forwarded
 // again without charge.
 BOOST_AUTO_TEST_CASE(a_request_that_was_tried_elsewhere_is_charged) {
@@ -231,4 +239,28 @@
   BOOST_TEST(Metrics.find("outcome=\"not-run\"") == std::string::npos);
 }
 
+// Each host that heard no other took the whole rate of a cold upstream.
+BOOST_AUTO_TEST_CASE(hosts_that_hear_no_other_spare_a_cold_upstream) {
+  constexpr double Rate = 5.3;
+  std::vector<std::unique_ptr<UnheardFleetHost>> Fleet;
+  for (std::size_t Number = 0; Number < FleetSize; ++Number)
+    Fleet.push_back(std::make_unique<UnheardFleetHost>(Rate));
+  std::size_t Sent = 0;
+  std::deque<std::size_t> SentBefore; // In steps of a tenth of a second.
+  for (int Step = 0; Step < 50; ++Step) {
+    std::size_t Total = 0;
+    for (auto &Host : Fleet) {
+      Host->request(std::chrono::milliseconds(100) * Step);
+      Total += Host->sent();
+    }
+    SentBefore.push_back(std::exchange(Sent, Total));
+    if (SentBefore.size() > 10)
+      SentBefore.pop_front();
+    // A cold upstream can handle 1.5 times its rate plus 5 in a second.
+    BOOST_TEST(static_cast<double>(Total - SentBefore.front()) <=
+               Rate * 1.5 + 5);
+  }
+  BOOST_TEST(Sent > 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libgateway/upstream_assignment.cpp
+++ b/src/libgateway/upstream_assignment.cpp
@@ -135,7 +135,7 @@
       m_coldStartLimiters.try_emplace(Upstream.m_record.m_id, Phase(m_random))
           .first;
   return Limiter->second.available(Pending.m_service->m_coldRate,
-                                   m_state.hosts(), Now);
+                                   m_state.sharingHosts(), Now);
 }
 
 bool UpstreamAssignment::allowedByRequestLimit(const UpstreamState &Upstream,
