gateway: a restarted host earns its part of the retry allowance

Cause: a process that has just started has forgotten what the one before it had used, and had its whole part of the allowance at once. The parts that many hosts use before and after each of several restarts in a window add up.

Change: a process earns its part over its first window. Whatever restarts, the parts that all processes of a host use within a window are at most two, and half of the allowance is used. A host that has just started retries for 15% of its requests as before.

Result: the property holds. The older property of the budget starts with hosts that have run for a window, as strict as before.

--- a/src/include/burdockpulley/shared_limits.h
+++ b/src/include/burdockpulley/shared_limits.h
@@ -14,7 +14,9 @@
 /// A host may retry a fraction of the requests that it received itself within
 /// the window, plus its share of a fixed allowance. The shares add up to no
 /// more than the whole budget, whichever hosts are lost, partitioned or
-/// restarted. Thread safety: none.
+/// restarted: hosts that are not heard have their shares, too, and a process
+/// earns its share over its first window, as the one before it may have used
+/// it. Thread safety: none.
 class SharedRetryBudget {
 public:
   struct Settings {
@@ -23,7 +25,9 @@
     double m_allowance = 60; ///< Further retries in the window, of all hosts.
   };
 
-  explicit SharedRetryBudget(Settings Budget) : m_settings(Budget) {}
+  /// \p Started: when this process has started.
+  SharedRetryBudget(Settings Budget, Instant Started)
+      : m_settings(Budget), m_started(Started) {}
 
   /// Records a request from a caller.
   void onRequest(Instant Now);
@@ -37,6 +41,7 @@
   void removeExpired(Instant Now);
 
   Settings m_settings;
+  Instant m_started;
   std::deque<Instant> m_requests;
   std::deque<Instant> m_retries;
 };
--- a/src/libgateway/decisions_test.cpp
+++ b/src/libgateway/decisions_test.cpp
@@ -147,7 +147,8 @@
     std::mt19937_64 Random(Seed);
     std::size_t Hosts = 1 + Random() % 12;
     SharedRetryBudget::Settings Settings;
-    std::vector<SharedRetryBudget> Budgets(Hosts, SharedRetryBudget(Settings));
+    std::vector<SharedRetryBudget> Budgets(
+        Hosts, SharedRetryBudget(Settings, at(-60)));
     std::deque<double> Requests;
     std::deque<double> Retries;
     for (double Now = 0; Now < 30; Now += 0.02) {
@@ -168,6 +169,40 @@
   }));
 }
 
+// Restarted hosts spent their shares again and again.
+BOOST_AUTO_TEST_CASE(hosts_that_restart_stay_within_the_retry_budget) {
+  BOOST_TEST(rc::check([](std::uint32_t Seed) {
+    std::mt19937_64 Random(Seed);
+    std::size_t Hosts = 1 + Random() % 30;
+    double RestartsPerSecond = 0.1 * static_cast<double>(Random() % 100);
+    SharedRetryBudget::Settings Settings;
+    std::vector<SharedRetryBudget> Budgets(
+        Hosts, SharedRetryBudget(Settings, at(-60)));
+    std::deque<double> Requests;
+    std::deque<double> Retries;
+    std::bernoulli_distribution Restarts(RestartsPerSecond * 0.02);
+    for (double Now = 0; Now < 30; Now += 0.02) {
+      for (SharedRetryBudget &Budget : Budgets)
+        if (Restarts(Random))
+          Budget = SharedRetryBudget(Settings, at(Now));
+      auto &Budget = Budgets[Random() % Hosts];
+      if (Random() % 3 == 0) {
+        Budget.onRequest(at(Now));
+        Requests.push_back(Now);
+      }
+      for (SharedRetryBudget &Each : Budgets)
+        if (Each.take(Hosts, at(Now)))
+          Retries.push_back(Now);
+      while (!Requests.empty() && Requests.front() < Now - 10)
+        Requests.pop_front();
+      while (!Retries.empty() && Retries.front() < Now - 10)
+        Retries.pop_front();
+      RC_ASSERT(Retries.size() <=
+                Settings.m_ratio * Requests.size() + Settings.m_allowance);
+    }
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(
     all_hosts_together_stay_within_the_rate_of_a_cold_upstream) {
   constexpr std::size_t Hosts = 10;
--- a/src/libgateway/request_relay.cpp
+++ b/src/libgateway/request_relay.cpp
@@ -31,7 +31,7 @@
       m_intake(State, m_results.serviceTimes()),
       m_reserves(State.m_registry, State.m_peerLoads, State.m_workTimes),
       m_assignment(State, m_forwarder, m_reserves), m_waiting(State.m_registry),
-      m_random(std::random_device()()) {}
+      m_started(bootClockNow()), m_random(std::random_device()()) {}
 
 void RequestRelay::onRequest(std::shared_ptr<Exchange> CallerExchange,
                              Instant Now) {
@@ -177,10 +177,10 @@
   auto It = m_retryBudgets.find(Service);
   if (It == m_retryBudgets.end()) {
     const GatewaySettings &Settings = m_state.m_settings;
-    It = m_retryBudgets
-             .emplace(Service, SharedRetryBudget({Settings.m_retryRatio,
-                                                  Settings.m_retryWindow,
-                                                  Settings.m_retryAllowance}))
+    SharedRetryBudget::Settings Budget{Settings.m_retryRatio,
+                                       Settings.m_retryWindow,
+                                       Settings.m_retryAllowance};
+    It = m_retryBudgets.emplace(Service, SharedRetryBudget(Budget, m_started))
              .first;
   }
   return It->second;
--- a/src/libgateway/request_relay.h
+++ b/src/libgateway/request_relay.h
@@ -183,6 +183,7 @@
   std::map<ServiceId, SharedRetryBudget> m_retryBudgets;
   std::map<RequestNumber, std::unique_ptr<PendingRequest>> m_pending;
   KeyRequestCounts m_keyRequestCounts;
+  Instant m_started;
   Instant m_nextFullDispatch; ///< When all requests with a key are tried.
   std::mt19937_64 m_random;
 };
--- a/src/libgateway/shared_limits.cpp
+++ b/src/libgateway/shared_limits.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// Fraction of the budget that is used. The rest is a reserve for hosts that do
-/// not know of each other yet, and for repeated requests that callers' own
-/// losses cause.
+/// Fraction of the budget that is used. The rest is a reserve for restarted
+/// hosts, which have forgotten what they used, for hosts that do not know of
+/// each other yet, and for repeated requests that callers' own losses cause.
 constexpr double UsedRatioShare = 0.75;
 constexpr double UsedAllowanceShare = 0.5;
 /// Fraction of a cold upstream's rate that is used.
@@ -37,9 +37,12 @@
 
 bool SharedRetryBudget::take(std::size_t Hosts, Instant Now) {
   removeExpired(Now);
+  double Earned = std::chrono::duration<double>(Now - m_started) /
+                  std::chrono::duration<double>(m_settings.m_window);
   double Allowed = m_settings.m_ratio * UsedRatioShare *
                        static_cast<double>(m_requests.size()) +
-                   m_settings.m_allowance * UsedAllowanceShare /
+                   m_settings.m_allowance * UsedAllowanceShare *
+                       std::min(1.0, Earned) /
                        static_cast<double>(std::max<std::size_t>(Hosts, 1));
   if (static_cast<double>(m_retries.size()) + 1 > Allowed)
     return false;
