gateway: the fields of a request are looked up among the Connection options

Cause: each field was compared with each option of the Connection header, so the time grew with fields times options.

Change: the options are put into a hash set once, and each field is looked up. The options of all Connection headers count, not only those of the first.

--- a/src/libgateway/request_encoding.cpp
+++ b/src/libgateway/request_encoding.cpp
@@ -3,24 +3,41 @@
 #include "local_response.h"
 
 #include <algorithm>
+#include <cctype>
+#include <unordered_set>
 
 namespace burdockpulley {
 
 namespace {
 
-/// True if a comma-separated header value contains an element.
-bool listContains(std::string_view Value, std::string_view Element) {
-  while (!Value.empty()) {
-    std::size_t Comma = std::min(Value.find(','), Value.size());
-    std::string_view Part = Value.substr(0, Comma);
-    Value.remove_prefix(std::min(Comma + 1, Value.size()));
-    std::size_t First = Part.find_first_not_of(" \t");
-    std::size_t Last = Part.find_last_not_of(" \t");
-    if (First != std::string_view::npos &&
-        sameHeaderName(Part.substr(First, Last - First + 1), Element))
-      return true;
+std::string lowerCase(std::string_view Name) {
+  std::string Text(Name);
+  std::transform(
+      Text.begin(), Text.end(), Text.begin(),
+      [](unsigned char Each) { return static_cast<char>(std::tolower(Each)); });
+  return Text;
+}
+
+/// The names, in lower case, that the Connection headers of a request list.
+/// Callers choose the number of names and of fields, so each field is looked up
+/// rather than compared with all names.
+std::unordered_set<std::string> connectionOptions(const HttpRequest &Request) {
+  std::unordered_set<std::string> Options;
+  for (const HttpHeader &Header : Request.m_headers) {
+    if (!sameHeaderName(Header.m_name, "Connection"))
+      continue;
+    std::string_view Value = Header.m_value;
+    while (!Value.empty()) {
+      std::size_t Comma = std::min(Value.find(','), Value.size());
+      std::string_view Part = Value.substr(0, Comma);
+      Value.remove_prefix(std::min(Comma + 1, Value.size()));
+      std::size_t First = Part.find_first_not_of(" \t");
+      std::size_t Last = Part.find_last_not_of(" \t");
+      if (First != std::string_view::npos)
+        Options.insert(lowerCase(Part.substr(First, Last - First + 1)));
+    }
   }
-  return false;
+  return Options;
 }
 
 } // namespace
@@ -33,7 +50,7 @@
   UpstreamRequest.m_target = CallerRequest.m_target;
   UpstreamRequest.m_sharedBody = std::shared_ptr<const std::string>(
       Pending.m_exchange, &CallerRequest.m_body);
-  std::string_view Connection = CallerRequest.header("Connection");
+  std::unordered_set<std::string> Options = connectionOptions(CallerRequest);
   // Only deployments with teams give these two headers a meaning.
   bool HasTeams = !Pending.m_configuration->m_teams.empty();
   for (const HttpHeader &Header : CallerRequest.m_headers) {
@@ -46,8 +63,8 @@
     bool AlwaysForwarded = sameHeaderName(Header.m_name, Names.m_requestId) ||
                            sameHeaderName(Header.m_name, Names.m_shardKey) ||
                            sameHeaderName(Header.m_name, "Host");
-    bool NamedInConnection =
-        !AlwaysForwarded && listContains(Connection, Header.m_name);
+    bool NamedInConnection = !AlwaysForwarded && !Options.empty() &&
+                             Options.contains(lowerCase(Header.m_name));
     if (!Replaced && !NamedInConnection && !isHopByHopHeader(Header.m_name))
       UpstreamRequest.m_headers.push_back(Header);
   }
--- a/src/libgateway/request_encoding_test.cpp
+++ b/src/libgateway/request_encoding_test.cpp
@@ -79,3 +79,20 @@
   BOOST_TEST(
       (values(Sent, "Team") == std::vector<std::string>{"other", "third"}));
 }
+
+// Each field was compared with each name of the first Connection header.
+BOOST_AUTO_TEST_CASE(fields_that_any_connection_header_names_are_dropped) {
+  PendingRequest Pending = pending(TeamDirectory(), nullptr);
+  HttpRequest Request;
+  Request.m_headers = {{"Id", "1"},      {"Connection", "close, X-Hop ,x-b"},
+                       {"X-HOP", "1"},   {"x-hop", "2"},
+                       {"X-Hop-2", "3"}, {"CONNECTION", "id,\tX-Other"},
+                       {"x-other", "4"}, {"X-B", "5"}};
+  Pending.m_exchange =
+      std::make_shared<Exchange>(nullptr, std::move(Request), Instant());
+  HttpRequest Sent = encodeRequest(Pending, names(), Instant());
+  for (const char *Dropped : {"Connection", "X-Hop", "X-Other", "X-B"})
+    BOOST_TEST(values(Sent, Dropped).empty());
+  BOOST_TEST((values(Sent, "X-Hop-2") == std::vector<std::string>{"3"}));
+  BOOST_TEST((values(Sent, "Id") == std::vector<std::string>{"1"}));
+}
