gateway: a call's id names one call of the process

Cause: calls were numbered from 1 in each pool of connections. A cancel of a call to an upstream's former address went to the pool of its new one, and closed the call with the same number there, whose callback then never ran.

Evidence: a_call_to_a_former_address_is_the_one_that_is_cancelled fails on a variant with numbers of each pool: the other call never ends.

Change: ids are numbered for the whole process, and a cancel looks in the pools of former addresses, too.

Result: the case passes, and a property over random orders of calls, address changes, answers, timeouts and cancels: each call ends once or is cancelled.

--- a/src/include/burdockpulley/channel_pool.h
+++ b/src/include/burdockpulley/channel_pool.h
@@ -20,7 +20,7 @@
 class Channel;
 } // namespace detail
 
-/// Identifies a call within its ChannelPool.
+/// Identifies a call among all that this process has ever made, of all pools.
 using ChannelCallId = Strong<struct ChannelCallIdTag, std::uint64_t>;
 
 /// Why a call has no response.
@@ -118,8 +118,9 @@
                      std::uint64_t ConnectionNumber = 0);
 
   /// Cancels a call: its connection is closed and its callback does not run.
-  /// Precondition: not called from a callback of this pool.
-  void cancel(ChannelCallId Call);
+  /// Returns false, and does nothing, if it is not a call of this pool, or has
+  /// ended. Precondition: not called from a callback of this pool.
+  bool cancel(ChannelCallId Call);
 
   /// Sets how many connections are kept; see
   /// ChannelPoolSettings::m_maxConnections.
@@ -156,7 +157,6 @@
   event_base *m_base;
   Endpoint m_server;
   ChannelPoolSettings m_settings;
-  std::uint64_t m_nextCall = 0;
   std::uint64_t m_connectionsCreated = 0;
   std::vector<std::unique_ptr<detail::Channel>> m_channels;
   /// The most recently used connection is the last.
--- a/src/libgateway/connection_pools.h
+++ b/src/libgateway/connection_pools.h
@@ -3,6 +3,7 @@
 
 #include "burdockpulley/channel_pool.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -33,11 +34,14 @@
     return *Current.m_pool;
   }
 
-  /// Cancels a call to a server; see ChannelPool::cancel().
-  void cancel(const Id &Server, ChannelCallId Call) {
+  /// Cancels a call to a server, also if it was made to a former address; see
+  /// ChannelPool::cancel().
+  bool cancel(const Id &Server, ChannelCallId Call) {
     auto It = m_pools.find(Server);
-    if (It != m_pools.end())
-      It->second.m_pool->cancel(Call);
+    if (It != m_pools.end() && It->second.m_pool->cancel(Call))
+      return true;
+    return std::any_of(m_retired.begin(), m_retired.end(),
+                       [Call](const auto &Pool) { return Pool->cancel(Call); });
   }
 
   /// Closes the idle connections to all servers.
--- a/src/libhttp/channel_pool.cpp
+++ b/src/libhttp/channel_pool.cpp
@@ -16,6 +16,13 @@
 /// its idle limit divided by this; the server is then not about to close it.
 constexpr int RecentUseDivisor = 2;
 
+/// The pool of a server is replaced when its address changes, and calls of both
+/// pools may be open: their ids must differ.
+ChannelCallId nextCallId() {
+  static std::uint64_t Last = 0;
+  return ChannelCallId(++Last);
+}
+
 } // namespace
 
 const char *toString(ChannelError Error) {
@@ -98,7 +105,7 @@
                                 Reuse AllowedReuse, Callback Done,
                                 std::uint64_t ConnectionNumber) {
   Instant Now = bootClockNow();
-  ChannelCallId Call(++m_nextCall);
+  ChannelCallId Call = nextCallId();
   detail::Channel *Channel = ConnectionNumber == 0
                                  ? takeAny(EchoId, AllowedReuse, Now)
                                  : takeByNumber(ConnectionNumber, EchoId, Now);
@@ -112,12 +119,14 @@
   return Call;
 }
 
-void ChannelPool::cancel(ChannelCallId Call) {
-  std::erase_if(m_callsWithoutConnection,
-                [Call](const auto &Waiting) { return Waiting.first == Call; });
+bool ChannelPool::cancel(ChannelCallId Call) {
+  if (std::erase_if(m_callsWithoutConnection, [Call](const auto &Waiting) {
+        return Waiting.first == Call;
+      }) > 0)
+    return true;
   auto It = m_calls.find(Call);
   if (It == m_calls.end())
-    return;
+    return false;
   detail::Channel *Channel = It->second;
   m_calls.erase(It);
   Channel->close();
@@ -127,6 +136,7 @@
   std::erase_if(m_channels, [Channel](const auto &Owned) {
     return Owned.get() == Channel;
   });
+  return true;
 }
 
 void ChannelPool::release(detail::Channel *Channel, bool Reusable) {
