--- a/src/include/burdockpulley/stop_plan.h
+++ b/src/include/burdockpulley/stop_plan.h
@@ -11,8 +11,8 @@
 /// before the stop, and over new ones until the balancer has taken the host
 /// out. What is in progress when the stop time is over is cut, and a request
 /// that is not idempotent can then not be repeated. So a late request is only
-/// taken if it ends before, and no attempt begins that would be cut. Callers
-/// that are refused can go to another host at once.
+/// taken if its deadline is before, and no attempt begins that is expected to
+/// be cut. Callers that are refused can go to another host at once.
 /// Thread safety: safe.
 class StopPlan {
 public:
