gateway: look for silent hosts only when one may have expired

Cause: PeerLoads::expire(), which a host calls in each turn of its loop, went over all other hosts each time.

Now the oldest report is known, and nothing is looked at until it may have expired.

--- a/src/include/burdockpulley/peer_loads.h
+++ b/src/include/burdockpulley/peer_loads.h
@@ -90,7 +90,8 @@
   /// Replaces the previous report of a host.
   void onLoad(const HostId &Host, PeerLoad Load, Instant Now);
 
-  /// Removes hosts that have stopped reporting.
+  /// Removes hosts that have stopped reporting. The cost is constant until one
+  /// may have.
   void expire(Instant Now);
 
   /// The upstream with this name hash; null when the registry has none.
@@ -133,6 +134,8 @@
 
   UpstreamRegistry &m_registry;
   std::map<HostId, HostLoad> m_hosts;
+  /// No report of m_hosts is older.
+  Instant m_oldestReport;
   std::map<NameHash, PeerQueues> m_queues; ///< By service.
   /// Without what waits, by service and priority.
   std::map<NameHash, std::map<std::uint32_t, PriorityDemand>> m_demands;
--- a/src/libgateway/peer_loads.cpp
+++ b/src/libgateway/peer_loads.cpp
@@ -141,14 +141,19 @@
     onUpstreamLoad(Host, Reported, Current.m_load, Now);
   Current.m_load = std::move(Load);
   Current.m_receivedAt = Now;
+  m_oldestReport = std::min(m_oldestReport, Now);
   addToTotals(Current.m_load, 1);
 }
 
 void PeerLoads::expire(Instant Now) {
   Duration HostTimeout =
       std::max<Duration>(MinHostTimeout, statusSilenceLimit(hosts(), true));
+  if (Now - m_oldestReport <= HostTimeout)
+    return;
+  m_oldestReport = Now;
   for (auto It = m_hosts.begin(); It != m_hosts.end();) {
     if (Now - It->second.m_receivedAt <= HostTimeout) {
+      m_oldestReport = std::min(m_oldestReport, It->second.m_receivedAt);
       ++It;
       continue;
     }
