gateway: with a long stop time, late requests are taken for 3 s at most

Half of 10 s is two seconds more than balancers need to remove a host; a request that comes then, and outlasts the rest, is cut.

Now all requests are taken for 3 s (two failed checks of the balancer and a second), and no longer than half of the stop time. Later ones that might be cut are refused at once as not run, so that callers go to another host.

a_long_stop_takes_no_late_request_that_it_would_cut fails with the StopPlan before (two of four checks) and passes now. With stop times of up to 6 s nothing changes. The property of the other case follows the new bound.

--- a/src/libgateway/decisions_test.cpp
+++ b/src/libgateway/decisions_test.cpp
@@ -580,7 +580,8 @@
         Now + std::chrono::milliseconds(*rc::gen::inRange(0, 5000));
     RC_ASSERT(Plan.endsRequestsAt() < Plan.endsAt());
     RC_ASSERT(Plan.endsAt() < at(0) + StopTime);
-    bool Late = Now - at(0) > StopTime / 2;
+    bool Late =
+        Now - at(0) > std::min<Duration>(StopTime / 2, std::chrono::seconds(3));
     RC_ASSERT(Plan.mayTake(Deadline, Now) ==
               (!Late || Deadline <= Plan.endsRequestsAt()));
     Duration WorkTime = std::chrono::milliseconds(*rc::gen::inRange(0, 3000));
@@ -594,3 +595,13 @@
   BOOST_TEST(Plan.mayBegin(std::chrono::milliseconds(100), at(5.2)));
   BOOST_TEST(!Plan.mayBegin(std::chrono::milliseconds(250), at(5.2)));
 }
+
+// With a long stop time, requests were taken for half of it that could last
+// longer than the rest.
+BOOST_AUTO_TEST_CASE(a_long_stop_takes_no_late_request_that_it_would_cut) {
+  StopPlan Plan(at(0), std::chrono::seconds(10));
+  BOOST_TEST(Plan.mayTake(at(12.9), at(2.9)));
+  BOOST_TEST(!Plan.mayTake(at(13.1), at(3.1)));
+  BOOST_TEST(!Plan.mayTake(at(9.7), at(4.9)));
+  BOOST_TEST(Plan.mayTake(at(9.5), at(4.9)));
+}
--- a/src/libgateway/stop_plan.cpp
+++ b/src/libgateway/stop_plan.cpp
@@ -1,5 +1,7 @@
 #include "burdockpulley/stop_plan.h"
 
+#include <algorithm>
+
 namespace burdockpulley {
 
 namespace {
@@ -7,8 +9,11 @@
 /// Time before the end of the stop time at which requests are ended. Half of it
 /// is for sending the responses; then the process ends.
 constexpr Duration StopMargin{400'000};
-/// Until this part of the stop time is over, all requests are taken: callers
-/// may not know of the stop yet, and nearly all requests end in the rest.
+/// For this long, all requests are taken, as callers may not know of the stop
+/// yet: balancers remove a host after two failed checks, of which there is one
+/// a second. Also, for no longer than this part of the stop time, so that
+/// nearly all requests end in the rest.
+constexpr Duration FullServiceTime{3'000'000};
 constexpr int FullServiceDivisor = 2;
 /// Multiple of the expected service time that an attempt has to have left. Few
 /// requests take longer.
@@ -25,7 +30,8 @@
 }
 
 bool StopPlan::mayTake(Instant Deadline, Instant Now) const {
-  return Now - m_started <= m_stopTime / FullServiceDivisor ||
+  return Now - m_started <=
+             std::min(FullServiceTime, m_stopTime / FullServiceDivisor) ||
          Deadline <= endsRequestsAt();
 }
 
