http: responses without end are given up in the declared mode, too

Cause: there were two HTTP clients. The limits of all parts of a response, and of all responses together, were in ChannelPool; HttpClient was built on evhttp, which searches what it has received for the end of a line again with each read, and limits neither.

HttpClient is now a queue in front of a ChannelPool, and accepts as before only responses whose framing says where they end. All responses of the upstreams of a host take at most 128 MiB together. Before a connection is used for a call without an id, bytes that have arrived unasked are looked for, as HttpClient did; this holds for ChannelPool's own callers as well. A callback may destroy its pool: UpstreamPool drops the clients of an address that has changed when the next request is sent, which a callback may do.

--- a/src/include/burdockpulley/channel_pool.h
+++ b/src/include/burdockpulley/channel_pool.h
@@ -83,12 +83,13 @@
 /// call at a time on each.
 ///
 /// A connection on which anything unexpected happened is never reused. A
-/// response is complete only if its framing says so. Unlike HttpClient, it
-/// accepts responses that are delimited by the end of the connection and
-/// responses that arrive while the request is still being written, and it
-/// skips late responses to earlier requests. The id tells such a response from
-/// that to the present call, unless both have the same id: a connection on
-/// which a call has ended with an error status is not used again for its id.
+/// response is complete only if its framing says so. Unlike HttpClient, which
+/// is built on it, it accepts responses that are delimited by the end of the
+/// connection. It accepts responses that arrive while the request is still
+/// being written, and skips late responses to earlier requests. The id tells
+/// such a response from that to the present call, unless both have the same id:
+/// a connection on which a call has ended with an error status is not used
+/// again for its id.
 /// Thread safety: none; use it on the event loop's thread only.
 class ChannelPool {
 public:
@@ -100,6 +101,8 @@
   /// Precondition: \p Base outlives the pool.
   ChannelPool(event_base *Base, const Endpoint &Server,
               ChannelPoolSettings Settings);
+  /// Calls in progress end without their callbacks. The pool may be destroyed
+  /// by a callback of its own.
   ~ChannelPool();
   ChannelPool(const ChannelPool &) = delete;
   ChannelPool &operator=(const ChannelPool &) = delete;
@@ -150,6 +153,7 @@
   detail::Channel *takeByNumber(std::uint64_t ConnectionNumber,
                                 const std::string &EchoId, Instant Now);
   void release(detail::Channel *Channel, bool Reusable);
+  void closeIdle(detail::Channel *Idle);
   void failCallsWithoutConnection();
   void freeClosed();
   void scheduleCleanup();
--- a/src/include/burdockpulley/http.h
+++ b/src/include/burdockpulley/http.h
@@ -14,11 +14,14 @@
 struct event_base;
 struct evhttp;
 struct evhttp_request;
-struct evhttp_connection;
 struct evhttp_bound_socket;
 
 namespace burdockpulley {
 
+class ChannelPool;
+struct ChannelResult;
+class ResponseMemory;
+
 /// One header field.
 struct HttpHeader {
   std::string m_name;
@@ -137,15 +140,19 @@
 ///
 /// A connection is closed instead of reused if its call failed or timed out,
 /// or if it received bytes outside a call. A response is complete only if its
-/// framing defines where it ends and that end was received.
+/// framing defines where it ends and that end was received. A response without
+/// end is given up once a part of it exceeds its limit.
 /// Thread safety: none; use it on the event loop's thread only.
 class HttpClient {
 public:
   using Callback = std::function<void(HttpError, HttpResponse &&)>;
 
-  /// Precondition: \p Base outlives the client.
+  /// \p Memory limits the memory of the responses of several clients together;
+  /// null for no limit. Precondition: \p Base and \p Memory outlive the client.
   HttpClient(event_base *Base, const Endpoint &Server,
-             std::uint32_t MaxConnections);
+             std::uint32_t MaxConnections, ResponseMemory *Memory = nullptr);
+  /// Calls in progress end without their callbacks. The client may be destroyed
+  /// by a callback of its own.
   ~HttpClient();
 
   /// Which idle connections a call may use. The server may be about to close a
@@ -163,36 +170,20 @@
   std::size_t inFlight() const { return m_inFlight; }
 
 private:
-  struct Call;
   struct QueuedCall {
     HttpRequest m_request;
     Instant m_deadline;
     Callback m_done;
     Reuse m_reuse;
   };
-  struct IdleConnection {
-    evhttp_connection *m_connection;
-    Instant m_idleSince;
-  };
 
   void start(QueuedCall &&NextCall);
-  evhttp_connection *takeConnection(Reuse AllowedReuse);
-  evhttp_connection *newConnection();
-  void finish(Call *FinishedCall, HttpError Error, HttpResponse &&Response);
-  void closeLater(evhttp_connection *Connection);
-  void closePending();
-  static void onResponse(evhttp_request *Request, void *Argument);
-  static void onError(int Error, void *Argument);
-  static void onDeadline(int Descriptor, short Events, void *Argument);
+  void finish(const Callback &Done, bool IsHeadRequest, ChannelResult &&Result);
 
-  event_base *m_base;
-  Endpoint m_server;
+  std::string m_server; ///< Address and port, for the Host header.
   std::uint32_t m_maxConnections;
+  std::unique_ptr<ChannelPool> m_connections;
   std::size_t m_inFlight = 0;
-  std::vector<IdleConnection> m_idle;
-  std::vector<evhttp_connection *> m_pendingClose;
-  event *m_closeEvent; ///< Frees the connections in m_pendingClose.
-  std::vector<Call *> m_calls;
   std::deque<QueuedCall> m_queue; ///< Calls that wait for a connection.
 };
 
--- a/src/libhost/upstream_pool.cpp
+++ b/src/libhost/upstream_pool.cpp
@@ -11,9 +11,10 @@
   retire(Row);
   Row.m_address = Which.m_address;
   Row.m_slots = Which.m_slots;
-  Row.m_requests =
-      std::make_unique<HttpClient>(m_base, Which.m_address, Which.m_slots);
-  Row.m_control = std::make_unique<HttpClient>(m_base, Which.m_address, 1);
+  Row.m_requests = std::make_unique<HttpClient>(
+      m_base, Which.m_address, Which.m_slots, &m_responseMemory);
+  Row.m_control = std::make_unique<HttpClient>(m_base, Which.m_address, 1,
+                                               &m_responseMemory);
   return Row;
 }
 
--- a/src/libhost/upstream_pool.h
+++ b/src/libhost/upstream_pool.h
@@ -3,6 +3,7 @@
 
 #include "burdockpulley/declarations.h"
 #include "burdockpulley/http.h"
+#include "burdockpulley/response_memory.h"
 
 #include <map>
 #include <memory>
@@ -33,7 +34,12 @@
   Entry &find(const Upstream &Which);
   void retire(Entry &Row);
 
+  /// Twice the largest response, so that upstreams that send without end do not
+  /// use up the memory of the process.
+  static constexpr std::size_t MaxResponseMemory = 128 << 20;
+
   event_base *m_base;
+  ResponseMemory m_responseMemory{MaxResponseMemory};
   std::map<UpstreamId, Entry> m_entries;
   std::vector<std::unique_ptr<HttpClient>> m_retired; ///< Calls in flight.
 };
--- a/src/libhttp/channel.cpp
+++ b/src/libhttp/channel.cpp
@@ -268,15 +268,12 @@
     if (m_parser.state() == MessageParser::State::Failed)
       return failCall(ChannelError::BadAnswer, toString(m_parser.fault()));
     updateMemory(m_parser.bodyMemory() + m_parser.headerMemory());
-    if (m_parser.state() != MessageParser::State::Complete)
-      continue;
-    onResponse();
-    if (!m_done)
+    if (m_parser.state() == MessageParser::State::Complete && !onResponse())
       return;
   }
 }
 
-void Channel::onResponse() {
+bool Channel::onResponse() {
   HttpResponse Response;
   Response.m_status = m_parser.m_status;
   Response.m_headers = std::move(m_parser.m_headers);
@@ -300,7 +297,7 @@
       m_parser.reset();
       if (!MayFollow)
         failCall(ChannelError::BadAnswer, "other-request");
-      return;
+      return MayFollow;
     }
   }
   evbuffer *Input = bufferevent_get_input(m_stream);
@@ -326,6 +323,13 @@
   auto Done = std::exchange(m_done, nullptr);
   m_pool.release(this, Reusable);
   Done(std::move(Result));
+  return false;
+}
+
+bool Channel::hasUnexpectedInput() const {
+  char Byte = 0;
+  return recv(bufferevent_getfd(m_stream), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) >=
+         0;
 }
 
 bool Channel::hasRefused(const std::string &EchoId) const {
@@ -355,7 +359,8 @@
     m_parser.finish();
     if (m_parser.state() == MessageParser::State::Complete) {
       m_notReusable = true;
-      return onResponse();
+      if (!onResponse())
+        return;
     }
   }
   failCall(ChannelError::Interrupted);
--- a/src/libhttp/channel.h
+++ b/src/libhttp/channel.h
@@ -34,6 +34,9 @@
   ChannelCallId callId() const { return m_call; }
   /// Returns true if the connection has ended and the object can be freed.
   bool closed() const { return m_closed; }
+  /// Returns true if bytes, or the end of the stream, have arrived that the
+  /// event loop has not reported yet. Precondition: it is idle and not closed.
+  bool hasUnexpectedInput() const;
   /// Returns true if a call with this id has ended with an error status on this
   /// connection. A repeated copy of that response may follow at any time.
   bool hasRefused(const std::string &EchoId) const;
@@ -52,7 +55,9 @@
   void onMemoryLimit() override;
   /// Tells the pool's ResponseMemory, if any, how much the response takes.
   void updateMemory(std::size_t Bytes);
-  void onResponse();
+  /// Returns true if the call goes on, as the response was not its own. Else it
+  /// has ended, and its callback may have destroyed this object.
+  bool onResponse();
   void startTimer(Duration Timeout);
   /// \p Problem: see ChannelResult::m_problem.
   void failCall(ChannelError Error, const char *Problem = "");
--- a/src/libhttp/channel_pool.cpp
+++ b/src/libhttp/channel_pool.cpp
@@ -71,12 +71,16 @@
     bool Recent = Now - MostRecent->idleSince() <=
                   MostRecent->idleLimit() / RecentUseDivisor;
     if (MostRecent->closed() || MostRecent->idleTooLong(Now)) {
-      std::erase(m_idle, MostRecent);
-      MostRecent->close();
+      closeIdle(MostRecent);
       continue;
     }
     if (AllowedReuse == Reuse::RecentlyUsed && !Recent)
       break;
+    // Without an id, the call would take these bytes for its response.
+    if (EchoId.empty() && MostRecent->hasUnexpectedInput()) {
+      closeIdle(MostRecent);
+      continue;
+    }
     if (MostRecent->hasRefused(EchoId))
       continue;
     std::erase(m_idle, MostRecent);
@@ -162,6 +166,12 @@
   evtimer_add(m_cleanupEvent, &NoDelay);
 }
 
+void ChannelPool::closeIdle(detail::Channel *Idle) {
+  std::erase(m_idle, Idle);
+  Idle->close();
+  scheduleCleanup();
+}
+
 void ChannelPool::closeIdle() {
   for (detail::Channel *Idle : m_idle)
     Idle->close();
--- a/src/libhttp/faulty_server_test.cpp
+++ b/src/libhttp/faulty_server_test.cpp
@@ -1,5 +1,6 @@
 #include "arbitrary_response.h"
 #include "burdockpulley/http.h"
+#include "burdockpulley/response_memory.h"
 #include "raw_server.h"
 
 #include <boost/test/unit_test.hpp>
@@ -154,21 +155,74 @@
   event_base_free(Base);
 }
 
+// A client that searched all it had received for the end of a line kept a line
+// without end, and the processor, until the deadline.
 BOOST_AUTO_TEST_CASE(a_response_without_end_is_given_up_before_the_deadline) {
   const std::string Filler(100'000, 'a');
-  for (const char *Begin :
-       {"HTTP/1.1 200 OK\r\nX-A: ",
-        "HTTP/1.1 200 OK\r\nContent-Length: 900000000\r\n\r\n"}) {
+  const std::string Field = "X-A: " + std::string(1000, 'a') + "\r\n";
+  const std::string Head = "HTTP/1.1 200 OK\r\n";
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  struct Endless {
+    std::string m_begin;
+    std::string m_repeated;
+  };
+  for (const Endless &Response : std::vector<Endless>{
+           {Head + "X-A: ", Filler},
+           {Head, Field},
+           {"HTTP/1.1 200 ", Filler},
+           {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+           {Head + "Content-Length: 900000000\r\n\r\n", Filler},
+           {Chunked, "186a0\r\n" + Filler + "\r\n"},
+           {Chunked + "5;", Filler},
+           {Chunked + "0\r\n", Field}}) {
     event_base *Base = event_base_new();
     {
-      RawServer Server(Base, Begin, false);
+      RawServer Server(Base, Response.m_begin + Response.m_repeated, false);
       Server.m_keepSending = true;
-      Server.m_repeatedBytes = Filler;
+      Server.m_repeatedBytes = Response.m_repeated;
       HttpClient Client(Base, Server.m_endpoint, 1);
-      CallResult Result =
-          callAndWait(Base, Client, "GET", std::chrono::minutes(10));
-      BOOST_TEST((Result.m_error == HttpError::Interrupted));
-      BOOST_TEST(Result.m_response.m_body.empty());
+      CallResult Result = callAndWait(Base, Client, "GET");
+      BOOST_TEST_CONTEXT(Response.m_begin + Response.m_repeated.substr(0, 40)) {
+        BOOST_TEST((Result.m_error == HttpError::Interrupted));
+        BOOST_TEST(Result.m_response.m_body.empty());
+      }
+    }
+    event_base_free(Base);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(clients_share_the_memory_for_responses) {
+  constexpr std::size_t MaxMemory = 1 << 20;
+  ResponseMemory Memory(MaxMemory);
+  event_base *Base = event_base_new();
+  {
+    RawServer Server(
+        Base, "HTTP/1.1 200 OK\r\nContent-Length: 60000000\r\n\r\n", false);
+    Server.m_keepSending = true;
+    Server.m_repeatedBytes = std::string(10'000, 'a');
+    HttpClient Client(Base, Server.m_endpoint, 1, &Memory);
+    CallResult Result = callAndWait(Base, Client, "GET");
+    BOOST_TEST((Result.m_error == HttpError::Interrupted));
+    BOOST_TEST(Memory.totalBytes() == 0u);
+  }
+  event_base_free(Base);
+}
+
+// A callback that sends the next request may replace the client of an upstream
+// whose address has changed.
+BOOST_AUTO_TEST_CASE(a_callback_may_destroy_its_client) {
+  for (const char *Response : {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                               "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
+                               "no response\r\n\r\n"}) {
+    event_base *Base = event_base_new();
+    {
+      RawServer Server(Base, Response, true);
+      auto Client = std::make_unique<HttpClient>(Base, Server.m_endpoint, 1);
+      Client->call(HttpRequest{}, std::chrono::seconds(20),
+                   [&](HttpError, HttpResponse &&) { Client.reset(); });
+      while (Client)
+        event_base_loop(Base, EVLOOP_ONCE);
+      event_base_loop(Base, EVLOOP_NONBLOCK);
     }
     event_base_free(Base);
   }
