host: a stop serves requests that were on their way to the former keeper

Cause, by reading: the host ends in the first tick in which it keeps nothing and serves nothing. A host that does not know of the hand-over yet may have sent a request by then, and a response may still be in a buffer.

The host now ends when it has had nothing to do for 0.5 s.

--- a/src/libhost/stop_driver.cpp
+++ b/src/libhost/stop_driver.cpp
@@ -15,6 +15,9 @@
 /// Time for other hosts to take over what is kept here.
 constexpr Duration HandOverTime{6'000'000};
 constexpr Duration StopLimit{30'000'000};
+/// Time without work before the process ends: hosts that do not know of the
+/// hand-over yet may have sent requests, and responses may not be sent yet.
+constexpr Duration SettleTime{500'000};
 
 } // namespace
 
@@ -76,7 +79,13 @@
     return;
   }
   bool HandedOver = !keepsAny() || Spent >= HandOverTime;
-  if (HandedOver && m_hooks.m_inFlight() == 0)
+  if (!HandedOver || m_hooks.m_inFlight() != 0) {
+    m_idleSince.reset();
+    return;
+  }
+  if (!m_idleSince)
+    m_idleSince = Now;
+  if (Now - *m_idleSince >= SettleTime)
     finish();
 }
 
--- a/src/libhost/stop_driver.h
+++ b/src/libhost/stop_driver.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace burdockpulley {
 
@@ -56,6 +57,7 @@
   Instant m_began{};
   bool m_listeningStopped = false;
   bool m_finished = false;
+  std::optional<Instant> m_idleSince; ///< Handed over, and nothing in progress.
   std::unique_ptr<RepeatingTimer> m_timer;
 };
 
