--- a/src/include/burdockpulley/channel_pool.h
+++ b/src/include/burdockpulley/channel_pool.h
@@ -43,6 +43,8 @@
   /// What is wrong with a BadAnswer, for logs; empty for other outcomes.
   const char *m_problem = "";
   HttpResponse m_response;
+  /// Bytes of the body that had arrived when the call failed.
+  std::size_t m_partialBytes = 0;
   /// Number of the connection in its pool, counted from 1; 0 if none was used.
   std::uint64_t m_connection = 0;
   Duration m_spent{}; ///< Time from the call to its end.
--- a/src/libgateway/peer_transport.cpp
+++ b/src/libgateway/peer_transport.cpp
@@ -222,7 +222,11 @@
   auto PeerIt = m_peers.find(Receiver);
   if (m_key.empty() || m_socket < 0 || PeerIt == m_peers.end())
     return;
-  sendBytes(PeerIt->second.m_record.m_peerEndpoint, encodeMessage(Message));
+  std::string Bytes = encodeMessage(Message);
+  if (Bytes.size() > MaxDatagramBytes)
+    return logEvent(Severity::Warning, "peer_message_too_large",
+                    {{"host", Receiver.value()}, {"bytes", Bytes.size()}});
+  sendBytes(PeerIt->second.m_record.m_peerEndpoint, Bytes);
 }
 
 std::size_t PeerTransport::sendAll(wire::Datagram Message) {
@@ -260,7 +264,9 @@
     return;
   std::string Bytes = encodeMessage(Message);
   if (Bytes.size() > MaxDatagramBytes)
-    return; // The receivers must read the change from the store themselves.
+    // The receivers must read the change from the store themselves.
+    return logEvent(Severity::Warning, "peer_message_too_large",
+                    {{"domain", Domain.value()}, {"bytes", Bytes.size()}});
   for (const auto &[Host, Peer] : m_peers)
     if ((Peer.m_record.m_domain == Domain) == InDomain)
       sendBytes(Peer.m_record.m_peerEndpoint, Bytes);
--- a/src/libhttp/channel.cpp
+++ b/src/libhttp/channel.cpp
@@ -383,6 +383,7 @@
   Result.m_problem = Problem;
   Result.m_sent = m_connected;
   Result.m_refused = m_refused;
+  Result.m_partialBytes = m_parser.m_body.size();
   Result.m_spent = bootClockNow() - m_started;
   evtimer_del(m_timer);
   updateMemory(0);
