--- a/src/standins/fault_link.cpp
+++ b/src/standins/fault_link.cpp
@@ -67,10 +67,26 @@
   std::string Bytes(evbuffer_get_length(Input), '\0');
   evbuffer_remove(Input, Bytes.data(), Bytes.size());
   Instant Now = bootClockNow();
-  Which.m_held.push_back({Now + Link->m_faults.m_latency, std::move(Bytes)});
+  if (&Which == &Link->m_toCaller && Link->m_faults.m_bytesPerSecond)
+    Link->holdPaced(Bytes, Now);
+  else
+    Which.m_held.push_back({Now + Link->m_faults.m_latency, std::move(Bytes)});
   Link->advance(Now);
 }
 
+void FaultLink::holdPaced(std::string_view Bytes, Instant Now) {
+  constexpr std::size_t PartBytes = 16 << 10;
+  auto Rate = static_cast<double>(*m_faults.m_bytesPerSecond);
+  m_bandwidthFreeAt = std::max(m_bandwidthFreeAt, Now + m_faults.m_latency);
+  while (!Bytes.empty()) {
+    std::string Part(Bytes.substr(0, PartBytes));
+    Bytes.remove_prefix(Part.size());
+    m_bandwidthFreeAt += std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(static_cast<double>(Part.size()) / Rate));
+    m_toCaller.m_held.push_back({m_bandwidthFreeAt, std::move(Part)});
+  }
+}
+
 void FaultLink::onEvent(bufferevent *Side, short What, void *Self) {
   auto *Link = static_cast<FaultLink *>(Self);
   if (What & BEV_EVENT_ERROR)
--- a/src/standins/fault_link.h
+++ b/src/standins/fault_link.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <string_view>
 
 struct bufferevent;
 struct event_base;
@@ -26,6 +27,8 @@
   /// sends the next ones. Links whose messages are sent in one piece repeat a
   /// whole response.
   bool m_repeatAnswer = false;
+  /// Bandwidth of a link towards the caller.
+  std::optional<std::uint64_t> m_bytesPerSecond;
 };
 
 /// One connection of a caller and the one to the target that belongs to it.
@@ -63,6 +66,9 @@
 
   static void onRead(bufferevent *Side, void *Self);
   static void onEvent(bufferevent *Side, short What, void *Self);
+  /// Splits what a link of limited bandwidth carries to the caller into parts
+  /// that arrive one after the other.
+  void holdPaced(std::string_view Bytes, Instant Now);
   void move(Flow &Which, bool Cut, Instant Now);
   void deliver(Flow &Which, std::string Bytes);
   void deliverToCaller(std::string Bytes);
@@ -72,6 +78,7 @@
   Flow m_toTarget;
   Flow m_toCaller;
   std::uint64_t m_answered = 0;
+  Instant m_bandwidthFreeAt; ///< When the last held part has arrived.
   std::string m_lastAnswer; ///< Not repeated yet; see m_repeatAnswer.
   bool m_muted = false;     ///< Nothing more goes to the caller.
   bool m_ended = false;
--- a/src/standins/fault_proxy.cpp
+++ b/src/standins/fault_proxy.cpp
@@ -4,8 +4,8 @@
 //
 // POST /faults on the control port replaces the faults by those of a JSON
 // object: latencyUs, cutToTarget, cutToCaller, refuse, truncateAfter,
-// resetAfter, halfCloseAfter, repeatAnswer, and closed: new connections are
-// refused by the kernel, open ones go on.
+// resetAfter, halfCloseAfter, repeatAnswer, bytesPerSecond, and closed: new
+// connections are refused by the kernel, open ones go on.
 #include "burdockpulley/http.h"
 #include "burdockpulley/reserved_port.h"
 #include "fault_link.h"
@@ -44,6 +44,7 @@
   Wanted.m_resetAfter = limit(Object, "resetAfter");
   Wanted.m_halfCloseAfter = limit(Object, "halfCloseAfter");
   Wanted.m_repeatAnswer = Object.value("repeatAnswer", false);
+  Wanted.m_bytesPerSecond = limit(Object, "bytesPerSecond");
   return Wanted;
 }
 
