http: a call to the store goes on while its response arrives

Cause: a watch ended 0.6 s, a page of a read 0.7 s after its start, whatever had arrived. A configuration of 1,840 routes takes 0.4 s of such a link, and a watch returns each version since the last one: from two versions on, each watch was given up, and the next one had more to fetch.

Change: ChannelPoolSettings::m_maxTransferTime.

--- a/src/include/burdockpulley/channel_pool.h
+++ b/src/include/burdockpulley/channel_pool.h
@@ -66,6 +66,10 @@
   /// A connection ends if sent bytes stay unacknowledged for this long.
   Duration m_unacknowledgedTimeout = std::chrono::milliseconds(1500);
   std::size_t m_maxResponseBytes = 64 << 20; ///< Limits a response's body.
+  /// A call goes on after its timeout while bytes of the response arrive at
+  /// intervals of at most that timeout, but not for longer than this from its
+  /// start. Zero if calls end at their timeouts.
+  Duration m_maxTransferTime{};
   /// Limits the memory of the responses of several pools together; null for no
   /// limit. Must outlive the pool.
   ResponseMemory *m_responseMemory = nullptr;
@@ -111,7 +115,8 @@
 
   /// Sends a request and returns the id of the call. \p Done runs once, on the
   /// event loop's thread, after this function has returned and no later than
-  /// \p Timeout from now, unless the call is cancelled.
+  /// \p Timeout from now, unless the call is cancelled or its response still
+  /// arrives; see ChannelPoolSettings::m_maxTransferTime.
   ///
   /// \p EchoId is the id that the response must repeat in the echo header; an
   /// empty one accepts any response. If \p ConnectionNumber is not zero, the
--- a/src/libhttp/channel.cpp
+++ b/src/libhttp/channel.cpp
@@ -140,6 +140,7 @@
   m_echoId = EchoId;
   m_done = std::move(Done);
   m_started = Now;
+  m_timeout = Timeout;
   m_deadline = Now + Timeout;
   m_parser.reset();
   m_memoryExceeded = false;
@@ -230,12 +231,20 @@
   evtimer_add(m_timer, &Interval);
 }
 
+void Channel::extendDeadline(Instant Now) {
+  Instant Last = m_started + m_pool.m_settings.m_maxTransferTime;
+  m_deadline = std::max(m_deadline, std::min(Now + m_timeout, Last));
+}
+
 void Channel::onTimer() {
   if (!m_done)
     return;
   if (m_memoryExceeded)
     return failCall(ChannelError::BadAnswer, "memory-limit");
   bool Connecting = !m_connected;
+  Duration Left = m_deadline - bootClockNow();
+  if (!Connecting && Left > Duration())
+    return startTimer(Left);
   failCall(Connecting ? ChannelError::ConnectFailed : ChannelError::TimedOut);
 }
 
@@ -258,6 +267,7 @@
     m_pool.release(this, false);
     return;
   }
+  extendDeadline(bootClockNow());
   while (evbuffer_get_length(Input) > 0) {
     if (m_memoryExceeded)
       return failCall(ChannelError::BadAnswer, "memory-limit");
--- a/src/libhttp/channel.h
+++ b/src/libhttp/channel.h
@@ -59,6 +59,8 @@
   /// has ended, and its callback may have destroyed this object.
   bool onResponse();
   void startTimer(Duration Timeout);
+  /// Moves the deadline, as bytes of the response have arrived.
+  void extendDeadline(Instant Now);
   /// \p Problem: see ChannelResult::m_problem.
   void failCall(ChannelError Error, const char *Problem = "");
   void closeStream();
@@ -79,6 +81,7 @@
   std::string m_echoId;
   ChannelPool::Callback m_done; ///< Empty while no call is in progress.
   Instant m_started;
+  Duration m_timeout{};
   Instant m_deadline;
   Instant m_idleSince;
   Instant m_idleUntil;
--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -421,6 +421,24 @@
   BOOST_TEST(Fixture.m_pool->open() == 0u);
 }
 
+// Issue 44: a large response over a narrow link never arrived whole.
+BOOST_AUTO_TEST_CASE(a_call_goes_on_while_its_response_arrives) {
+  constexpr Duration Timeout = std::chrono::milliseconds(200);
+  for (Duration TransferTime : {Duration(), 3 * Timeout}) {
+    PoolFixture Fixture("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n");
+    Fixture.m_server.m_keepSending = true;
+    ChannelPoolSettings Settings;
+    Settings.m_maxTransferTime = TransferTime;
+    Fixture.m_pool = std::make_unique<ChannelPool>(
+        Fixture.m_base, Fixture.m_server.m_endpoint, Settings);
+    ChannelResult Result = Fixture.call(GetRequest, "", Timeout);
+    BOOST_TEST((Result.m_error == ChannelError::TimedOut));
+    BOOST_TEST(Result.m_partialBytes > 0u);
+    BOOST_TEST(
+        (Result.m_spent >= std::max(Timeout, TransferTime) - Timeout / 10));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_cancelled_call_resets_its_connection_at_once) {
   PoolFixture Fixture("");
   bool CallbackRan = false;
