gateway: hosts send each other large values as differences

Cause: each change of a configuration went whole, compressed, in one datagram to some 40 hosts, or, above 65 kB, to none: those that the store turned away never got it, all others read it over their own links, and found out with the next forwarded change. Some 40 kB are 30 packets, of which none may be lost; a host that asked for missed changes got them as such a datagram again.

Change: a value above 2 kB is sent as the difference (zstd, with the earlier value as prefix) from what the receivers have; StoreChangeLog keeps two earlier entries of large values for that. What is still too large, or too large for the narrow link of the sender, is left out and said to be, so that receivers know at once. A receiver without the base asks for the whole value. Replies to hosts that stay behind are charged by what is sent, not by what it unpacks to.

--- a/src/include/burdockpulley/compression.h
+++ b/src/include/burdockpulley/compression.h
@@ -17,6 +17,19 @@
 std::optional<std::string> decompress(std::string_view Bytes,
                                       std::size_t MaxBytes);
 
+/// Compresses what distinguishes \p Text from \p Base, as a zstd frame. Takes
+/// little space if they have long parts in common, wherever these are.
+/// Thread safety: safe.
+std::string compressDifference(std::string_view Base, std::string_view Text);
+
+/// Restores the text that was passed to compressDifference() with the same
+/// \p Base. Returns nullopt when \p Bytes are not valid or \p Base is another
+/// one, or when the text is longer than \p MaxBytes bytes.
+/// Thread safety: safe.
+std::optional<std::string> restoreDifference(std::string_view Base,
+                                             std::string_view Bytes,
+                                             std::size_t MaxBytes);
+
 } // namespace burdockpulley
 
 #endif
--- a/src/libgateway/compatibility_test.cpp
+++ b/src/libgateway/compatibility_test.cpp
@@ -1,5 +1,6 @@
 // The messages and records that hosts of different versions exchange, as bytes
 // of an earlier version. What a change may do with them is in CONTRIBUTING.md.
+#include "burdockpulley/compression.h"
 #include "burdockpulley/key_table.h"
 #include "burdockpulley/team_shares.h"
 #include "burdockpulley/thrift_codec.h"
@@ -253,6 +254,22 @@
               "03150e15c4131100001116b80611110000");
 }
 
+// Older hosts cannot decompress such values, and read the store instead.
+BOOST_AUTO_TEST_CASE(bases_of_values_are_added_behind_the_known_fields) {
+  wire::Datagram Others = otherMessages();
+  wire::StoreChange &Change = Others.storeUpdate.events[0];
+  Change.value = compressDifference("base", "value");
+  BOOST_TEST(!decompress(Change.value, MaxStoreValueBytes).has_value());
+  BOOST_TEST(!decompress("", MaxStoreValueBytes).has_value());
+  Change.value = "v";
+  Change.__set_base(410);
+  Change.__set_omitted(false);
+  requireSame(Others, "18026831168280f281838985063c180468657264191c15feff071518"
+                      "00001c16091803692d31001c16b80616ba06191c180b736572766572"
+                      "732f692d3118017616ba06121116b406120019250203002c18046865"
+                      "7264001c16a0060000");
+}
+
 // Older hosts compare the numbers of messages with their own, which have no bit
 // for the share.
 BOOST_AUTO_TEST_CASE(priority_numbers_of_messages_have_no_bit_for_the_share) {
--- a/src/libgateway/gateway.thrift
+++ b/src/libgateway/gateway.thrift
@@ -182,6 +182,12 @@
   4: bool removed,
   // True when the value is compressed.
   5: optional bool packed,
+  // Version of the same key's value from which the value is the difference, as
+  // a zstd frame. Set with packed, so that older hosts read the store instead.
+  6: optional i64 base,
+  // True if the value is too large to be sent: the receiver reads it from the
+  // store. Set with packed, as above.
+  7: optional bool omitted,
 }
 
 // Changes of the store, forwarded to the hosts of two failure domains.
--- a/src/libgateway/gateway_host.cpp
+++ b/src/libgateway/gateway_host.cpp
@@ -146,6 +146,10 @@
     m_stateExchange.m_storeChanges = [this](StoreVersion After) {
       return m_watcher.changesSince(After);
     };
+    m_stateExchange.m_storeEntry = [this](const std::string &Key,
+                                          StoreVersion Version) {
+      return m_watcher.entryAsOf(Key, Version);
+    };
     m_stateExchange.m_onChange = [this] {
       m_relay.dispatchWaiting(bootClockNow());
     };
--- a/src/libgateway/gen/gateway_types.cpp
+++ b/src/libgateway/gen/gateway_types.cpp
@@ -2731,6 +2731,16 @@
   this->packed = val;
 __isset.packed = true;
 }
+
+void StoreChange::__set_base(const int64_t val) {
+  this->base = val;
+__isset.base = true;
+}
+
+void StoreChange::__set_omitted(const bool val) {
+  this->omitted = val;
+__isset.omitted = true;
+}
 std::ostream& operator<<(std::ostream& out, const StoreChange& obj)
 {
   obj.printTo(out);
@@ -2799,6 +2809,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->omitted);
+          this->__isset.omitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2837,6 +2863,16 @@
     xfer += oprot->writeBool(this->packed);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.base) {
+    xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->base);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.omitted) {
+    xfer += oprot->writeFieldBegin("omitted", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->omitted);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2849,6 +2885,8 @@
   swap(a.version, b.version);
   swap(a.removed, b.removed);
   swap(a.packed, b.packed);
+  swap(a.base, b.base);
+  swap(a.omitted, b.omitted);
   swap(a.__isset, b.__isset);
 }
 
@@ -2858,6 +2896,8 @@
   version = other100.version;
   removed = other100.removed;
   packed = other100.packed;
+  base = other100.base;
+  omitted = other100.omitted;
   __isset = other100.__isset;
 }
 StoreChange::StoreChange(StoreChange&& other101) noexcept {
@@ -2866,6 +2906,8 @@
   version = other101.version;
   removed = other101.removed;
   packed = other101.packed;
+  base = other101.base;
+  omitted = other101.omitted;
   __isset = other101.__isset;
 }
 StoreChange& StoreChange::operator=(const StoreChange& other102) {
@@ -2874,6 +2916,8 @@
   version = other102.version;
   removed = other102.removed;
   packed = other102.packed;
+  base = other102.base;
+  omitted = other102.omitted;
   __isset = other102.__isset;
   return *this;
 }
@@ -2883,6 +2927,8 @@
   version = other103.version;
   removed = other103.removed;
   packed = other103.packed;
+  base = other103.base;
+  omitted = other103.omitted;
   __isset = other103.__isset;
   return *this;
 }
@@ -2894,6 +2940,8 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "removed=" << to_string(removed);
   out << ", " << "packed="; (__isset.packed ? (out << to_string(packed)) : (out << "<null>"));
+  out << ", " << "base="; (__isset.base ? (out << to_string(base)) : (out << "<null>"));
+  out << ", " << "omitted="; (__isset.omitted ? (out << to_string(omitted)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libgateway/gen/gateway_types.h
+++ b/src/libgateway/gen/gateway_types.h
@@ -1058,12 +1058,14 @@
 std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
 
 typedef struct _StoreChange__isset {
-  _StoreChange__isset() : key(false), value(false), version(false), removed(false), packed(false) {}
+  _StoreChange__isset() : key(false), value(false), version(false), removed(false), packed(false), base(false), omitted(false) {}
   bool key :1;
   bool value :1;
   bool version :1;
   bool removed :1;
   bool packed :1;
+  bool base :1;
+  bool omitted :1;
 } _StoreChange__isset;
 
 class StoreChange : public virtual ::apache::thrift::TBase {
@@ -1078,7 +1080,9 @@
                 value(),
                 version(0),
                 removed(0),
-                packed(0) {
+                packed(0),
+                base(0),
+                omitted(0) {
   }
 
   virtual ~StoreChange() noexcept;
@@ -1087,6 +1091,8 @@
   int64_t version;
   bool removed;
   bool packed;
+  int64_t base;
+  bool omitted;
 
   _StoreChange__isset __isset;
 
@@ -1100,6 +1106,10 @@
 
   void __set_packed(const bool val);
 
+  void __set_base(const int64_t val);
+
+  void __set_omitted(const bool val);
+
   bool operator == (const StoreChange & rhs) const
   {
     if (!(key == rhs.key))
@@ -1114,6 +1124,14 @@
       return false;
     else if (__isset.packed && !(packed == rhs.packed))
       return false;
+    if (__isset.base != rhs.__isset.base)
+      return false;
+    else if (__isset.base && !(base == rhs.base))
+      return false;
+    if (__isset.omitted != rhs.__isset.omitted)
+      return false;
+    else if (__isset.omitted && !(omitted == rhs.omitted))
+      return false;
     return true;
   }
   bool operator != (const StoreChange &rhs) const {
--- a/src/libgateway/peer_state_exchange.cpp
+++ b/src/libgateway/peer_state_exchange.cpp
@@ -39,6 +39,12 @@
 constexpr std::size_t MaxStoreUpdateBytes = 16'000;
 /// Larger values are compressed in messages to other hosts.
 constexpr std::size_t CompressionThresholdBytes = 2'000;
+/// Values that are still larger are not sent. The rest of a datagram is for its
+/// header and for the keys of renewed records.
+constexpr std::size_t MaxValueBytes = 56'000;
+/// The same for a host on a narrow link, which sends to the hosts of two
+/// failure domains: for 40 hosts, this takes 0.26 s of a link of 10 Mbit/s.
+constexpr std::size_t MaxNarrowValueBytes = 8'000;
 /// A coordinator that has sent nothing for this time may be down. It sends
 /// updates of owners twice a second; its lease in the store expires later.
 constexpr Duration CoordinatorTimeout{1'200'000};
@@ -140,20 +146,45 @@
   return Use;
 }
 
-wire::StoreUpdate toWire(StoreVersion After, const StoreEvents &Changes) {
+/// Encodes the value of a change. \p Base is the entry that the receivers have,
+/// or null if that is not known. A value that then takes more than \p MaxBytes
+/// is left out.
+void setValue(wire::StoreChange &Change, const std::string &Value,
+              const StoreEntry *Base, std::size_t MaxBytes) {
+  if (Value.size() <= CompressionThresholdBytes) {
+    Change.value = Value;
+    return;
+  }
+  Change.__set_packed(true);
+  Change.value =
+      Base ? compressDifference(Base->m_value, Value) : compress(Value);
+  if (Base)
+    Change.__set_base(numberInEra(Base->m_modified));
+  if (Change.value.size() <= MaxBytes)
+    return;
+  logEvent(Severity::Info, "store_value_not_sent",
+           {{"key", Change.key}, {"bytes", Change.value.size()}});
+  Change.value.clear();
+  Change.__set_omitted(true);
+}
+
+/// \p BaseOf: returns what the receivers have of a key, or null.
+template <class BaseFunction>
+wire::StoreUpdate toWire(StoreVersion After, const StoreEvents &Changes,
+                         std::size_t MaxValueBytes, BaseFunction BaseOf) {
   wire::StoreUpdate Update;
+  StoreEra Era = eraOf(Changes.m_version);
   Update.after = numberInEra(After);
   Update.version = numberInEra(Changes.m_version);
-  if (eraOf(Changes.m_version).value() != 0)
-    Update.__set_era(eraOf(Changes.m_version).value());
+  if (Era.value() != 0)
+    Update.__set_era(Era.value());
   for (const StoreEvent &Event : Changes.m_events) {
+    const StoreEntry *Base = BaseOf(Event.m_entry.m_key);
+    if (Base && eraOf(Base->m_modified) != Era)
+      Base = nullptr;
     wire::StoreChange Change;
     Change.key = Event.m_entry.m_key;
-    bool Compress = Event.m_entry.m_value.size() > CompressionThresholdBytes;
-    Change.value =
-        Compress ? compress(Event.m_entry.m_value) : Event.m_entry.m_value;
-    if (Compress)
-      Change.__set_packed(true);
+    setValue(Change, Event.m_entry.m_value, Base, MaxValueBytes);
     Change.version = numberInEra(Event.m_entry.m_modified);
     Change.removed = Event.m_removed;
     Update.events.push_back(std::move(Change));
@@ -417,11 +448,16 @@
       RenewedHashes.push_back(nameHash(Upstream->value()).value());
   const DomainId &LocalDomain = m_state.m_settings.m_domain;
   auto NextDomain = m_transport.domainAfter(LocalDomain);
+  std::size_t MaxBytes =
+      m_state.m_settings.highBandwidth() ? MaxValueBytes : MaxNarrowValueBytes;
+  auto BaseOf = [&](const std::string &Key) {
+    return m_storeEntry(Key, After);
+  };
   splitStoreUpdate(
       After, Changes,
       [&](StoreVersion PartAfter, const StoreEvents &Part, bool LastPart) {
         wire::Datagram Message;
-        Message.__set_storeUpdate(toWire(PartAfter, Part));
+        Message.__set_storeUpdate(toWire(PartAfter, Part, MaxBytes, BaseOf));
         if (NextDomain)
           m_transport.sendToDomain(Message, *NextDomain, true);
         if (LastPart && !RenewedHashes.empty())
@@ -492,24 +528,28 @@
   if ((Incomplete && Now < m_incompleteReplyAllowedAt) ||
       !m_storeUpdateReplies.take(Now))
     return;
-  if (Incomplete) {
-    std::size_t Bytes = 0;
-    for (const StoreEvent &Event : Changes->m_events)
-      Bytes += Event.m_entry.m_key.size() + Event.m_entry.m_value.size();
-    double Seconds = static_cast<double>(Bytes) / IncompleteReplyBytesPerSecond;
-    m_incompleteReplyAllowedAt =
-        Now + Duration(static_cast<std::int64_t>(Seconds * 1e6));
-  }
-  splitStoreUpdate(After, *Changes,
-                   [&](StoreVersion PartAfter, const StoreEvents &Part, bool) {
-                     wire::Datagram Message;
-                     // No part of an incomplete reply may raise the receiver's
-                     // version.
-                     Message.__set_storeUpdate(
-                         Incomplete ? toWire(After, {Part.m_events, After})
-                                    : toWire(PartAfter, Part));
-                     m_transport.send(Sender, std::move(Message));
-                   });
+  std::size_t Bytes = 0;
+  auto NoBase = [](const std::string &) -> const StoreEntry * {
+    return nullptr;
+  };
+  splitStoreUpdate(
+      After, *Changes,
+      [&](StoreVersion PartAfter, const StoreEvents &Part, bool) {
+        wire::Datagram Message;
+        // No part of an incomplete reply may raise the receiver's version.
+        Message.__set_storeUpdate(
+            Incomplete
+                ? toWire(After, {Part.m_events, After}, MaxValueBytes, NoBase)
+                : toWire(PartAfter, Part, MaxValueBytes, NoBase));
+        for (const wire::StoreChange &Change : Message.storeUpdate.events)
+          Bytes += Change.key.size() + Change.value.size();
+        m_transport.send(Sender, std::move(Message));
+      });
+  if (!Incomplete)
+    return;
+  double Seconds = static_cast<double>(Bytes) / IncompleteReplyBytesPerSecond;
+  m_incompleteReplyAllowedAt =
+      Now + Duration(static_cast<std::int64_t>(Seconds * 1e6));
 }
 
 bool PeerStateExchange::coordinatorActs(Instant Now) const {
@@ -557,6 +597,24 @@
         UpstreamId(Message.crash.upstream), Now);
 }
 
+std::optional<std::string>
+PeerStateExchange::valueOf(const wire::StoreChange &Change,
+                           StoreEra Era) const {
+  if (!Change.packed)
+    return Change.value;
+  const StoreEntry *Known = m_storeEntry(Change.key, StoreVersion(INT64_MAX));
+  // Changes arrive from two hosts.
+  if (Known && Known->m_modified >= combineWithEra(Era, Change.version))
+    return Known->m_value;
+  if (Change.omitted)
+    return std::nullopt;
+  if (!Change.__isset.base)
+    return decompress(Change.value, MaxStoreValueBytes);
+  if (!Known || Known->m_modified != combineWithEra(Era, Change.base))
+    return std::nullopt;
+  return restoreDifference(Known->m_value, Change.value, MaxStoreValueBytes);
+}
+
 void PeerStateExchange::onStoreUpdate(const HostId &Sender,
                                       const wire::StoreUpdate &Update,
                                       Instant Now) {
@@ -564,17 +622,24 @@
   StoreEvents Changes;
   Changes.m_version = combineWithEra(Era, Update.version);
   for (const wire::StoreChange &Change : Update.events) {
-    std::optional<std::string> Value = Change.value;
-    if (Change.packed)
-      Value = decompress(Change.value, MaxStoreValueBytes);
-    if (!Value) { // The resulting gap makes this host read the store itself.
-      logEvent(Severity::Warning, "peer_message_unreadable",
-               {{"host", Sender.value()}, {"key", Change.key}});
+    StoreVersion Version = combineWithEra(Era, Change.version);
+    auto Value = valueOf(Change, Era);
+    if (!Value) {
+      logEvent(Change.omitted || Change.__isset.base ? Severity::Info
+                                                     : Severity::Warning,
+               "store_value_not_received",
+               {{"host", Sender.value()},
+                {"key", Change.key},
+                {"store_version", Version.value()},
+                {"omitted", Change.omitted}});
+      // The same as if the changes up to this one had been lost.
+      auto MissedAfter = m_onStoreUpdate(Version, {{}, Version});
+      if (MissedAfter && !Change.omitted)
+        requestStoreUpdate(Sender, *MissedAfter, Now);
       return;
     }
     Changes.m_events.push_back(
-        {{Change.key, std::move(*Value), combineWithEra(Era, Change.version)},
-         Change.removed});
+        {{Change.key, std::move(*Value), Version}, Change.removed});
   }
   auto MissedAfter =
       m_onStoreUpdate(combineWithEra(Era, Update.after), Changes);
--- a/src/libgateway/peer_state_exchange.h
+++ b/src/libgateway/peer_state_exchange.h
@@ -80,6 +80,11 @@
       m_onStoreUpdate;
   /// Returns the changes of the store after a version, if all are known.
   std::function<std::optional<StoreEvents>(StoreVersion After)> m_storeChanges;
+  /// Returns the last entry of a key that is not newer than a version of the
+  /// store, if it is known.
+  std::function<const StoreEntry *(const std::string &Key,
+                                   StoreVersion Version)>
+      m_storeEntry;
   /// Returns the era of the store as far as this host knows.
   std::function<StoreEra()> m_storeEra;
 
@@ -100,6 +105,10 @@
                     Instant Now);
   void onStoreUpdate(const HostId &Sender, const wire::StoreUpdate &Update,
                      Instant Now);
+  /// The value of a forwarded change; nothing if the message is not enough to
+  /// tell it.
+  std::optional<std::string> valueOf(const wire::StoreChange &Change,
+                                     StoreEra Era) const;
   void onKeyLoadReport(const wire::KeyLoadReport &Report);
   void sendHostStatus(Instant Now);
   /// Adds what waits at this host, and its load by priority.
--- a/src/libgateway/registry_watcher.h
+++ b/src/libgateway/registry_watcher.h
@@ -88,6 +88,12 @@
   /// has not read the store up to \p After.
   std::optional<StoreEvents> changesSince(StoreVersion After) const;
 
+  /// See StoreChangeLog::entryAsOf().
+  const StoreEntry *entryAsOf(const std::string &Key,
+                              StoreVersion Version) const {
+    return m_changeLog.entryAsOf(Key, Version);
+  }
+
   /// Makes the next call to the store due at once.
   void watchNow() { m_nextCall = Instant(); }
 
--- a/src/libgateway/store_change_log.h
+++ b/src/libgateway/store_change_log.h
@@ -3,6 +3,7 @@
 
 #include "burdockpulley/store.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -11,7 +12,9 @@
 namespace burdockpulley {
 
 /// Keeps the last change of each key of the store, for hosts that have missed
-/// some changes. When there are too many, the oldest ones are discarded.
+/// some changes. When there are too many, the oldest ones are discarded. Of
+/// large values, earlier ones are kept too, so that a change can be sent as the
+/// difference from what the receivers have.
 /// Thread safety: none.
 class StoreChangeLog {
 public:
@@ -31,8 +34,17 @@
   /// have been discarded.
   std::vector<StoreEvent> keptChangesAfter(StoreVersion Version) const;
 
+  /// Returns the last entry of a key that is not newer than \p Version, as far
+  /// as it is kept; null if there is none. Valid until the next change.
+  const StoreEntry *entryAsOf(const std::string &Key,
+                              StoreVersion Version) const;
+
 private:
+  void keepEarlier(StoreEvent &&Replaced);
+
   std::map<std::string, StoreEvent> m_lastChanges; ///< By key.
+  /// Entries before the last change, the oldest first; by key.
+  std::map<std::string, std::deque<StoreEntry>> m_earlierEntries;
   /// All last changes of keys after this version are kept.
   StoreVersion m_completeAfter;
 };
