gateway: old forwarded changes do not replace missed ones

Cause: a host that noticed a gap in what another host forwards called the store 0.2 s later, but any other forwarded changes, however old, deferred that call by 1 s. Hosts of two failure domains forward changes, so with one of them late, a gap could stay until the other one's answer arrived. store_news_seconds showed such a host as up to date.

Evidence: old_changes_do_not_delay_the_read_of_missed_ones failed before: no call in 0.5 s after the gap.

Change: the watcher remembers the version that forwarding hosts are known to have. Until it has that version, forwarded changes neither defer its calls nor count as news. They still say that the store can be reached.

Result: the test passes.

--- a/src/libgateway/registry_watcher.cpp
+++ b/src/libgateway/registry_watcher.cpp
@@ -58,7 +58,7 @@
   if (m_callInFlight)
     return;
   if (Now < m_nextCall) {
-    bool Informed = !m_watchesForDomain && receivesForwardedChanges(Now);
+    bool Informed = !m_watchesForDomain && informed(Now);
     if (Now < m_expectedUntil && Now >= m_nextExpectedWatch && m_loaded &&
         m_failures == 0 && !Informed)
       watchExpectedKey();
@@ -88,7 +88,7 @@
   const auto &Range = std::get<StoreRange>(Reply);
   onSuccess(Began, Now);
   m_reloadNeeded = false;
-  m_version = Range.m_version;
+  m_version = m_announcedVersion = Range.m_version;
   auto PreviousVersions = std::move(m_knownVersions);
   m_knownVersions.clear();
   for (const StoreEntry &Entry : Range.m_entries)
@@ -232,6 +232,7 @@
       Renewed.push_back(Event.m_entry.m_key);
   }
   m_version = std::max(m_version, Changes.m_version);
+  m_announcedVersion = m_version;
   dropSuperseded(Forwarded.m_events);
   forward(After, Forwarded, Renewed);
 }
@@ -247,7 +248,7 @@
 }
 
 std::optional<Instant> RegistryWatcher::lastNews() const {
-  return std::max(m_lastContact, m_lastForwarded);
+  return std::max(m_lastContact, m_lastInformed);
 }
 
 std::optional<StoreEvents>
@@ -276,6 +277,7 @@
   if (!m_loaded || LoadInFlight || WatchesItself)
     return std::nullopt;
   if (After > m_version) {
+    m_announcedVersion = std::max(m_announcedVersion, After);
     m_nextCall = std::min(m_nextCall, Now + GapDelay);
     return m_version;
   }
@@ -289,6 +291,10 @@
   for (const StoreEvent &Event : Changes.m_events)
     applyEvent(Event, Now);
   m_version = std::max(m_version, Changes.m_version);
+  // Old changes of one host do not replace those missed from another.
+  if (missesChanges())
+    return std::nullopt;
+  m_lastInformed = Now;
   if (m_watchesForDomain)
     return std::nullopt;
   Instant NextCall = Now + ForwardedWatchInterval;
@@ -344,7 +350,7 @@
   m_nextCall = Now + (m_loaded ? RetryDelay * m_failures : RetryDelay);
   if (m_reloadNeeded && m_loaded)
     m_nextCall = std::max(m_nextCall, Now + ReloadRetryDelay / MaxRetryFactor);
-  if (!m_watchesForDomain && receivesForwardedChanges(Now))
+  if (!m_watchesForDomain && informed(Now))
     m_nextCall = std::max(m_nextCall, Now + ForwardedWatchInterval);
   // A host that forwards changes reaches the store.
   if (!m_storeReachable || receivesForwardedChanges(Now))
--- a/src/libgateway/registry_watcher.h
+++ b/src/libgateway/registry_watcher.h
@@ -118,7 +118,7 @@
   /// Start time of the last successful call; nothing before the first one.
   std::optional<Instant> lastContact() const { return m_lastContact; }
   /// Time of the last successful call or of the last changes that another host
-  /// has forwarded; nothing before the first one.
+  /// has forwarded without leaving a gap; nothing before the first one.
   std::optional<Instant> lastNews() const;
   /// False after a failed call while no changes arrive from other hosts, until
   /// a call succeeds or changes arrive.
@@ -142,6 +142,12 @@
                const std::vector<std::string> &Renewed) const;
   EntryEffect applyEvent(const StoreEvent &Event, Instant Now);
   bool receivesForwardedChanges(Instant Now) const;
+  /// True while a forwarding host knows changes that this one does not.
+  bool missesChanges() const { return m_version < m_announcedVersion; }
+  /// True while forwarded changes make calls of this host needless.
+  bool informed(Instant Now) const {
+    return receivesForwardedChanges(Now) && !missesChanges();
+  }
 
   WatchableStore &m_store;
   Listener &m_listener;
@@ -162,6 +168,11 @@
   Instant m_lastFailure;
   std::optional<Instant> m_lastContact;
   std::optional<Instant> m_lastForwarded;
+  /// When the last forwarded changes arrived that left no gap.
+  std::optional<Instant> m_lastInformed;
+  /// Highest version that a forwarding host is known to have had since this
+  /// host's last successful call.
+  StoreVersion m_announcedVersion;
   StoreChangeLog m_changeLog;
 };
 
--- a/src/libgateway/registry_watcher_test.cpp
+++ b/src/libgateway/registry_watcher_test.cpp
@@ -370,6 +370,38 @@
   BOOST_TEST(Listener.m_seen.size() == 1u);
 }
 
+// Issue 44: old changes of one host deferred the call for those that were
+// missed from another.
+BOOST_AUTO_TEST_CASE(old_changes_do_not_delay_the_read_of_missed_ones) {
+  FakeStore Store;
+  FakeListener Listener;
+  Instant Now = at(0);
+  RegistryWatcher Watcher(Store, Listener, {""}, [&Now] { return Now; });
+  Watcher.tick(Now);
+  Store.m_reads.at(0)(StoreRange());
+  Watcher.setWatchesForDomain(false);
+  StoreEvents Missed;
+  Missed.m_version = StoreVersion(9);
+  StoreEvents Old;
+  for (int Millis = 20; Millis <= 600 && Store.m_watches.empty();
+       Millis += 20) {
+    Now = at(Millis);
+    if (Millis % 100 == 0)
+      Watcher.onForwardedChanges(StoreVersion(0), Old, Now);
+    if (Millis == 100)
+      BOOST_TEST((Watcher.onForwardedChanges(StoreVersion(5), Missed, Now)
+                      .has_value()));
+    Watcher.tick(Now);
+  }
+  BOOST_TEST(Store.m_watches.size() == 1u);
+  BOOST_TEST((*Watcher.lastNews() == at(100)));
+  StoreEvents Changes;
+  Changes.m_version = StoreVersion(9);
+  Store.m_watches.at(0)(Changes);
+  Watcher.onForwardedChanges(StoreVersion(0), Old, Now);
+  BOOST_TEST((*Watcher.lastNews() == Now));
+}
+
 // Virtual time: a host whose calls fail, while another one forwards changes.
 BOOST_AUTO_TEST_CASE(a_host_that_the_store_turns_away_is_served_by_others) {
   FakeStore Store;
