gateway: a host without news for 3 s reads the present entries

Cause: a host catches up by a watch from the version that it has, which returns each write since: all versions of a configuration, and every heartbeat of every upstream. The longer it has been without news, the longer that takes, while more is written. The time limit by progress bounds a call, not its cost.

Evidence: a_host_without_news_reads_the_present_entries failed before.

Change: after 3 s without news, the watcher reads the entries that it follows, whose size does not depend on that time; what has changed is forwarded as the result of a watch is. Forwarded changes that arrive meanwhile are applied, and what was read before them is dropped. A reload of everything keeps to the same code, and no longer takes entries for removed that were added after the read.

Tests that tick at a time years ahead now use 2.5 s, since a host without news for longer does not watch; what they check is unchanged.

--- a/src/libgateway/registry_watcher.cpp
+++ b/src/libgateway/registry_watcher.cpp
@@ -6,6 +6,7 @@
 #include <limits>
 #include <memory>
 #include <set>
+#include <utility>
 
 namespace burdockpulley {
 
@@ -33,6 +34,22 @@
 /// MaxRetryFactor.
 constexpr Duration ReloadRetryDelay{1'000'000};
 
+/// A host that has had no news for this time reads the present entries.
+/// Upstreams renew their records every 1.5 s, so a watch would then return more
+/// than that even if nothing has changed.
+constexpr Duration MaxWatchedTime{3'000'000};
+
+bool startsWithAny(const std::string &Key,
+                   const std::vector<std::string> &Prefixes) {
+  return std::any_of(
+      Prefixes.begin(), Prefixes.end(),
+      [&](const std::string &Prefix) { return Key.starts_with(Prefix); });
+}
+
+bool isOlder(const StoreEvent &Left, const StoreEvent &Right) {
+  return Left.m_entry.m_modified < Right.m_entry.m_modified;
+}
+
 /// Keeps only the last event of each key, which is all that the other hosts of
 /// the failure domain need; this bounds the messages when many changes come at
 /// once.
@@ -66,55 +83,121 @@
   }
   m_callInFlight = true;
   if (m_reloadNeeded)
-    load(Now);
+    load({""}, Now);
+  else if (outdated(Now))
+    load(m_prefixes, Now);
   else
     watch(Now);
 }
 
-void RegistryWatcher::load(Instant Now) {
-  StoreQuery Everything;
-  Everything.m_prefix = true;
-  m_store.read(Everything, [this, Now](const StoreReply<StoreRange> &Reply) {
-    onLoadReply(Reply, Now);
-  });
+bool RegistryWatcher::outdated(Instant Now) const {
+  auto News = lastNews();
+  return News && Now - *News > MaxWatchedTime;
+}
+
+struct RegistryWatcher::LoadRound {
+  Instant m_began;
+  std::vector<std::string> m_prefixes;
+  std::size_t m_pending = 0; ///< Reads without a reply.
+  StoreRange m_range;
+  std::optional<StoreError> m_error; ///< The first one.
+};
+
+void RegistryWatcher::load(const std::vector<std::string> &Prefixes,
+                           Instant Now) {
+  auto Round = std::make_shared<LoadRound>();
+  Round->m_began = Now;
+  Round->m_prefixes = Prefixes;
+  Round->m_pending = Prefixes.size();
+  Round->m_range.m_version =
+      StoreVersion(std::numeric_limits<std::int64_t>::max());
+  for (const std::string &Prefix : Prefixes) {
+    StoreQuery Query;
+    Query.m_key = Prefix;
+    Query.m_prefix = true;
+    m_store.read(Query, [this, Round](const StoreReply<StoreRange> &Reply) {
+      onLoadReply(*Round, Reply);
+    });
+  }
+}
+
+void RegistryWatcher::onLoadReply(LoadRound &Round,
+                                  const StoreReply<StoreRange> &Reply) {
+  --Round.m_pending;
+  if (const auto *Error = std::get_if<StoreError>(&Reply)) {
+    if (!Round.m_error)
+      Round.m_error = *Error;
+  } else {
+    const auto &Read = std::get<StoreRange>(Reply);
+    StoreRange &All = Round.m_range;
+    All.m_entries.insert(All.m_entries.end(), Read.m_entries.begin(),
+                         Read.m_entries.end());
+    // Later changes are returned by the next watch.
+    All.m_version = std::min(All.m_version, Read.m_version);
+  }
+  if (Round.m_pending == 0)
+    onLoadEnded(Round);
 }
 
-void RegistryWatcher::onLoadReply(const StoreReply<StoreRange> &Reply,
-                                  Instant Began) {
+void RegistryWatcher::onLoadEnded(const LoadRound &Round) {
   m_callInFlight = false;
   Instant Now = m_clock();
-  if (const auto *Error = std::get_if<StoreError>(&Reply))
-    return onFailure(*Error, Now);
-  const auto &Range = std::get<StoreRange>(Reply);
-  onSuccess(Began, Now);
+  if (Round.m_error)
+    return onFailure(*Round.m_error, Now);
+  onSuccess(Round.m_began, Now);
+  m_nextCall = Now + WatchInterval;
+  bool CatchesUp = !m_reloadNeeded;
+  // Forwarded changes may have arrived meanwhile.
+  if (CatchesUp && Round.m_range.m_version < m_version)
+    return;
   m_reloadNeeded = false;
-  m_version = m_announcedVersion = Range.m_version;
+  StoreVersion After = std::exchange(m_version, Round.m_range.m_version);
+  m_announcedVersion = m_version;
+  if (!m_loaded)
+    m_changeLog.reset(m_version);
+  std::vector<std::string> Renewed;
+  StoreEvents Changes = applyEntries(Round, Now, Renewed);
+  logEvent(Severity::Info, "registry_loaded",
+           {{"entries", Round.m_range.m_entries.size()},
+            {"store_version", m_version.value()}});
+  m_loaded = true;
+  if (CatchesUp)
+    forward(After, Changes, Renewed);
+}
+
+StoreEvents RegistryWatcher::applyEntries(const LoadRound &Round, Instant Now,
+                                          std::vector<std::string> &Renewed) {
+  StoreEvents Changes;
+  Changes.m_version = m_version;
   auto PreviousVersions = std::move(m_knownVersions);
   m_knownVersions.clear();
-  for (const StoreEntry &Entry : Range.m_entries)
+  for (const StoreEntry &Entry : Round.m_range.m_entries)
     m_knownVersions[Entry.m_key] = Entry.m_modified;
-  if (!m_loaded)
-    m_changeLog.reset(m_version);
   for (const auto &[Key, Version] : PreviousVersions) {
-    if (m_knownVersions.count(Key))
+    auto [Known, IsMissing] = m_knownVersions.try_emplace(Key, Version);
+    Known->second = std::max(Known->second, Version);
+    if (!IsMissing || Version > m_version ||
+        !startsWithAny(Key, Round.m_prefixes))
       continue;
+    m_knownVersions.erase(Known);
     m_listener.onRemoval(Key, m_version, Now);
-    m_changeLog.add({{Key, "", m_version}, true});
+    Changes.m_events.push_back({{Key, "", m_version}, true});
   }
-  for (const StoreEntry &Entry : Range.m_entries) {
+  for (const StoreEntry &Entry : Round.m_range.m_entries) {
     auto PreviousIt = PreviousVersions.find(Entry.m_key);
     if (PreviousIt != PreviousVersions.end() &&
         PreviousIt->second >= Entry.m_modified)
       continue;
     EntryEffect Effect = m_listener.onEntry(Entry, Now);
     if (Effect == EntryEffect::Change)
-      m_changeLog.add({Entry, false});
+      Changes.m_events.push_back({Entry, false});
+    else if (Effect == EntryEffect::Renewal)
+      Renewed.push_back(Entry.m_key);
   }
-  logEvent(Severity::Info, "registry_loaded",
-           {{"entries", Range.m_entries.size()},
-            {"store_version", m_version.value()}});
-  m_loaded = true;
-  m_nextCall = Now + WatchInterval;
+  for (const StoreEvent &Event : Changes.m_events)
+    m_changeLog.add(Event);
+  std::stable_sort(Changes.m_events.begin(), Changes.m_events.end(), isOlder);
+  return Changes;
 }
 
 struct RegistryWatcher::WatchRound {
@@ -192,10 +275,7 @@
   if (Round.m_error)
     return onRoundEnded(*Round.m_error, Round.m_began);
   std::stable_sort(Round.m_events.m_events.begin(),
-                   Round.m_events.m_events.end(),
-                   [](const StoreEvent &Left, const StoreEvent &Right) {
-                     return Left.m_entry.m_modified < Right.m_entry.m_modified;
-                   });
+                   Round.m_events.m_events.end(), isOlder);
   onRoundEnded(std::move(Round.m_events), Round.m_began);
 }
 
--- a/src/libgateway/registry_watcher.h
+++ b/src/libgateway/registry_watcher.h
@@ -21,6 +21,10 @@
 /// previous one. The whole store is read again when the store no longer keeps
 /// the history that is needed.
 ///
+/// A watch returns every write since the last one, so it takes the longer the
+/// later it is made, above all while large values change. A watcher that has
+/// had no news for some seconds reads the present entries instead.
+///
 /// A watcher may be limited to keys with certain prefixes. It then makes one
 /// watch for each of them, and the changes are applied when all have ended.
 /// Prefixes under which large values are written often must not be followed:
@@ -129,8 +133,15 @@
 private:
   /// Replies to the watches of one round, one for each prefix.
   struct WatchRound;
-  void load(Instant Now);
-  void onLoadReply(const StoreReply<StoreRange> &Reply, Instant Began);
+  /// Replies to the reads of one round, one for each prefix.
+  struct LoadRound;
+  /// Reads the entries with certain prefixes.
+  void load(const std::vector<std::string> &Prefixes, Instant Now);
+  void onLoadReply(LoadRound &Round, const StoreReply<StoreRange> &Reply);
+  void onLoadEnded(const LoadRound &Round);
+  /// Applies what has been read. Returns the changes to be forwarded.
+  StoreEvents applyEntries(const LoadRound &Round, Instant Now,
+                           std::vector<std::string> &Renewed);
   void watch(Instant Now);
   void watchExpectedKey();
   void onExpectedKeyReply(const StoreReply<StoreEvents> &Reply);
@@ -148,6 +159,8 @@
   bool informed(Instant Now) const {
     return receivesForwardedChanges(Now) && !missesChanges();
   }
+  /// True if a watch would return much that has been overwritten since.
+  bool outdated(Instant Now) const;
 
   WatchableStore &m_store;
   Listener &m_listener;
--- a/src/libgateway/registry_watcher_test.cpp
+++ b/src/libgateway/registry_watcher_test.cpp
@@ -1,4 +1,6 @@
 #include "registry_watcher.h"
+
+#include "burdockpulley/clock.h"
 #include "store_keys.h"
 
 #include <boost/test/unit_test.hpp>
@@ -55,13 +57,14 @@
   return {{Key, Value, StoreVersion(Version)}, false};
 }
 
-/// Later than any due time: callbacks take the time from the real clock.
-Instant later() { return Instant::max() - std::chrono::hours(1); }
+/// Later than any due time, and early enough for a watch to be made: callbacks
+/// take the time from the real clock.
+Instant later() { return bootClockNow() + std::chrono::milliseconds(2500); }
 
 /// A watcher that has loaded an empty store at version 10.
 struct LoadedWatcher {
   LoadedWatcher() {
-    m_watcher.tick(at(0));
+    m_watcher.tick(bootClockNow());
     StoreRange Empty;
     Empty.m_version = StoreVersion(10);
     m_store.m_reads.at(0)(Empty);
@@ -402,6 +405,77 @@
   BOOST_TEST((*Watcher.lastNews() == Now));
 }
 
+// Issue 44: a watch returned all versions of a configuration that the host had
+// missed, however many.
+BOOST_AUTO_TEST_CASE(a_host_without_news_reads_the_present_entries) {
+  FakeStore Store;
+  FakeListener Listener;
+  Instant Now = at(0);
+  RegistryWatcher Watcher(Store, Listener, {"op/", "servers/"},
+                          [&Now] { return Now; });
+  StoreRange Loaded;
+  Loaded.m_version = StoreVersion(10);
+  Loaded.m_entries = {{"keys/1", "t", StoreVersion(3)},
+                      {"op/config", "1", StoreVersion(4)},
+                      {"servers/u1", "new", StoreVersion(5)}};
+  Watcher.tick(Now);
+  Store.m_reads.at(0)(Loaded);
+  Listener.m_seen.clear();
+  StoreEvents Forwarded;
+  Watcher.m_onWatchResult = [&](StoreVersion, const StoreEvents &Changes,
+                                const std::vector<std::string> &) {
+    Forwarded = Changes;
+  };
+  Now = at(4000);
+  Watcher.tick(Now);
+  BOOST_TEST(Store.m_watches.empty());
+  BOOST_REQUIRE(Store.m_reads.size() == 3u);
+  StoreRange Operators;
+  Operators.m_version = StoreVersion(30);
+  Operators.m_entries = {{"op/config", "9", StoreVersion(28)}};
+  StoreRange Upstreams;
+  Upstreams.m_version = StoreVersion(31);
+  Upstreams.m_entries = {{"servers/u2", "new", StoreVersion(31)}};
+  Store.m_reads[1](Operators);
+  Store.m_reads[2](Upstreams);
+  // The key table was not read, and is not taken for removed.
+  BOOST_TEST(Listener.m_seen ==
+                 std::vector<std::string>(
+                     {"-servers/u1", "op/config=9", "servers/u2=new"}),
+             boost::test_tools::per_element());
+  BOOST_TEST(Watcher.version().value() == 30);
+  BOOST_TEST(Forwarded.m_events.size() == 3u);
+  BOOST_TEST((Watcher.lastContact() == Now));
+  Now = at(4700);
+  Watcher.tick(Now);
+  BOOST_TEST(Store.m_watches.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(forwarded_changes_are_newer_than_entries_read_before) {
+  FakeStore Store;
+  FakeListener Listener;
+  Instant Now = at(0);
+  RegistryWatcher Watcher(Store, Listener, {"op/"}, [&Now] { return Now; });
+  Watcher.tick(Now);
+  StoreRange Loaded;
+  Loaded.m_version = StoreVersion(10);
+  Store.m_reads.at(0)(Loaded);
+  Watcher.setWatchesForDomain(false);
+  Now = at(4000);
+  Watcher.tick(Now);
+  BOOST_REQUIRE(Store.m_reads.size() == 2u);
+  StoreEvents Changes;
+  Changes.m_version = StoreVersion(20);
+  Changes.m_events = {written("op/config", "2", 20)};
+  Watcher.onForwardedChanges(StoreVersion(10), Changes, Now);
+  StoreRange Older;
+  Older.m_version = StoreVersion(15);
+  Store.m_reads[1](Older);
+  BOOST_TEST(Watcher.version().value() == 20);
+  BOOST_TEST(Listener.m_seen == std::vector<std::string>({"op/config=2"}),
+             boost::test_tools::per_element());
+}
+
 // Virtual time: a host whose calls fail, while another one forwards changes.
 BOOST_AUTO_TEST_CASE(a_host_that_the_store_turns_away_is_served_by_others) {
   FakeStore Store;
