--- a/src/standins/fault_link.h
+++ b/src/standins/fault_link.h
@@ -79,8 +79,8 @@
   Flow m_toCaller;
   std::uint64_t m_answered = 0;
   Instant m_bandwidthFreeAt; ///< When the last held part has arrived.
-  std::string m_lastAnswer; ///< Not repeated yet; see m_repeatAnswer.
-  bool m_muted = false;     ///< Nothing more goes to the caller.
+  std::string m_lastAnswer;  ///< Not repeated yet; see m_repeatAnswer.
+  bool m_muted = false;      ///< Nothing more goes to the caller.
   bool m_ended = false;
 };
 
