--- a/src/build-scripts/install-packages.sh
+++ b/src/build-scripts/install-packages.sh
@@ -6,7 +6,8 @@
   g++ cmake ninja-build make clang-format-14 clang-tidy-14
   libevent-dev libhttp-parser-dev libthrift-dev prometheus-cpp-dev libcxxopts-dev
   libgoogle-glog-dev libboost1.81-dev libboost-test1.81-dev librapidcheck-dev
-  libyaml-cpp-dev libxxhash-dev nlohmann-json3-dev libssl-dev zlib1g-dev libzstd-dev gnuplot-nox
+  libyaml-cpp-dev libxxhash-dev nlohmann-json3-dev libssl-dev zlib1g-dev
+  libzstd-dev gnuplot-nox
 )
 
 missing=()
