gateway: a missed difference is sent again as one, if the whole is too large

Cause: replies to hosts that ask for missed changes had whole values only, and those above 56 kB were left out, at each request again.

Change: a value that is too large to be sent whole is sent as the difference from the entry that the asking host's version suggests. A host without that base asks at most twice a second.

--- a/src/libgateway/peer_state_exchange.cpp
+++ b/src/libgateway/peer_state_exchange.cpp
@@ -34,6 +34,9 @@
 constexpr double IncompleteReplyBytesPerSecond = 250e3;
 constexpr Duration OwnersRequestInterval{300'000};
 constexpr Duration StoreUpdateRequestInterval{100'000};
+/// The same for a value of which the base is missing. The reply may be the
+/// difference from another base again.
+constexpr Duration ValueRequestInterval{500'000};
 /// Approximate size at which changes of the store are split into several
 /// messages.
 constexpr std::size_t MaxStoreUpdateBytes = 16'000;
@@ -168,7 +171,8 @@
   Change.__set_omitted(true);
 }
 
-/// \p BaseOf: returns what the receivers have of a key, or null.
+/// \p BaseOf: returns the entry that the receivers have in place of a changed
+/// one, or null.
 template <class BaseFunction>
 wire::StoreUpdate toWire(StoreVersion After, const StoreEvents &Changes,
                          std::size_t MaxValueBytes, BaseFunction BaseOf) {
@@ -179,7 +183,7 @@
   if (Era.value() != 0)
     Update.__set_era(Era.value());
   for (const StoreEvent &Event : Changes.m_events) {
-    const StoreEntry *Base = BaseOf(Event.m_entry.m_key);
+    const StoreEntry *Base = BaseOf(Event.m_entry);
     if (Base && eraOf(Base->m_modified) != Era)
       Base = nullptr;
     wire::StoreChange Change;
@@ -450,8 +454,8 @@
   auto NextDomain = m_transport.domainAfter(LocalDomain);
   std::size_t MaxBytes =
       m_state.m_settings.highBandwidth() ? MaxValueBytes : MaxNarrowValueBytes;
-  auto BaseOf = [&](const std::string &Key) {
-    return m_storeEntry(Key, After);
+  auto BaseOf = [&](const StoreEntry &Entry) {
+    return m_storeEntry(Entry.m_key, After);
   };
   splitStoreUpdate(
       After, Changes,
@@ -529,8 +533,13 @@
       !m_storeUpdateReplies.take(Now))
     return;
   std::size_t Bytes = 0;
-  auto NoBase = [](const std::string &) -> const StoreEntry * {
-    return nullptr;
+  // The receiver may lack the base that its version suggests, so it gets the
+  // difference only of a value that is too large to be sent whole.
+  auto BaseOfLargest = [&](const StoreEntry &Entry) {
+    return Entry.m_value.size() > MaxValueBytes &&
+                   compress(Entry.m_value).size() > MaxValueBytes
+               ? m_storeEntry(Entry.m_key, After)
+               : nullptr;
   };
   splitStoreUpdate(
       After, *Changes,
@@ -538,9 +547,9 @@
         wire::Datagram Message;
         // No part of an incomplete reply may raise the receiver's version.
         Message.__set_storeUpdate(
-            Incomplete
-                ? toWire(After, {Part.m_events, After}, MaxValueBytes, NoBase)
-                : toWire(PartAfter, Part, MaxValueBytes, NoBase));
+            Incomplete ? toWire(After, {Part.m_events, After}, MaxValueBytes,
+                                BaseOfLargest)
+                       : toWire(PartAfter, Part, MaxValueBytes, BaseOfLargest));
         for (const wire::StoreChange &Change : Message.storeUpdate.events)
           Bytes += Change.key.size() + Change.value.size();
         m_transport.send(Sender, std::move(Message));
@@ -634,7 +643,8 @@
                 {"omitted", Change.omitted}});
       // The same as if the changes up to this one had been lost.
       auto MissedAfter = m_onStoreUpdate(Version, {{}, Version});
-      if (MissedAfter && !Change.omitted)
+      if (MissedAfter && !Change.omitted &&
+          Now - m_lastStoreUpdateRequest >= ValueRequestInterval)
         requestStoreUpdate(Sender, *MissedAfter, Now);
       return;
     }
