http: a response with an undefined status is no answer

Callers saw: an upstream in trouble sent the status 000, and its client got it as an answer (MIXED). 0, 5, 20, 099, 0200, 600 and 999 were delivered, too.

Cause: http_parser takes any number of up to three digits, leading zeros aside, and nothing above it looks at the status except to sort it: outcomeOfResponse() counts all below 500 as answered.

Change: MessageSyntax checks the start line before http_parser gets it. As all responses are read by MessageParser, this holds for upstreams of both modes, other hosts, the store and the command line. Such a response is a BadAnswer: it may have run, it is logged with its problem, and its connection is closed. For a probe it shows that the path to the upstream is in order, as its status did so far.

--- a/src/include/burdockpulley/channel_pool.h
+++ b/src/include/burdockpulley/channel_pool.h
@@ -48,6 +48,11 @@
   /// Number of the connection in its pool, counted from 1; 0 if none was used.
   std::uint64_t m_connection = 0;
   Duration m_spent{}; ///< Time from the call to its end.
+
+  /// Returns true if the server has responded, whatever the response says.
+  bool responded() const {
+    return m_error == ChannelError::None || m_error == ChannelError::BadAnswer;
+  }
 };
 
 struct ChannelPoolSettings {
--- a/src/libgateway/attempt_results.cpp
+++ b/src/libgateway/attempt_results.cpp
@@ -69,8 +69,7 @@
              (Upstream->m_paceLimit && Outcome == AttemptOutcome::TimedOut)) {
     observeFailure(*Upstream, Now);
   }
-  if (Result.m_error == ChannelError::None ||
-      Result.m_error == ChannelError::BadAnswer)
+  if (Result.responded())
     m_state.m_reachability.onResponse();
   if (Result.m_error == ChannelError::None)
     recordResponse(Pending, *Upstream, Result.m_response, Outcome, Now);
--- a/src/libgateway/upstream_prober.cpp
+++ b/src/libgateway/upstream_prober.cpp
@@ -73,7 +73,7 @@
   m_connections.pool(Upstream.m_record.m_id, Upstream.m_record.m_address)
       .call(Request, "", ProbeTimeout, ChannelPool::Reuse::RecentlyUsed,
             [this, Id = Upstream.m_record.m_id](ChannelResult &&Result) {
-              if (Result.m_error == ChannelError::None)
+              if (Result.responded())
                 m_state.m_reachability.onResponse();
               else
                 m_state.m_reachability.onFailure(Id, bootClockNow());
--- a/src/libhttp/channel.cpp
+++ b/src/libhttp/channel.cpp
@@ -50,19 +50,6 @@
   return std::chrono::seconds(Seconds);
 }
 
-const char *toString(MessageParser::Fault Fault) {
-  switch (Fault) {
-  case MessageParser::Fault::HeaderTooLarge:
-    return "header-too-large";
-  case MessageParser::Fault::BodyTooLarge:
-    return "body-too-large";
-  case MessageParser::Fault::Malformed:
-  case MessageParser::Fault::None:
-    break;
-  }
-  return "malformed";
-}
-
 const std::string &bodyOf(const HttpRequest &Request) {
   return Request.m_sharedBody ? *Request.m_sharedBody : Request.m_body;
 }
@@ -276,7 +263,7 @@
     std::size_t ConsumedBytes = m_parser.feed(Bytes, Size);
     evbuffer_drain(Input, ConsumedBytes);
     if (m_parser.state() == MessageParser::State::Failed)
-      return failCall(ChannelError::BadAnswer, toString(m_parser.fault()));
+      return failCall(ChannelError::BadAnswer, m_parser.problem());
     updateMemory(m_parser.bodyMemory() + m_parser.headerMemory());
     if (m_parser.state() == MessageParser::State::Complete && !onResponse())
       return;
--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -258,6 +258,31 @@
       (Fixture.call(GetRequest, "r1").m_error == ChannelError::BadAnswer));
 }
 
+// Servers in trouble sent such heads; their clients got them as answers.
+BOOST_AUTO_TEST_CASE(a_response_with_a_broken_head_is_rejected) {
+  const std::string Fields = "Request-Id: r1\r\nContent-Length: 2\r\n\r\nok";
+  struct BrokenResponse {
+    const char *m_problem;
+    std::string m_bytes;
+  };
+  for (const BrokenResponse &Response : std::vector<BrokenResponse>{
+           {"malformed-status", "HTTP/1.1 000\r\n" + Fields},
+           {"malformed-status", "HTTP/1.1 20 OK\r\n" + Fields},
+           {"malformed-status", "HTTP/1.1 999 OK\r\n" + Fields}}) {
+    PoolFixture Fixture(Response.m_bytes, true);
+    ChannelResult Result = Fixture.call(GetRequest, "r1");
+    BOOST_TEST_CONTEXT(Response.m_bytes) {
+      BOOST_TEST((Result.m_error == ChannelError::BadAnswer));
+      BOOST_TEST(std::string(Result.m_problem) == Response.m_problem);
+      BOOST_TEST(Result.m_sent); // It may have run.
+      BOOST_TEST(Result.m_response.m_body.empty());
+      Fixture.m_server.m_response = OkResponse;
+      BOOST_TEST(Fixture.call(GetRequest, "r1").m_response.m_body == "ok");
+      BOOST_TEST(Fixture.m_server.m_acceptedCount == 2);
+    }
+  }
+}
+
 /// A response without end: its first bytes, and those that are repeated.
 struct EndlessResponse {
   const char *m_problem;
--- a/src/libhttp/faulty_server_test.cpp
+++ b/src/libhttp/faulty_server_test.cpp
@@ -68,6 +68,7 @@
     {"204", "HTTP/1.1 204 No Content\r\n\r\n", true},
     {"304", "HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n", true},
     {"no response", "", false},
+    {"status 000", "HTTP/1.1 000\r\nContent-Length: 2\r\n\r\nok", false},
 };
 
 /// Ignores SIGPIPE: a server may write to a connection that the client has
--- a/src/libhttp/message_parser.cpp
+++ b/src/libhttp/message_parser.cpp
@@ -25,7 +25,8 @@
 } // namespace
 
 MessageParser::MessageParser(Kind MessageKind, Limits SizeLimits)
-    : m_kind(MessageKind), m_limits(SizeLimits) {
+    : m_kind(MessageKind), m_limits(SizeLimits),
+      m_syntax(MessageKind == Kind::Response) {
   reset();
 }
 
@@ -76,6 +77,8 @@
   m_parser.data = this;
   m_state = State::Reading;
   m_fault = Fault::None;
+  m_problem = "";
+  m_syntax.reset();
   m_headerBytesRead = 0;
   m_announcedBytes = 0;
   m_valueBegun = true;
@@ -88,14 +91,24 @@
 }
 
 std::size_t MessageParser::feed(const char *Bytes, std::size_t Size) {
-  std::size_t ConsumedBytes =
-      http_parser_execute(&m_parser, &callbacks(), Bytes, Size);
-  if (m_state == State::Complete || m_state == State::Failed)
-    return ConsumedBytes;
-  if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK)
-    fail(HTTP_PARSER_ERRNO(&m_parser) == HPE_HEADER_OVERFLOW
-             ? Fault::HeaderTooLarge
-             : Fault::Malformed);
+  std::size_t ConsumedBytes = 0;
+  while (m_state == State::Reading && ConsumedBytes < Size) {
+    const char *Part = Bytes + ConsumedBytes;
+    std::size_t PartSize = m_syntax.check({Part, Size - ConsumedBytes});
+    if (PartSize == 0) {
+      failMalformed(m_syntax.problem());
+      break;
+    }
+    ConsumedBytes +=
+        http_parser_execute(&m_parser, &callbacks(), Part, PartSize);
+    auto Error = HTTP_PARSER_ERRNO(&m_parser);
+    if (m_state != State::Reading || Error == HPE_OK)
+      continue;
+    if (Error == HPE_HEADER_OVERFLOW)
+      fail(Fault::HeaderTooLarge);
+    else
+      failMalformed("malformed");
+  }
   return ConsumedBytes;
 }
 
@@ -104,7 +117,7 @@
     return;
   http_parser_execute(&m_parser, &callbacks(), nullptr, 0);
   if (m_state != State::Complete)
-    fail(Fault::Malformed);
+    failMalformed("incomplete");
 }
 
 bool MessageParser::countHeaderBytes(std::size_t Size) {
@@ -114,11 +127,22 @@
 
 int MessageParser::fail(Fault Reason) {
   m_state = State::Failed;
-  if (m_fault == Fault::None)
-    m_fault = Reason;
+  if (m_fault != Fault::None)
+    return -1;
+  m_fault = Reason;
+  if (Reason == Fault::HeaderTooLarge)
+    m_problem = "header-too-large";
+  if (Reason == Fault::BodyTooLarge)
+    m_problem = "body-too-large";
   return -1;
 }
 
+int MessageParser::failMalformed(const char *Problem) {
+  if (m_fault == Fault::None)
+    m_problem = Problem;
+  return fail(Fault::Malformed);
+}
+
 int MessageParser::onField(const char *Bytes, std::size_t Size) {
   if (m_headersComplete)
     return 0; // Trailers are dropped.
@@ -149,7 +173,7 @@
   if (m_kind == Kind::Request) {
     m_method = http_method_str(static_cast<http_method>(m_parser.method));
     if (m_parser.method == HTTP_CONNECT)
-      return fail(Fault::Malformed);
+      return failMalformed("malformed");
     for (const HttpHeader &Header : m_headers)
       if (strcasecmp(Header.m_name.c_str(), "Expect") == 0)
         m_expectsContinue =
@@ -157,6 +181,7 @@
   }
   if (m_kind == Kind::Response && endsWithHead(m_status, m_noBody))
     return SkipBody;
+  m_syntax.beginBody();
   constexpr std::uint64_t UnknownLength = ~std::uint64_t(0);
   if (m_parser.content_length != UnknownLength) {
     if (m_parser.content_length > m_limits.m_bodyBytes)
@@ -191,6 +216,7 @@
 }
 
 int MessageParser::onComplete() {
+  m_syntax.reset();
   m_keepAlive = http_should_keep_alive(&m_parser) != 0;
   if (m_kind == Kind::Response && isInterim(m_status)) {
     m_headers.clear();
--- a/src/libhttp/message_parser.h
+++ b/src/libhttp/message_parser.h
@@ -3,6 +3,7 @@
 
 #include "burdockpulley/http.h"
 #include "burdockpulley/memory_budget.h"
+#include "message_syntax.h"
 
 #include <http_parser.h>
 
@@ -11,9 +12,10 @@
 /// Parses HTTP/1.1 messages one at a time from a byte stream.
 ///
 /// Parsing stops at the end of each message; the bytes of the next one are left
-/// to the caller. Ambiguous framing is an error. 1xx responses are skipped, but
-/// count towards the limit of the header's size, and trailers are dropped.
-/// Thread safety: none.
+/// to the caller. Ambiguous framing, a transfer coding other than chunked, and
+/// what MessageSyntax finds malformed are errors. 1xx responses are skipped,
+/// but count towards the limit of the header's size, and trailers are dropped.
+/// The lines of a folded value are joined. Thread safety: none.
 class MessageParser {
 public:
   enum class Kind { Request, Response };
@@ -67,6 +69,8 @@
 
   State state() const { return m_state; }
   Fault fault() const { return m_fault; }
+  /// Returns what is wrong with a message that has failed, for logs.
+  const char *problem() const { return m_problem; }
   /// Returns true from the first byte of a message until reset().
   bool begun() const { return m_begun; }
   bool headersComplete() const { return m_headersComplete; }
@@ -91,6 +95,7 @@
   int onComplete();
   bool countHeaderBytes(std::size_t Size);
   int fail(Fault Reason);
+  int failMalformed(const char *Problem);
 
   /// Makes room for \p Size more bytes of a body whose length is known.
   void reserveBody(std::size_t Size);
@@ -99,7 +104,9 @@
   Limits m_limits;
   std::size_t m_announcedBytes = 0; ///< Of the body; 0 if not known.
   http_parser m_parser;
+  MessageSyntax m_syntax;
   State m_state = State::Reading;
+  const char *m_problem = "";
   Fault m_fault = Fault::None;
   std::size_t m_headerBytesRead = 0;
   bool m_valueBegun = true;
--- a/src/libhttp/message_parser_test.cpp
+++ b/src/libhttp/message_parser_test.cpp
@@ -35,6 +35,16 @@
   return Parser.state();
 }
 
+/// Returns the state after a response whose connection then ends in order.
+MessageParser::State stateOfResponse(const std::string &Bytes) {
+  MessageParser Parser(MessageParser::Kind::Response, LargeLimits);
+  feedInPieces(Parser, Bytes, {255});
+  Parser.finish();
+  return Parser.state();
+}
+
+const std::string ShortBody = "Content-Length: 2\r\n\r\nok";
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_message_split_into_pieces_of_any_size_is_parsed_alike) {
@@ -180,3 +190,24 @@
       }
     }
 }
+
+// A server in trouble sent the status 000; its clients got it as an answer.
+BOOST_AUTO_TEST_CASE(a_status_has_three_digits_and_is_in_a_known_class) {
+  for (const char *Status : {"000", "0", "5", "20", "099", "0200", "600", "999",
+                             "1000", " 200", "20x", "-20", "200OK", ""})
+    for (const char *Reason : {"", " ", " OK"})
+      BOOST_TEST_CONTEXT("status " << Status << Reason)
+  BOOST_TEST(
+      (stateOfResponse(std::string("HTTP/1.1 ") + Status + Reason + "\r\n" +
+                       ShortBody) == MessageParser::State::Failed));
+  for (const char *Status : {"200", "299", "404", "599"})
+    for (const char *Reason : {"", " ", " OK", " \xc3\xa4"})
+      BOOST_TEST_CONTEXT("status " << Status << Reason)
+  BOOST_TEST(
+      (stateOfResponse(std::string("HTTP/1.1 ") + Status + Reason + "\r\n" +
+                       ShortBody) == MessageParser::State::Complete));
+  // The status of an interim response counts, too.
+  BOOST_TEST((stateOfResponse("HTTP/1.1 100 Continue\r\n\r\n"
+                              "HTTP/1.1 000\r\n" +
+                              ShortBody) == MessageParser::State::Failed));
+}
