http: a field name with a blank makes a message malformed

Callers saw (suspected, shown by tests here): responses with "X Bad: 1", "X : 1", or a blank before the first name were delivered with these lines; "Content-Length : 2" and "Transfer-Encoding : chunked" framed the body, so that the caller got a body that was not the upstream's. Names with control bytes were refused already.

Cause: Debian builds http_parser without its strict checks; it then takes a blank for a part of a name. Requests are read by the same parser.

Change: MessageParser takes token bytes only, in heads, interim responses and trailers. The functions for it, which wellFormed() uses, move to message_syntax.

--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -268,7 +268,11 @@
   for (const BrokenResponse &Response : std::vector<BrokenResponse>{
            {"malformed-status", "HTTP/1.1 000\r\n" + Fields},
            {"malformed-status", "HTTP/1.1 20 OK\r\n" + Fields},
-           {"malformed-status", "HTTP/1.1 999 OK\r\n" + Fields}}) {
+           {"malformed-status", "HTTP/1.1 999 OK\r\n" + Fields},
+           {"malformed-field-name", "HTTP/1.1 200 OK\r\nX Bad: 1\r\n" + Fields},
+           {"malformed-field-name", "HTTP/1.1 200 OK\r\n Bad: 1\r\n" + Fields},
+           {"malformed-field-name",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + Fields}}) {
     PoolFixture Fixture(Response.m_bytes, true);
     ChannelResult Result = Fixture.call(GetRequest, "r1");
     BOOST_TEST_CONTEXT(Response.m_bytes) {
--- a/src/libhttp/faulty_server_test.cpp
+++ b/src/libhttp/faulty_server_test.cpp
@@ -69,6 +69,8 @@
     {"304", "HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n", true},
     {"no response", "", false},
     {"status 000", "HTTP/1.1 000\r\nContent-Length: 2\r\n\r\nok", false},
+    {"blank in a name",
+     "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 2\r\n\r\nok", false},
 };
 
 /// Ignores SIGPIPE: a server may write to a connection that the client has
--- a/src/libhttp/http.cpp
+++ b/src/libhttp/http.cpp
@@ -1,5 +1,7 @@
 #include "burdockpulley/http.h"
 
+#include "message_syntax.h"
+
 #include <strings.h>
 
 #include <algorithm>
@@ -17,18 +19,6 @@
   return {};
 }
 
-bool isTokenByte(char Byte) {
-  constexpr std::string_view Punctuation = "!#$%&'*+-.^_`|~";
-  bool Letter = (Byte >= 'a' && Byte <= 'z') || (Byte >= 'A' && Byte <= 'Z');
-  bool Digit = Byte >= '0' && Byte <= '9';
-  return Letter || Digit || Punctuation.find(Byte) != Punctuation.npos;
-}
-
-bool isValueByte(char Byte) {
-  auto Code = static_cast<unsigned char>(Byte);
-  return Byte == '\t' || (Code >= 0x20 && Code != 0x7f);
-}
-
 bool isTargetByte(char Byte) {
   auto Code = static_cast<unsigned char>(Byte);
   return Code > 0x20 && Code < 0x7f;
@@ -42,8 +32,10 @@
 
 bool hasLegalBytes(const HttpHeader &Header) {
   return !Header.m_name.empty() &&
-         std::all_of(Header.m_name.begin(), Header.m_name.end(), isTokenByte) &&
-         std::all_of(Header.m_value.begin(), Header.m_value.end(), isValueByte);
+         std::all_of(Header.m_name.begin(), Header.m_name.end(),
+                     detail::isTokenByte) &&
+         std::all_of(Header.m_value.begin(), Header.m_value.end(),
+                     detail::isValueByte);
 }
 
 /// Returns true if evhttp reads a body after a request of this method.
--- a/src/libhttp/message_parser.cpp
+++ b/src/libhttp/message_parser.cpp
@@ -144,6 +144,8 @@
 }
 
 int MessageParser::onField(const char *Bytes, std::size_t Size) {
+  if (!std::all_of(Bytes, Bytes + Size, isTokenByte))
+    return failMalformed("malformed-field-name");
   if (m_headersComplete)
     return 0; // Trailers are dropped.
   if (m_valueBegun) {
--- a/src/libhttp/message_parser_test.cpp
+++ b/src/libhttp/message_parser_test.cpp
@@ -211,3 +211,40 @@
                               "HTTP/1.1 000\r\n" +
                               ShortBody) == MessageParser::State::Failed));
 }
+
+// A server in trouble sent names with blanks. Its clients got these lines, or
+// a body that was framed by them.
+BOOST_AUTO_TEST_CASE(a_field_name_is_a_token) {
+  const std::string ResponseHead = "HTTP/1.1 200 OK\r\n";
+  const std::string RequestHead = "POST / HTTP/1.1\r\nHost: x\r\n";
+  const std::string Chunked = "2\r\nok\r\n0\r\n";
+  for (const std::string &Name : std::vector<std::string>{
+           "X Bad", "X ", " X", "\tX", "X\t", "Content Length",
+           "Content-Length ", "Transfer-Encoding ", "", "X\x01", "X\x7f",
+           std::string("X\0Y", 3), "X(y)", "\xc3\xa4"})
+    for (const char *Value : {"2", "chunked"}) {
+      const std::string Line = Name + ": " + Value + "\r\n";
+      BOOST_TEST_CONTEXT(Line) {
+        // On the first line, a leading blank does not continue another one.
+        BOOST_TEST((stateOfResponse(ResponseHead + Line + ShortBody) ==
+                    MessageParser::State::Failed));
+        BOOST_TEST((stateOfResponse(ResponseHead + Line + "\r\n" + Chunked +
+                                    "\r\n") == MessageParser::State::Failed));
+        BOOST_TEST((stateOfResponse("HTTP/1.1 100 Continue\r\n" + Line +
+                                    "\r\n" + ResponseHead + ShortBody) ==
+                    MessageParser::State::Failed));
+        BOOST_TEST(
+            (stateOfResponse(ResponseHead +
+                             "Transfer-Encoding: chunked\r\n\r\n" + Chunked +
+                             Line + "\r\n") == MessageParser::State::Failed));
+        BOOST_TEST((stateAfter("POST / HTTP/1.1\r\n" + Line + ShortBody,
+                               MessageParser::Kind::Request) ==
+                    MessageParser::State::Failed));
+      }
+    }
+  BOOST_TEST((stateOfResponse(ResponseHead + "x!#$%&'*+-.^_`|~9: a b\r\n" +
+                              ShortBody) == MessageParser::State::Complete));
+  BOOST_TEST((stateAfter(RequestHead + "X_a: b\r\n" + ShortBody,
+                         MessageParser::Kind::Request) ==
+              MessageParser::State::Complete));
+}
--- a/src/libhttp/message_syntax.cpp
+++ b/src/libhttp/message_syntax.cpp
@@ -26,6 +26,17 @@
 
 } // namespace
 
+bool isTokenByte(char Byte) {
+  constexpr std::string_view Punctuation = "!#$%&'*+-.^_`|~";
+  bool Letter = (Byte >= 'a' && Byte <= 'z') || (Byte >= 'A' && Byte <= 'Z');
+  return Letter || isDigit(Byte) || Punctuation.find(Byte) != Punctuation.npos;
+}
+
+bool isValueByte(char Byte) {
+  auto Code = static_cast<unsigned char>(Byte);
+  return Byte == '\t' || (Code >= 0x20 && Code != 0x7f);
+}
+
 std::size_t MessageSyntax::check(std::string_view Bytes) {
   return m_section == Section::Body ? Bytes.size() : checkLine(Bytes);
 }
--- a/src/libhttp/message_syntax.h
+++ b/src/libhttp/message_syntax.h
@@ -7,6 +7,13 @@
 
 namespace burdockpulley::detail {
 
+/// Returns true if a byte may be part of the name of a field.
+bool isTokenByte(char Byte);
+
+/// Returns true if a byte may be part of the value of a field, or of a reason
+/// phrase.
+bool isValueByte(char Byte);
+
 /// Checks what http_parser takes on trust: status codes.
 ///
 /// It splits a message into parts that do not cross the end of a line of the
