http: lines and chunks that do not end as they should are malformed

Control bytes in a reason phrase or an extension were accepted.

Cause: without its strict checks, http_parser skips two bytes after a chunk and one after a CR, whatever they are, and ignores all that follows a chunk's size.

Change: MessageSyntax follows the chunks, too, and checks each line and the end of each chunk before http_parser gets it.

LF alone still ends a line of a head, and blanks, extensions and leading zeros of a chunk's size are accepted as before.

--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -272,7 +272,11 @@
            {"malformed-field-name", "HTTP/1.1 200 OK\r\nX Bad: 1\r\n" + Fields},
            {"malformed-field-name", "HTTP/1.1 200 OK\r\n Bad: 1\r\n" + Fields},
            {"malformed-field-name",
-            "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + Fields}}) {
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + Fields},
+           {"control-byte", "HTTP/1.1 200 OK\r\nX\x01: 1\r\n" + Fields},
+           {"malformed-chunk", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n"
+                               "2\r\nokay0\r\n\r\n"}}) {
     PoolFixture Fixture(Response.m_bytes, true);
     ChannelResult Result = Fixture.call(GetRequest, "r1");
     BOOST_TEST_CONTEXT(Response.m_bytes) {
--- a/src/libhttp/faulty_server_test.cpp
+++ b/src/libhttp/faulty_server_test.cpp
@@ -71,6 +71,10 @@
     {"status 000", "HTTP/1.1 000\r\nContent-Length: 2\r\n\r\nok", false},
     {"blank in a name",
      "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 2\r\n\r\nok", false},
+    {"chunk longer than its size",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "2\r\nokay0\r\n\r\n",
+     false},
 };
 
 /// Ignores SIGPIPE: a server may write to a connection that the client has
--- a/src/libhttp/message_parser.cpp
+++ b/src/libhttp/message_parser.cpp
@@ -59,6 +59,9 @@
     Callbacks.on_headers_complete = [](http_parser *Parser) {
       return self(Parser).onHeadersComplete();
     };
+    Callbacks.on_chunk_header = [](http_parser *Parser) {
+      return self(Parser).onChunkHeader();
+    };
     Callbacks.on_body = [](http_parser *Parser, const char *Bytes,
                            std::size_t Size) {
       return self(Parser).onBody(Bytes, Size);
@@ -183,7 +186,7 @@
   }
   if (m_kind == Kind::Response && endsWithHead(m_status, m_noBody))
     return SkipBody;
-  m_syntax.beginBody();
+  m_syntax.beginBody((m_parser.flags & F_CHUNKED) != 0);
   constexpr std::uint64_t UnknownLength = ~std::uint64_t(0);
   if (m_parser.content_length != UnknownLength) {
     if (m_parser.content_length > m_limits.m_bodyBytes)
@@ -194,6 +197,11 @@
   return 0;
 }
 
+int MessageParser::onChunkHeader() {
+  m_syntax.beginChunk(m_parser.content_length);
+  return 0;
+}
+
 int MessageParser::onBody(const char *Bytes, std::size_t Size) {
   if (m_body.size() + Size > m_limits.m_bodyBytes)
     return fail(Fault::BodyTooLarge);
--- a/src/libhttp/message_parser.h
+++ b/src/libhttp/message_parser.h
@@ -93,6 +93,7 @@
   int onHeadersComplete();
   int onBody(const char *Bytes, std::size_t Size);
   int onComplete();
+  int onChunkHeader();
   bool countHeaderBytes(std::size_t Size);
   int fail(Fault Reason);
   int failMalformed(const char *Problem);
--- a/src/libhttp/message_parser_test.cpp
+++ b/src/libhttp/message_parser_test.cpp
@@ -248,3 +248,42 @@
                          MessageParser::Kind::Request) ==
               MessageParser::State::Complete));
 }
+
+// A byte in place of a line's end was dropped, and with it a part of the body
+// or of a field.
+BOOST_AUTO_TEST_CASE(a_line_that_does_not_end_as_it_should_is_refused) {
+  const std::string Head = "HTTP/1.1 200 OK\r\n";
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string &Bytes : std::vector<std::string>{
+           "HTTP/1.1 200 OK\rX" + ShortBody,
+           Head + "Content-Length: 2\r\n\rXok",
+           Head + "X: a\rb\r\n" + ShortBody,
+           "HTTP/1.1 200 O\x01K\r\n" + ShortBody,
+           std::string("HTTP/1.1 200 O\0K\r\n", 18) + ShortBody,
+           Chunked + "2\r\nokay0\r\n\r\n", Chunked + "2\r\nok\n\n0\r\n\r\n",
+           Chunked + "2\r\nok\r\r0\r\n\r\n", Chunked + "2\rXok\r\n0\r\n\r\n",
+           Chunked + "2 garbage\r\nok\r\n0\r\n\r\n",
+           Chunked + "2;a\nb\r\nok\r\n0\r\n\r\n",
+           Chunked + "2;a=\x01\r\nok\r\n0\r\n\r\n",
+           Chunked + "2\r\nok\r\n0\rX\r\n", Chunked + "2\r\nok\r\n0\r\n\rX",
+           Chunked + "2\r\nok\r\n0\r\nX: a\x01\r\n\r\n"})
+    for (const std::vector<std::uint8_t> &Sizes :
+         std::vector<std::vector<std::uint8_t>>{{}, {255}}) {
+      MessageParser Parser(MessageParser::Kind::Response, LargeLimits);
+      feedInPieces(Parser, Bytes, Sizes);
+      Parser.finish();
+      BOOST_TEST_CONTEXT(Bytes)
+      BOOST_TEST((Parser.state() == MessageParser::State::Failed));
+    }
+  for (const std::string &Bytes : std::vector<std::string>{
+           "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+           "\r\nHTTP/1.1 200 OK\r\n" + ShortBody,
+           Chunked + "02 \r\nok\r\n000;a=b\r\nX: a\r\n\r\n"}) {
+    MessageParser Parser(MessageParser::Kind::Response, LargeLimits);
+    feedInPieces(Parser, Bytes, {});
+    BOOST_TEST_CONTEXT(Bytes) {
+      BOOST_TEST((Parser.state() == MessageParser::State::Complete));
+      BOOST_TEST(Parser.m_body == "ok");
+    }
+  }
+}
--- a/src/libhttp/message_syntax.h
+++ b/src/libhttp/message_syntax.h
@@ -2,6 +2,7 @@
 #define BURDOCKPULLEY_LIBHTTP_MESSAGE_SYNTAX_H
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -14,10 +15,11 @@
 /// phrase.
 bool isValueByte(char Byte);
 
-/// Checks what http_parser takes on trust: status codes.
+/// Checks what http_parser, which Debian builds without its strict checks,
+/// takes on trust: status codes, line ends and the framing of chunks.
 ///
-/// It splits a message into parts that do not cross the end of a line of the
-/// head, so that the parser has reported each of them when the next one is
+/// It splits a message into parts that do not cross the end of a line or of a
+/// chunk, so that the parser has reported each of them when the next one is
 /// checked.
 /// Thread safety: none.
 class MessageSyntax {
@@ -31,7 +33,9 @@
   /// Prepares for the next message.
   void reset();
   /// Call it at the end of a head that a body follows.
-  void beginBody();
+  void beginBody(bool Chunked);
+  /// Call it when the size of a chunk has been read; 0 for the last chunk.
+  void beginChunk(std::uint64_t Size);
 
   /// Returns what is malformed, for logs; empty if nothing is.
   const char *problem() const { return m_problem; }
@@ -40,17 +44,24 @@
   enum class Section {
     StartLine,
     Fields,
-    Body,
+    Body, ///< Of a length, or until the end of the connection.
+    ChunkSize,
+    ChunkData,
+    ChunkEnd,
+    Trailers,
   };
 
   std::size_t checkLine(std::string_view Bytes);
   void checkLineEnd();
+  std::size_t checkChunkEnd(char Byte);
   bool failed() const { return *m_problem != '\0'; }
 
   bool m_isResponse;
   Section m_section = Section::StartLine;
-  /// The first bytes of the present start line.
+  /// The first bytes of the present start line or size of a chunk.
   std::string m_lineStart;
+  bool m_afterCarriageReturn = false;
+  std::uint64_t m_chunkBytesLeft = 0;
   const char *m_problem = "";
 };
 
