http: a body in an unknown transfer coding is malformed

Cause: http_parser reads such a body until the connection ends, and only the last coding counts for it.

HttpClient refused them already.

Change: a body needs exactly one coding, chunked, if it has any. Responses without a body may name others.

--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -274,6 +274,9 @@
            {"malformed-field-name",
             "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + Fields},
            {"control-byte", "HTTP/1.1 200 OK\r\nX\x01: 1\r\n" + Fields},
+           {"unsupported-transfer-coding",
+            "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+            "Transfer-Encoding: gzip\r\n\r\nok"},
            {"malformed-chunk", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
                                "Transfer-Encoding: chunked\r\n\r\n"
                                "2\r\nokay0\r\n\r\n"}}) {
--- a/src/libhttp/message_parser.cpp
+++ b/src/libhttp/message_parser.cpp
@@ -186,6 +186,8 @@
   }
   if (m_kind == Kind::Response && endsWithHead(m_status, m_noBody))
     return SkipBody;
+  if (!hasKnownCoding())
+    return failMalformed("unsupported-transfer-coding");
   m_syntax.beginBody((m_parser.flags & F_CHUNKED) != 0);
   constexpr std::uint64_t UnknownLength = ~std::uint64_t(0);
   if (m_parser.content_length != UnknownLength) {
@@ -197,6 +199,21 @@
   return 0;
 }
 
+bool MessageParser::hasKnownCoding() const {
+  bool Found = false;
+  for (const HttpHeader &Header : m_headers) {
+    if (strcasecmp(Header.m_name.c_str(), "Transfer-Encoding") != 0)
+      continue;
+    // http_parser removes the blanks before a value.
+    std::string Coding =
+        Header.m_value.substr(0, Header.m_value.find_last_not_of(" \t") + 1);
+    if (Found || strcasecmp(Coding.c_str(), "chunked") != 0)
+      return false;
+    Found = true;
+  }
+  return true;
+}
+
 int MessageParser::onChunkHeader() {
   m_syntax.beginChunk(m_parser.content_length);
   return 0;
--- a/src/libhttp/message_parser.h
+++ b/src/libhttp/message_parser.h
@@ -95,6 +95,8 @@
   int onComplete();
   int onChunkHeader();
   bool countHeaderBytes(std::size_t Size);
+  /// Returns true if the body, if any, is chunked at most.
+  bool hasKnownCoding() const;
   int fail(Fault Reason);
   int failMalformed(const char *Problem);
 
--- a/src/libhttp/message_parser_test.cpp
+++ b/src/libhttp/message_parser_test.cpp
@@ -249,6 +249,37 @@
               MessageParser::State::Complete));
 }
 
+// The bytes of a coding that this reader does not decode are not the body.
+BOOST_AUTO_TEST_CASE(a_body_in_an_unknown_transfer_coding_is_refused) {
+  const std::string Body = "\r\n2\r\nok\r\n0\r\n\r\n";
+  for (const char *Coding :
+       {"gzip", "gzip, chunked", "chunked, gzip", "identity",
+        "chunked, chunked", "xchunked", "chunkedx", "chunked;a=b", "",
+        "gzip\r\nTransfer-Encoding: chunked",
+        "chunked\r\nTransfer-Encoding: chunked"}) {
+    const std::string Lines =
+        std::string("Transfer-Encoding: ") + Coding + "\r\n";
+    BOOST_TEST_CONTEXT(Lines) {
+      BOOST_TEST((stateOfResponse("HTTP/1.1 200 OK\r\n" + Lines + Body) ==
+                  MessageParser::State::Failed));
+      BOOST_TEST((stateAfter("POST / HTTP/1.1\r\n" + Lines + Body,
+                             MessageParser::Kind::Request) ==
+                  MessageParser::State::Failed));
+    }
+  }
+  for (const char *Coding : {"chunked", "Chunked", "chunked ", "\tchunked"}) {
+    MessageParser Parser(MessageParser::Kind::Response, LargeLimits);
+    feedInPieces(Parser,
+                 std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: ") +
+                     Coding + "\r\n" + Body,
+                 {});
+    BOOST_TEST_CONTEXT(Coding) {
+      BOOST_TEST((Parser.state() == MessageParser::State::Complete));
+      BOOST_TEST(Parser.m_body == "ok");
+    }
+  }
+}
+
 // A byte in place of a line's end was dropped, and with it a part of the body
 // or of a field.
 BOOST_AUTO_TEST_CASE(a_line_that_does_not_end_as_it_should_is_refused) {
