http: a message of another major version is malformed

Cause: http_parser takes any two digits for a version.

Change: the major version has to be 1.

Result: these tests pass; HTTP/1.0 and later minor versions are read as before.

--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -274,6 +274,7 @@
            {"malformed-field-name",
             "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + Fields},
            {"control-byte", "HTTP/1.1 200 OK\r\nX\x01: 1\r\n" + Fields},
+           {"unsupported-version", "HTTP/2.0 200 OK\r\n" + Fields},
            {"unsupported-transfer-coding",
             "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
             "Transfer-Encoding: gzip\r\n\r\nok"},
--- a/src/libhttp/message_parser.cpp
+++ b/src/libhttp/message_parser.cpp
@@ -175,6 +175,8 @@
   m_status = m_parser.status_code;
   // Protocol upgrades are not supported; the message is read like any other.
   m_parser.upgrade = 0;
+  if (m_parser.http_major != 1)
+    return failMalformed("unsupported-version");
   if (m_kind == Kind::Request) {
     m_method = http_method_str(static_cast<http_method>(m_parser.method));
     if (m_parser.method == HTTP_CONNECT)
--- a/src/libhttp/message_parser_test.cpp
+++ b/src/libhttp/message_parser_test.cpp
@@ -280,6 +280,20 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_message_of_another_major_version_is_refused) {
+  for (const char *Version : {"HTTP/0.9", "HTTP/2.0", "HTTP/3.1", "HTTP/9.9"})
+    BOOST_TEST_CONTEXT(Version) {
+      BOOST_TEST((stateOfResponse(std::string(Version) + " 200 OK\r\n" +
+                                  ShortBody) == MessageParser::State::Failed));
+      BOOST_TEST(
+          (stateAfter(std::string("POST / ") + Version + "\r\n" + ShortBody,
+                      MessageParser::Kind::Request) ==
+           MessageParser::State::Failed));
+    }
+  BOOST_TEST((stateOfResponse("HTTP/1.0 200 OK\r\n" + ShortBody) ==
+              MessageParser::State::Complete));
+}
+
 // A byte in place of a line's end was dropped, and with it a part of the body
 // or of a field.
 BOOST_AUTO_TEST_CASE(a_line_that_does_not_end_as_it_should_is_refused) {
