http: a response that ends with its connection during an upload is a part

Callers saw (suspected, shown by tests here): a server answered an upload at once with a 200 without length, sent a part of its body and ended; the client got the part as the whole answer.

Cause: the end of a connection completed a response, whatever was left of the request. A process that dies when it has read all that has arrived leaves a connection that its kernel ends in order, and resets when more arrives. After an end, recv() does not report a reset. A plain reset was reported as interrupted.

Change: such a response is complete only if the whole request is sent and acknowledged and the connection is not reset. Else the call is interrupted, with the problem ended-during-request, so that what crashes upstreams is still suspected. Every segment of a server that has received the request acknowledges it, so whole answers after whole uploads are not affected.

--- a/src/include/burdockpulley/channel_pool.h
+++ b/src/include/burdockpulley/channel_pool.h
@@ -40,7 +40,8 @@
   ChannelError m_error = ChannelError::None;
   bool m_sent = false;    ///< Bytes may have reached the server.
   bool m_refused = false; ///< The server's port refused the connection.
-  /// What is wrong with a BadAnswer, for logs; empty for other outcomes.
+  /// What is wrong with an answer, for logs. Set for each BadAnswer, and for an
+  /// Interrupted one that looked complete.
   const char *m_problem = "";
   HttpResponse m_response;
   /// Bytes of the body that had arrived when the call failed.
@@ -96,11 +97,11 @@
 /// A connection on which anything unexpected happened is never reused. A
 /// response is complete only if its framing says so. Unlike HttpClient, which
 /// is built on it, it accepts responses that are delimited by the end of the
-/// connection. It accepts responses that arrive while the request is still
-/// being written, and skips late responses to earlier requests. The id tells
-/// such a response from that to the present call, unless both have the same id:
-/// a connection on which a call has ended with an error status is not used
-/// again for its id.
+/// connection, if the server has received the whole request by then. It accepts
+/// responses that arrive while the request is still being written, and skips
+/// late responses to earlier requests. The id tells such a response from that
+/// to the present call, unless both have the same id: a connection on which a
+/// call has ended with an error status is not used again for its id.
 /// Thread safety: none; use it on the event loop's thread only.
 class ChannelPool {
 public:
--- a/src/libgateway/attempt_results.cpp
+++ b/src/libgateway/attempt_results.cpp
@@ -43,7 +43,7 @@
                             const ChannelResult &Result, AttemptOutcome Outcome,
                             Instant Now) {
   m_state.m_metrics.onAttempt(Pending.m_service->m_name, toString(Outcome));
-  if (Result.m_error == ChannelError::BadAnswer)
+  if (*Result.m_problem != '\0')
     logEvent(Severity::Warning, "response_unusable",
              {{"request", Pending.m_requestId},
               {"upstream", Pending.m_upstream.value()},
--- a/src/libhttp/channel.cpp
+++ b/src/libhttp/channel.cpp
@@ -11,9 +11,11 @@
 #include <arpa/inet.h>
 #include <cerrno>
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -355,6 +357,10 @@
   if (Events & BEV_EVENT_EOF) {
     m_parser.finish();
     if (m_parser.state() == MessageParser::State::Complete) {
+      // A server that ends while it receives the request has sent a part of its
+      // response at most, but its kernel ends the connection in order.
+      if (!requestAcknowledged())
+        return failCall(ChannelError::Interrupted, "ended-during-request");
       m_notReusable = true;
       if (!onResponse())
         return;
@@ -363,6 +369,19 @@
   failCall(ChannelError::Interrupted);
 }
 
+bool Channel::requestAcknowledged() const {
+  if (evbuffer_get_length(bufferevent_get_output(m_stream)) > 0)
+    return false;
+  int Descriptor = bufferevent_getfd(m_stream);
+  int UnacknowledgedBytes = 0;
+  tcp_info Info{};
+  socklen_t Size = sizeof(Info);
+  return ioctl(Descriptor, SIOCOUTQ, &UnacknowledgedBytes) == 0 &&
+         UnacknowledgedBytes == 0 &&
+         getsockopt(Descriptor, IPPROTO_TCP, TCP_INFO, &Info, &Size) == 0 &&
+         Info.tcpi_state != TCP_CLOSE;
+}
+
 void Channel::close() {
   m_resetOnClose |= m_done != nullptr;
   m_done = nullptr;
--- a/src/libhttp/channel.h
+++ b/src/libhttp/channel.h
@@ -51,6 +51,9 @@
   void discardRequest();
   void onReadable();
   void onDisconnected(short Events);
+  /// Returns true if the server's end of the connection has acknowledged the
+  /// whole request, and has not reset the connection since it has ended it.
+  bool requestAcknowledged() const;
   void onTimer();
   void onMemoryLimit() override;
   /// Tells the pool's ResponseMemory, if any, how much the response takes.
--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -295,6 +295,116 @@
   }
 }
 
+namespace {
+
+/// How a server ends that has not read anything yet.
+enum class ServerEnd {
+  HalfClose,
+  HalfCloseAndReset,
+  ReadAndExit, ///< It has read what was there, like a process that dies.
+};
+
+HttpRequest uploadOf(std::size_t Bytes) {
+  return {"POST", "/", {{"Host", "x"}}, std::string(Bytes, 'b'), ""};
+}
+
+/// Uploads to a server that sends a response once the client has sent as much
+/// as it can, and then ends.
+ChannelResult uploadToEndingServer(std::size_t Bytes,
+                                   const std::string &Response, ServerEnd End) {
+  PoolFixture Fixture("");
+  Fixture.m_server.m_reads = false;
+  std::optional<ChannelResult> CallResult;
+  Fixture.m_pool->call(
+      uploadOf(Bytes), "r1", std::chrono::seconds(20), ChannelPool::Reuse::Any,
+      [&](ChannelResult &&Result) { CallResult = std::move(Result); });
+  Fixture.runUntil([&] { return !Fixture.m_server.m_streams.empty(); });
+  // Each turn sends a part of the request, until the kernel takes no more.
+  constexpr int Turns = 200;
+  for (int Turn = 0; Turn < Turns; ++Turn)
+    event_base_loop(Fixture.m_base, EVLOOP_NONBLOCK);
+  bufferevent *Stream = Fixture.m_server.m_streams.at(0);
+  int Descriptor = bufferevent_getfd(Stream);
+  if (End == ServerEnd::ReadAndExit) {
+    std::vector<char> Input(1 << 20);
+    while (recv(Descriptor, Input.data(), Input.size(), MSG_DONTWAIT) > 0) {
+    }
+  }
+  BOOST_REQUIRE(send(Descriptor, Response.data(), Response.size(), 0) ==
+                static_cast<ssize_t>(Response.size()));
+  if (End != ServerEnd::ReadAndExit)
+    shutdown(Descriptor, SHUT_WR);
+  if (End == ServerEnd::HalfCloseAndReset) {
+    linger Reset{1, 0};
+    setsockopt(Descriptor, SOL_SOCKET, SO_LINGER, &Reset, sizeof(Reset));
+  }
+  if (End != ServerEnd::HalfClose) {
+    Fixture.m_server.m_streams.clear();
+    bufferevent_free(Stream);
+  }
+  while (!CallResult)
+    event_base_loop(Fixture.m_base, EVLOOP_ONCE);
+  return *CallResult;
+}
+
+} // namespace
+
+// A server that died while it received an upload had sent a part of its
+// response; its client got that part as the answer.
+BOOST_AUTO_TEST_CASE(
+    a_server_that_ends_during_an_upload_has_not_completed_its_response) {
+  struct Upload {
+    std::size_t m_bytes;
+    ServerEnd m_end;
+  };
+  for (const Upload &Each : std::vector<Upload>{
+           // The kernel has taken all of it, the server's only a part.
+           {std::size_t(1) << 20, ServerEnd::HalfClose},
+           {std::size_t(16) << 20, ServerEnd::HalfClose},
+           // The server's kernel has all of it, and finds it unread.
+           {std::size_t(4) << 10, ServerEnd::HalfCloseAndReset},
+           {std::size_t(1) << 20, ServerEnd::HalfCloseAndReset},
+           {std::size_t(16) << 20, ServerEnd::HalfCloseAndReset},
+           {std::size_t(16) << 20, ServerEnd::ReadAndExit}})
+    for (const char *Status : {"200 OK", "413 Content Too Large"}) {
+      ChannelResult Result =
+          uploadToEndingServer(Each.m_bytes,
+                               std::string("HTTP/1.1 ") + Status +
+                                   "\r\nRequest-Id: r1\r\n\r\npart of i",
+                               Each.m_end);
+      BOOST_TEST_CONTEXT(Status << " for " << Each.m_bytes << " bytes, end "
+                                << static_cast<int>(Each.m_end)) {
+        BOOST_TEST((Result.m_error == ChannelError::Interrupted));
+        BOOST_TEST(Result.m_sent);
+        BOOST_TEST(Result.m_response.m_body.empty());
+      }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_response_without_a_length_may_follow_an_upload) {
+  for (std::size_t Bytes :
+       {std::size_t(4) << 10, std::size_t(1) << 20, std::size_t(16) << 20}) {
+    PoolFixture Fixture("");
+    Fixture.m_server.m_respond = [&](bufferevent *, const std::string &) {
+      bool Whole = Fixture.m_server.m_receivedBytes > Bytes;
+      Fixture.m_server.m_closeAfterResponse = Whole;
+      return Whole ? std::string("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n"
+                                 "all of it")
+                   : std::string();
+    };
+    ChannelResult Result = Fixture.call(uploadOf(Bytes), "r1");
+    BOOST_TEST_CONTEXT(Bytes << " bytes") {
+      BOOST_TEST((Result.m_error == ChannelError::None));
+      BOOST_TEST(Result.m_response.m_body == "all of it");
+    }
+    ChannelResult AfterExit = uploadToEndingServer(
+        std::size_t(4) << 10,
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nall of it",
+        ServerEnd::ReadAndExit);
+    BOOST_TEST(AfterExit.m_response.m_body == "all of it");
+  }
+}
+
 /// A response without end: its first bytes, and those that are repeated.
 struct EndlessResponse {
   const char *m_problem;
--- a/src/libhttp/raw_server.h
+++ b/src/libhttp/raw_server.h
@@ -55,6 +55,8 @@
   std::function<std::string(bufferevent *Stream, const std::string &Received)>
       m_respond;
   bool m_closeAfterResponse;
+  /// Whether the server reads, and responds; set it before clients connect.
+  bool m_reads = true;
   /// Whether m_repeatedBytes are sent each time all output has been sent.
   bool m_keepSending = false;
   std::string m_repeatedBytes = "x";
@@ -75,7 +77,8 @@
         bufferevent_socket_new(Self->m_base, Descriptor, BEV_OPT_CLOSE_ON_FREE);
     Self->m_streams.push_back(Stream);
     bufferevent_setcb(Stream, onRequest, onSent, onDisconnected, Self);
-    bufferevent_enable(Stream, EV_READ | EV_WRITE);
+    if (Self->m_reads)
+      bufferevent_enable(Stream, EV_READ | EV_WRITE);
   }
 
   static void onRequest(bufferevent *Stream, void *Argument) {
