http: a whole response is delivered although the server then resets

Cause: the write that failed because of the reset ended the call before the response, which the kernel had received, was read.

Change: a failed write no longer ends a call; reading goes on, delivers what has arrived, and reports the end. A response without length stays incomplete then, as a part of the request is unsent.

--- a/src/libhttp/channel.cpp
+++ b/src/libhttp/channel.cpp
@@ -354,6 +354,10 @@
     m_refused = errno == ECONNREFUSED;
     return failCall(ChannelError::ConnectFailed);
   }
+  // The server may have responded before it reset the connection. Reading goes
+  // on, and reports the end when what has arrived is read.
+  if (Events & BEV_EVENT_WRITING)
+    return;
   if (Events & BEV_EVENT_EOF) {
     m_parser.finish();
     if (m_parser.state() == MessageParser::State::Complete) {
--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -381,6 +381,23 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_response_with_a_length_may_end_during_an_upload) {
+  for (ServerEnd End : {ServerEnd::HalfClose, ServerEnd::HalfCloseAndReset,
+                        ServerEnd::ReadAndExit})
+    for (std::size_t Bytes : {std::size_t(1) << 20, std::size_t(16) << 20})
+      for (const char *Body : {"Content-Length: 5\r\n\r\nwhole",
+                               "Transfer-Encoding: chunked\r\n\r\n"
+                               "5\r\nwhole\r\n0\r\n\r\n"}) {
+        ChannelResult Result = uploadToEndingServer(
+            Bytes, std::string("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n") + Body,
+            End);
+        BOOST_TEST_CONTEXT(Bytes << " bytes, end " << static_cast<int>(End)) {
+          BOOST_TEST((Result.m_error == ChannelError::None));
+          BOOST_TEST(Result.m_response.m_body == "whole");
+        }
+      }
+}
+
 BOOST_AUTO_TEST_CASE(a_response_without_a_length_may_follow_an_upload) {
   for (std::size_t Bytes :
        {std::size_t(4) << 10, std::size_t(1) << 20, std::size_t(16) << 20}) {
