http, gateway: log what is wrong with a response wherever one is read

Callers saw nothing of this. Responses to calls of the declared mode, to forwarded requests, to grants and releases and of the store can be malformed as well, but their logs named no problem.

And a test for folded lines, which were handled already: the value is joined, as HTTP allows. It passed before and keeps things as they are.

--- a/src/libgateway/coordinator_driver.cpp
+++ b/src/libgateway/coordinator_driver.cpp
@@ -701,6 +701,7 @@
                 {"hold_ms", Command.m_duration.count() / 1000},
                 {"outcome", toString(Outcome)},
                 {"error", toString(Result.m_error)},
+                {"problem", Result.m_problem},
                 {"waited_ms", (Now - Decided - Result.m_spent).count() / 1000},
                 {"spent_ms", Result.m_spent.count() / 1000}});
     if (Outcome == GrantOutcome::Granted && Command.m_first)
@@ -742,6 +743,7 @@
                          {"last", Command.m_range.m_last},
                          {"released", Handover.has_value()},
                          {"error", toString(Result.m_error)},
+                         {"problem", Result.m_problem},
                          {"spent_ms", Result.m_spent.count() / 1000}});
                ServiceCoordination &Coordination = coordination(Service);
                Instant Now = bootClockNow();
--- a/src/libhttp/http_client.cpp
+++ b/src/libhttp/http_client.cpp
@@ -1,5 +1,6 @@
 #include "burdockpulley/channel_pool.h"
 #include "burdockpulley/clock.h"
+#include "burdockpulley/event_log.h"
 #include "framing.h"
 
 #include <strings.h>
@@ -115,6 +116,9 @@
     start(std::move(NextCall));
   }
   HttpError Error = translate(Result.m_error);
+  if (*Result.m_problem != '\0')
+    logEvent(Severity::Warning, "response_unusable",
+             {{"server", m_server}, {"problem", Result.m_problem}});
   if (Error == HttpError::None && !isComplete(Result.m_response, IsHeadRequest))
     Error = HttpError::Interrupted;
   if (Error != HttpError::None)
--- a/src/libhttp/message_parser_test.cpp
+++ b/src/libhttp/message_parser_test.cpp
@@ -43,6 +43,29 @@
   return Parser.state();
 }
 
+/// Generates a response and makes its head malformed. Precondition: called
+/// within a property of RapidCheck.
+std::string arbitraryMalformedResponse() {
+  ResponseShapes Shapes;
+  Shapes.m_headerLines = "X-Name: a\r\n";
+  const ArbitraryResponse Response = arbitraryResponse(Shapes);
+  std::string Bytes = Response.m_bytes;
+  const std::size_t Name = Bytes.find("X-Name");
+  const std::size_t Status = Bytes.rfind("HTTP/1.1 ", Name) + 9;
+  switch (*rc::gen::inRange(0, 3)) {
+  case 0:
+    return Bytes.replace(
+        Status, 3,
+        *rc::gen::element<std::string>("000", "0", "20", "099", "0200", "999"));
+  case 1:
+    return Bytes.insert(Name + *rc::gen::inRange<std::size_t>(0, 7), " ");
+  default:
+    return Bytes.insert(
+        *rc::gen::inRange<std::size_t>(0, Response.m_headEnd),
+        std::string(1, *rc::gen::element('\0', '\x01', '\x1f', '\x7f')));
+  }
+}
+
 const std::string ShortBody = "Content-Length: 2\r\n\r\nok";
 
 } // namespace
@@ -332,3 +355,24 @@
     }
   }
 }
+
+BOOST_AUTO_TEST_CASE(a_folded_line_continues_the_value) {
+  MessageParser Parser(MessageParser::Kind::Response, LargeLimits);
+  feedInPieces(Parser, "HTTP/1.1 200 OK\r\nX-A: a\r\n b\r\n c\r\n" + ShortBody,
+               {});
+  BOOST_TEST((Parser.state() == MessageParser::State::Complete));
+  BOOST_TEST(Parser.m_headers.at(0).m_value == "a b c");
+  BOOST_TEST((stateOfResponse("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n 2"
+                              "\r\n\r\nok") == MessageParser::State::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(a_response_with_a_malformed_head_is_never_complete) {
+  BOOST_TEST(rc::check([](const std::vector<std::uint8_t> &Sizes) {
+    const std::string Bytes = arbitraryMalformedResponse();
+    MessageParser Parser(MessageParser::Kind::Response, LargeLimits);
+    Parser.expectNoBody(*rc::gen::arbitrary<bool>());
+    feedInPieces(Parser, Bytes, Sizes);
+    Parser.finish();
+    RC_ASSERT(Parser.state() == MessageParser::State::Failed);
+  }));
+}
