--- a/src/libhttp/channel_test.cpp
+++ b/src/libhttp/channel_test.cpp
@@ -287,6 +287,7 @@
       BOOST_TEST((Result.m_error == ChannelError::BadAnswer));
       BOOST_TEST(std::string(Result.m_problem) == Response.m_problem);
       BOOST_TEST(Result.m_sent); // It may have run.
+      BOOST_TEST(Result.responded());
       BOOST_TEST(Result.m_response.m_body.empty());
       Fixture.m_server.m_response = OkResponse;
       BOOST_TEST(Fixture.call(GetRequest, "r1").m_response.m_body == "ok");
--- a/src/libhttp/message_parser.h
+++ b/src/libhttp/message_parser.h
@@ -15,7 +15,8 @@
 /// to the caller. Ambiguous framing, a transfer coding other than chunked, and
 /// what MessageSyntax finds malformed are errors. 1xx responses are skipped,
 /// but count towards the limit of the header's size, and trailers are dropped.
-/// The lines of a folded value are joined. Thread safety: none.
+/// The lines of a folded value are joined.
+/// Thread safety: none.
 class MessageParser {
 public:
   enum class Kind { Request, Response };
--- a/src/libhttp/message_parser_test.cpp
+++ b/src/libhttp/message_parser_test.cpp
@@ -216,19 +216,24 @@
 
 // A server in trouble sent the status 000; its clients got it as an answer.
 BOOST_AUTO_TEST_CASE(a_status_has_three_digits_and_is_in_a_known_class) {
-  for (const char *Status : {"000", "0", "5", "20", "099", "0200", "600", "999",
-                             "1000", " 200", "20x", "-20", "200OK", ""})
-    for (const char *Reason : {"", " ", " OK"})
-      BOOST_TEST_CONTEXT("status " << Status << Reason)
-  BOOST_TEST(
-      (stateOfResponse(std::string("HTTP/1.1 ") + Status + Reason + "\r\n" +
-                       ShortBody) == MessageParser::State::Failed));
-  for (const char *Status : {"200", "299", "404", "599"})
-    for (const char *Reason : {"", " ", " OK", " \xc3\xa4"})
-      BOOST_TEST_CONTEXT("status " << Status << Reason)
-  BOOST_TEST(
-      (stateOfResponse(std::string("HTTP/1.1 ") + Status + Reason + "\r\n" +
-                       ShortBody) == MessageParser::State::Complete));
+  auto StateOf = [](const std::string &StatusAndReason) {
+    return stateOfResponse("HTTP/1.1 " + StatusAndReason + "\r\n" + ShortBody);
+  };
+  for (const std::string Status :
+       {"000", "0", "5", "20", "099", "0200", "600", "999", "1000", " 200",
+        "20x", "-20", "200OK", ""})
+    for (const char *Reason : {"", " ", " OK"}) {
+      BOOST_TEST_CONTEXT("status " << Status << Reason) {
+        BOOST_TEST((StateOf(Status + Reason) == MessageParser::State::Failed));
+      }
+    }
+  for (const std::string Status : {"200", "299", "404", "599"})
+    for (const char *Reason : {"", " ", " OK", " \xc3\xa4"}) {
+      BOOST_TEST_CONTEXT("status " << Status << Reason) {
+        BOOST_TEST(
+            (StateOf(Status + Reason) == MessageParser::State::Complete));
+      }
+    }
   // The status of an interim response counts, too.
   BOOST_TEST((stateOfResponse("HTTP/1.1 100 Continue\r\n\r\n"
                               "HTTP/1.1 000\r\n" +
@@ -340,8 +345,9 @@
       MessageParser Parser(MessageParser::Kind::Response, LargeLimits);
       feedInPieces(Parser, Bytes, Sizes);
       Parser.finish();
-      BOOST_TEST_CONTEXT(Bytes)
-      BOOST_TEST((Parser.state() == MessageParser::State::Failed));
+      BOOST_TEST_CONTEXT(Bytes) {
+        BOOST_TEST((Parser.state() == MessageParser::State::Failed));
+      }
     }
   for (const std::string &Bytes : std::vector<std::string>{
            "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
