--- a/src/libhttp/message_syntax.h
+++ b/src/libhttp/message_syntax.h
@@ -15,8 +15,8 @@
 /// phrase.
 bool isValueByte(char Byte);
 
-/// Checks what http_parser, which Debian builds without its strict checks,
-/// takes on trust: status codes, line ends and the framing of chunks.
+/// Checks what http_parser, as Debian packages it, takes on trust: status
+/// codes, line ends and the framing of chunks.
 ///
 /// It splits a message into parts that do not cross the end of a line or of a
 /// chunk, so that the parser has reported each of them when the next one is
