--- a/review/standins-2/unread.cc
+++ b/review/standins-2/unread.cc
@@ -27,7 +27,7 @@
 } // namespace
 
 int main(int, char **Arguments) {
-  const int CrowdSize = setting("CROWD", 500);
+  const int CrowdSize = setting("CROWD", 800);
   const int AnswerBytes = setting("BYTES", 540'000);
   signal(SIGPIPE, SIG_IGN);
   rlimit Limit{};
